--- /dev/null
+++ b/internal/admission/core.go
@@ -0,0 +1,486 @@
+// Package admission decides which request runs where and when: it queues by fair
+// shares and urgency, predicts the memory that batches will need, chooses
+// targets, ejects sick ones, bounds retries and refuses early what cannot be
+// done in time.
+//
+// It is a function of state, event and time that returns decisions. The caller
+// supplies the clock and a seeded random source.
+package admission
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/vanillaward/vanillaward"
+)
+
+// Request describes a request for admission.
+type Request struct {
+	// ID is unique among the requests of the instance.
+	ID uint64
+	// Pool is the model or plain service.
+	Pool string
+	// Organisation and Class select estimates and shares.
+	Organisation string
+	Class        string
+	// Weight is the organisation's share.
+	Weight float64
+	// Urgency ranks requests; higher goes first.
+	Urgency int
+	// Prompt is the prompt's length in tokens.
+	Prompt int
+	// Longest bounds the estimate of the output, in tokens.
+	Longest int
+	// MaxTokens is the bound that the caller asked for, or 0.
+	MaxTokens int
+	// KnownLength is the output's length where it is known ahead, or 0.
+	KnownLength int
+	// Prefix identifies the prompt's beginning, or 0.
+	Prefix uint64
+	// Deadline is when the request must have started.
+	Deadline time.Duration
+	// Avoid names a target that just failed the request.
+	Avoid string
+}
+
+// request is a request with its state.
+type request struct {
+	Request
+	urgency  int
+	arrived  time.Duration
+	started  time.Duration
+	expected float64
+	written  int
+	target   *target
+}
+
+func (r *request) held() float64 { return float64(r.Prompt + r.written) }
+
+func (r *request) remaining() float64 { return max(1, r.expected-float64(r.written)) }
+
+func (r *request) cost() float64 { return float64(r.Prompt) + r.expected }
+
+func (r *request) longest() int {
+	if r.MaxTokens > 0 {
+		return min(r.MaxTokens, r.Longest)
+	}
+	return r.Longest
+}
+
+// Reason is why a request is refused.
+type Reason string
+
+// Reasons of refusals.
+const (
+	// ReasonDeadline means that the request could not start in time.
+	ReasonDeadline Reason = "deadline"
+	// ReasonQueueFull means that the queue holds all that it may.
+	ReasonQueueFull Reason = "queue-full"
+	// ReasonNoTarget means that there is no target at all.
+	ReasonNoTarget Reason = "no-target"
+)
+
+// Decision is what the core decided for one request.
+type Decision struct {
+	// ID is the request.
+	ID uint64
+	// Target is where it starts, or the empty string when it is refused.
+	Target string
+	// Reason is why it is refused.
+	Reason Reason
+	// RetryAfter is when a refused caller should come back.
+	RetryAfter time.Duration
+}
+
+// Settings bound the core.
+type Settings struct {
+	MaxQueue   int
+	RetryAfter time.Duration
+	Budget     float64 // retries per first attempt
+	EjectAfter int
+	EjectFor   time.Duration
+}
+
+// DefaultSettings returns the bounds that suit a small deployment.
+func DefaultSettings() Settings {
+	return Settings{MaxQueue: 2000, RetryAfter: time.Second, Budget: 0.1, EjectAfter: 3, EjectFor: 5 * time.Second}
+}
+
+const (
+	// maxBudget bounds the retries that can be saved up.
+	maxBudget = 20
+	// prefixesKept bounds the prefixes whose targets are remembered.
+	prefixesKept = 4096
+	// agingPart is the part of its time to the deadline after which a waiting
+	// request gains urgency.
+	agingPart = 2
+)
+
+// Core is the admission state of one instance. It is not safe for concurrent
+// use.
+type Core struct {
+	settings  Settings
+	policy    vanillaward.RoutingPolicy
+	random    *rand.Rand
+	estimator *Estimator
+	pools     map[string]*pool
+	order     []*pool // the pools in order of creation, for a repeatable order
+	targets   map[string]*target
+	requests  map[uint64]*request
+	prefixes  map[uint64]string
+	recent    []uint64 // remembered prefixes, oldest first
+	budget    float64
+	decisions []Decision
+}
+
+// New returns a core without targets.
+func New(settings Settings, policy vanillaward.RoutingPolicy, random *rand.Rand) *Core {
+	return &Core{
+		settings: settings, policy: policy, random: random, estimator: NewEstimator(),
+		pools: map[string]*pool{}, targets: map[string]*target{}, requests: map[uint64]*request{},
+		prefixes: map[uint64]string{}, budget: maxBudget,
+	}
+}
+
+// Estimator returns the estimator of output lengths.
+func (c *Core) Estimator() *Estimator { return c.estimator }
+
+// SetSettings changes the bounds.
+func (c *Core) SetSettings(s Settings) { c.settings = s }
+
+// TargetSpec declares a target of a pool.
+type TargetSpec struct {
+	Name     string
+	Pool     string
+	Capacity int
+	BatchCap int
+	// Reports is whether the target reports its load, so that it is only used
+	// with a fresh report.
+	Reports bool
+}
+
+// SetTargets replaces the declared targets. Requests that run on a removed one
+// go on.
+func (c *Core) SetTargets(now time.Duration, specs []TargetSpec) []Decision {
+	wanted := make(map[string]TargetSpec, len(specs))
+	for _, s := range specs {
+		wanted[s.Name] = s
+	}
+	for name, t := range c.targets {
+		if s, ok := wanted[name]; !ok || s.Pool != t.pool.name {
+			t.pool.remove(t)
+			delete(c.targets, name)
+		}
+	}
+	for _, s := range specs {
+		t := c.targets[s.Name]
+		if t == nil {
+			t = c.pool(s.Pool).add(s.Name, s.Capacity, s.BatchCap)
+			c.targets[s.Name] = t
+		}
+		t.capacity, t.batchCap, t.reports = float64(s.Capacity), s.BatchCap, s.Reports
+		t.refresh(now)
+	}
+	return c.pumpAll(now)
+}
+
+func (c *Core) pool(name string) *pool {
+	p := c.pools[name]
+	if p == nil {
+		p = &pool{name: name, meanLength: priorTokens}
+		c.pools[name] = p
+		c.order = append(c.order, p)
+	}
+	return p
+}
+
+// Arrive admits, queues or refuses a request. The decision for it may come with
+// this or a later call.
+func (c *Core) Arrive(now time.Duration, in Request) []Decision {
+	r := &request{Request: in, urgency: in.Urgency, arrived: now}
+	c.estimate(r)
+	c.requests[in.ID] = r
+	p := c.pool(in.Pool)
+	if len(p.targets) == 0 {
+		c.refuse(r, ReasonNoTarget, c.settings.RetryAfter)
+		return c.take()
+	}
+	if wait := p.queue.wait(r, p.rate.rate); now+wait > in.Deadline {
+		c.refuse(r, ReasonDeadline, wait)
+		return c.take()
+	}
+	p.queue.push(r)
+	c.pump(now, p)
+	c.boundQueue(p)
+	return c.take()
+}
+
+func (c *Core) estimate(r *request) {
+	if r.KnownLength > 0 {
+		r.expected = float64(r.KnownLength)
+		return
+	}
+	r.expected = min(c.estimator.Expected(r.Class, r.Organisation, r.Prompt, r.written), float64(r.longest()))
+	if r.MaxTokens == 0 || r.MaxTokens > r.written {
+		r.expected = max(r.expected, float64(r.written+1))
+	}
+}
+
+// boundQueue refuses the newest requests of the organisations that exceed their
+// shares most.
+func (c *Core) boundQueue(p *pool) {
+	for p.queue.length > c.settings.MaxQueue {
+		o := p.queue.fullest()
+		r := o.waiting[len(o.waiting)-1]
+		p.queue.remove(r)
+		c.refuse(r, ReasonQueueFull, p.queue.wait(r, p.rate.rate))
+	}
+}
+
+func (c *Core) refuse(r *request, reason Reason, after time.Duration) {
+	delete(c.requests, r.ID)
+	c.decisions = append(c.decisions, Decision{ID: r.ID, Reason: reason, RetryAfter: max(after, c.settings.RetryAfter)})
+}
+
+// pump starts waiting requests while there is room for the next one.
+func (c *Core) pump(now time.Duration, p *pool) {
+	for {
+		r := p.queue.head()
+		if r == nil || !c.start(now, p, r) {
+			return
+		}
+	}
+}
+
+func (c *Core) pumpAll(now time.Duration) []Decision {
+	for _, p := range c.order {
+		c.pump(now, p)
+	}
+	return c.take()
+}
+
+// start runs the policy for the head of the queue.
+func (c *Core) start(now time.Duration, p *pool, r *request) bool {
+	t := c.choose(now, p, r)
+	if t == nil {
+		return false
+	}
+	p.queue.remove(r)
+	p.queue.charge(r, r.cost())
+	r.target, r.started = t, now
+	t.own = append(t.own, r)
+	t.trial = t.ejections > 0
+	t.refresh(now)
+	if r.Prefix != 0 {
+		c.rememberPrefix(r.Prefix, t.name)
+	}
+	c.decisions = append(c.decisions, Decision{ID: r.ID, Target: t.name})
+	return true
+}
+
+func (c *Core) choose(now time.Duration, p *pool, r *request) *target {
+	routing := vanillaward.RoutingRequest{
+		PromptTokens: r.Prompt, ExpectedTokens: r.expected, LongestTokens: r.longest(),
+		Urgency: r.Urgency, PrefixTarget: -1,
+	}
+	if t := c.targets[c.prefixes[r.Prefix]]; t != nil && t.pool == p && r.Prefix != 0 {
+		routing.PrefixTarget = t.index
+	}
+	if avoided := c.targets[r.Avoid]; avoided != nil && avoided.pool == p && len(p.targets) > 1 {
+		candidate := &p.candidates[avoided.index]
+		was := candidate.Available
+		candidate.Available = false
+		defer func() { candidate.Available = was }()
+	}
+	i := c.policy.Choose(routing, p.candidates, c.random.Uint64())
+	if i < 0 {
+		return nil
+	}
+	t := p.targets[i]
+	if !t.available(now) {
+		t.refresh(now) // an expired report shows only with time
+		return nil
+	}
+	return t
+}
+
+func (c *Core) rememberPrefix(prefix uint64, target string) {
+	if _, known := c.prefixes[prefix]; !known {
+		c.recent = append(c.recent, prefix)
+	}
+	if len(c.recent) > prefixesKept {
+		delete(c.prefixes, c.recent[0])
+		c.recent = c.recent[1:]
+	}
+	c.prefixes[prefix] = target
+}
+
+// Progress records how many tokens a running request has written.
+func (c *Core) Progress(now time.Duration, id uint64, written int) {
+	r := c.requests[id]
+	if r == nil || r.target == nil {
+		return
+	}
+	if r.target.pool != nil {
+		r.target.pool.rate.add(now, written-r.written)
+	}
+	r.written = written
+	if float64(written) >= r.expected {
+		c.estimate(r)
+	}
+	r.target.refresh(now)
+}
+
+// Result is how a request left its target.
+type Result int
+
+// Results.
+const (
+	// Finished means that the whole output was received.
+	Finished Result = iota
+	// Cancelled means that the caller left or the request ended elsewhere.
+	Cancelled
+	// Failed means that the target or its link failed.
+	Failed
+	// Rejected means that the target refused the request without running it.
+	Rejected
+)
+
+// Done records that a request left its target or its queue, and starts others in
+// its place.
+func (c *Core) Done(now time.Duration, id uint64, written int, result Result) []Decision {
+	r := c.requests[id]
+	if r == nil {
+		return nil
+	}
+	delete(c.requests, id)
+	p := c.pool(r.Pool)
+	if r.target == nil {
+		p.queue.remove(r)
+		return c.take()
+	}
+	t := r.target
+	t.drop(r)
+	p.rate.add(now, written-r.written)
+	p.queue.charge(r, float64(r.Prompt+written)-r.cost())
+	if result == Finished {
+		c.estimator.Learn(r.Class, r.Organisation, r.Prompt, written)
+		p.meanLength += (float64(written) - p.meanLength) / 64
+		c.budget = min(maxBudget, c.budget+c.settings.Budget)
+	}
+	c.judge(now, t, result)
+	t.refresh(now)
+	c.pump(now, p)
+	return c.take()
+}
+
+func (t *target) drop(r *request) {
+	for i, own := range t.own {
+		if own == r {
+			t.own = append(t.own[:i], t.own[i+1:]...)
+			return
+		}
+	}
+}
+
+// judge ejects a target after failures in a row and forgives it after a success.
+func (c *Core) judge(now time.Duration, t *target, result Result) {
+	t.trial = false
+	switch result {
+	case Finished:
+		t.failures, t.ejections = 0, 0
+	case Failed:
+		t.failures++
+		if t.failures >= c.settings.EjectAfter || t.ejections > 0 {
+			t.failures = 0
+			t.ejected = now + c.settings.EjectFor<<min(t.ejections, maxEjections-1)
+			t.ejections++
+		}
+	case Rejected:
+		// A refusing target is full or on its way out: rest it briefly.
+		t.ejected = max(t.ejected, now+reportAge)
+	}
+}
+
+// MayRetry takes one retry from the budget.
+func (c *Core) MayRetry() bool {
+	if c.budget < 1 {
+		return false
+	}
+	c.budget--
+	return true
+}
+
+// Report records a target's load.
+func (c *Core) Report(now time.Duration, name string, load Load) []Decision {
+	t := c.targets[name]
+	if t == nil {
+		return nil
+	}
+	t.reported, t.reportTime, t.load = true, now, load
+	t.refresh(now)
+	c.pump(now, t.pool)
+	return c.take()
+}
+
+// Leaving records that a target is leaving, or is back.
+func (c *Core) Leaving(now time.Duration, name string, leaving bool) []Decision {
+	t := c.targets[name]
+	if t == nil || t.leaving == leaving {
+		return nil
+	}
+	t.leaving = leaving
+	t.refresh(now)
+	c.pump(now, t.pool)
+	return c.take()
+}
+
+// Tick refuses waiting requests that can no longer start in time, raises the
+// urgency of those that have waited long, and starts what fits.
+func (c *Core) Tick(now time.Duration) []Decision {
+	for _, t := range c.targets {
+		t.refresh(now)
+	}
+	for _, p := range c.order {
+		p.queue.each(func(r *request) { c.age(now, p, r) })
+		c.pump(now, p)
+	}
+	return c.take()
+}
+
+func (c *Core) age(now time.Duration, p *pool, r *request) {
+	wait := p.queue.wait(r, p.rate.rate)
+	if now+wait > r.Deadline {
+		p.queue.remove(r)
+		c.refuse(r, ReasonDeadline, wait)
+		return
+	}
+	if r.urgency == r.Urgency && now-r.arrived > (r.Deadline-r.arrived)/agingPart {
+		p.queue.remove(r)
+		r.urgency++
+		p.queue.push(r)
+	}
+}
+
+// Queued returns the number of waiting requests.
+func (c *Core) Queued() int {
+	n := 0
+	for _, p := range c.order {
+		n += p.queue.length
+	}
+	return n
+}
+
+// Running returns the number of requests that this instance runs on a target.
+func (c *Core) Running(name string) int {
+	if t := c.targets[name]; t != nil {
+		return len(t.own)
+	}
+	return 0
+}
+
+func (c *Core) take() []Decision {
+	out := c.decisions
+	c.decisions = nil
+	return out
+}
--- /dev/null
+++ b/internal/admission/policy.go
@@ -0,0 +1,172 @@
+package admission
+
+import (
+	"github.com/vanillaward/vanillaward"
+)
+
+// Verify that the policies implement the root interface.
+var (
+	_ vanillaward.RoutingPolicy = RoundRobin{}
+	_ vanillaward.RoutingPolicy = LeastOutstanding{}
+	_ vanillaward.RoutingPolicy = TwoChoices{}
+	_ vanillaward.RoutingPolicy = ReserveLongest{}
+	_ vanillaward.RoutingPolicy = PredictedPeak{}
+)
+
+// RoundRobin takes the candidates at random, which spreads like taking turns and
+// needs no state.
+type RoundRobin struct{}
+
+// Name implements vanillaward.RoutingPolicy.
+func (RoundRobin) Name() string { return "round-robin" }
+
+// Choose implements vanillaward.RoutingPolicy.
+func (RoundRobin) Choose(_ vanillaward.RoutingRequest, candidates []vanillaward.Candidate, random uint64) int {
+	return availableFrom(candidates, random)
+}
+
+// availableFrom returns the first available candidate from a random start.
+func availableFrom(candidates []vanillaward.Candidate, random uint64) int {
+	n := len(candidates)
+	if n == 0 {
+		return -1
+	}
+	start := int(random % uint64(n))
+	for i := range n {
+		at := start + i
+		if at >= n {
+			at -= n
+		}
+		if candidates[at].Available {
+			return at
+		}
+	}
+	return -1
+}
+
+// LeastOutstanding takes the candidate with the fewest requests.
+type LeastOutstanding struct{}
+
+// Name implements vanillaward.RoutingPolicy.
+func (LeastOutstanding) Name() string { return "least-outstanding" }
+
+// Choose implements vanillaward.RoutingPolicy.
+func (LeastOutstanding) Choose(_ vanillaward.RoutingRequest, candidates []vanillaward.Candidate, random uint64) int {
+	best := availableFrom(candidates, random)
+	for i := range candidates {
+		if candidates[i].Available && candidates[i].Running < candidates[best].Running {
+			best = i
+		}
+	}
+	return best
+}
+
+// TwoChoices takes the less used of two random candidates.
+type TwoChoices struct{}
+
+// Name implements vanillaward.RoutingPolicy.
+func (TwoChoices) Name() string { return "two-choices" }
+
+// Choose implements vanillaward.RoutingPolicy.
+func (TwoChoices) Choose(_ vanillaward.RoutingRequest, candidates []vanillaward.Candidate, random uint64) int {
+	first := availableFrom(candidates, random&0xffffffff)
+	second := availableFrom(candidates, random>>32)
+	if first >= 0 && candidates[second].UsedTokens < candidates[first].UsedTokens {
+		return second
+	}
+	return first
+}
+
+// ReserveLongest admits a request only where the longest output would fit beside
+// the longest outputs of all others.
+type ReserveLongest struct{}
+
+// Name implements vanillaward.RoutingPolicy.
+func (ReserveLongest) Name() string { return "reserve-longest" }
+
+// Choose implements vanillaward.RoutingPolicy.
+func (ReserveLongest) Choose(r vanillaward.RoutingRequest, candidates []vanillaward.Candidate, _ uint64) int {
+	best, room := -1, -1.0
+	for i := range candidates {
+		c := &candidates[i]
+		free := c.CapacityTokens - c.ReservedTokens - float64(r.PromptTokens+r.LongestTokens)
+		if c.Available && c.Running < c.BatchCap && (free >= 0 || c.Running == 0) && free > room {
+			best, room = i, free
+		}
+	}
+	return best
+}
+
+// PredictedPeak admits a request where the predicted peak of the batch stays
+// below the capacity, and takes the least loaded of such candidates.
+type PredictedPeak struct {
+	// Headroom is the part of the capacity that is kept free for outputs that
+	// turn out longer than predicted.
+	Headroom float64
+	// UrgentHeadroom is the further part that only urgent requests may use.
+	UrgentHeadroom float64
+	// PrefixBonus is how much more loaded a candidate may be, as a part of its
+	// capacity, when it has the prompt's prefix.
+	PrefixBonus float64
+	// Samples is the number of random candidates that are compared; 0 compares
+	// all. Fewer avoid that many instances pick the same one.
+	Samples int
+}
+
+// DefaultPolicy returns the policy in use.
+func DefaultPolicy() PredictedPeak {
+	return PredictedPeak{Headroom: 0.06, UrgentHeadroom: 0.06, PrefixBonus: 0.05}
+}
+
+// Name implements vanillaward.RoutingPolicy.
+func (PredictedPeak) Name() string { return "predicted-peak" }
+
+// Choose implements vanillaward.RoutingPolicy.
+func (p PredictedPeak) Choose(r vanillaward.RoutingRequest, candidates []vanillaward.Candidate, random uint64) int {
+	n := len(candidates)
+	if n == 0 {
+		return -1
+	}
+	headroom := p.Headroom
+	if r.Urgency == 0 {
+		headroom += p.UrgentHeadroom
+	}
+	need := float64(r.PromptTokens) + r.ExpectedTokens
+	best, bestLoad, fitting := -1, 0.0, 0
+	at := int(random % uint64(n))
+	for range n {
+		c := &candidates[at]
+		if load, ok := p.load(c, need, headroom, r.Urgency > 0); ok {
+			if at == r.PrefixTarget {
+				load -= p.PrefixBonus
+			}
+			if best < 0 || load < bestLoad {
+				best, bestLoad = at, load
+			}
+			if fitting++; p.Samples > 0 && fitting >= p.Samples {
+				break
+			}
+		}
+		if at++; at == n {
+			at = 0
+		}
+	}
+	return best
+}
+
+// load returns the use that the candidate would have with the request, as a part
+// of its capacity, and whether the request fits.
+func (p PredictedPeak) load(c *vanillaward.Candidate, need, headroom float64, urgent bool) (float64, bool) {
+	slots := c.BatchCap
+	if !urgent {
+		slots -= c.BatchCap / 16
+	}
+	if !c.Available || c.Running >= slots {
+		return 0, false
+	}
+	peak := c.PeakTokens + need
+	if peak > c.CapacityTokens*(1-headroom) && c.Running > 0 {
+		return 0, false
+	}
+	return max(peak/c.CapacityTokens, float64(c.Running+1)/float64(c.BatchCap)), true
+}
--- /dev/null
+++ b/internal/cli/changes.go
@@ -0,0 +1,188 @@
+package cli
+
+import (
+	"io"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+
+	"github.com/vanillaward/vanillaward/internal/config"
+	"github.com/vanillaward/vanillaward/internal/once"
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+type writer = io.Writer
+
+// planned is the difference between files and what is in force.
+type planned struct {
+	Version uint64        `json:"version"`
+	Edits   []plannedEdit `json:"edits"`
+
+	wire []*wire.SectionEdit
+}
+
+type plannedEdit struct {
+	Section string `json:"section"`
+	Action  string `json:"action"`
+	From    string `json:"from,omitempty"`
+	To      string `json:"to,omitempty"`
+}
+
+func (t *tool) addChanges(app *kingpin.Application) {
+	plan := app.Command("plan", "Show what applying the declarations would change. Changes nothing.")
+	t.reach(plan)
+	planFiles := plan.Arg("file", "Files of the declarations.").Required().Strings()
+	plan.Action(func(*kingpin.ParseContext) error {
+		c, err := t.client()
+		if err != nil {
+			return err
+		}
+		defer c.close()
+		p, err := makePlan(c, *planFiles)
+		if err != nil {
+			return err
+		}
+		return t.print(p, p.text)
+	})
+
+	apply := app.Command("apply", "Apply the declarations as one change. It is accepted whole or not at all, and only if the version is still the expected one.")
+	t.reach(apply)
+	expected := apply.Flag("expected-version", "Version that the change is based on, as plan shows it. The version at this moment when absent.").Default("-1").Int64()
+	identity := apply.Flag("identity", "Identity of the change, such as a commit. A resend under the same identity gets the first answer. Random when absent.").String()
+	note := apply.Flag("note", "Note for the history.").String()
+	applyFiles := apply.Arg("file", "Files of the declarations.").Required().Strings()
+	apply.Action(func(*kingpin.ParseContext) error {
+		c, err := t.client()
+		if err != nil {
+			return err
+		}
+		defer c.close()
+		return t.apply(c, *applyFiles, *expected, *identity, *note)
+	})
+}
+
+func makePlan(c *client, files []string) (*planned, error) {
+	set, err := readDeclarations(files)
+	if err != nil {
+		return nil, err
+	}
+	current := &wire.WatchResponse{}
+	status := &wire.StatusResponse{}
+	if err := c.any("Control.Status", &wire.StatusRequest{Linearizable: true}, status); err != nil {
+		return nil, err
+	}
+	if status.GetVersion() > 0 {
+		if err := c.any("Control.Watch", &wire.WatchRequest{Instance: "", WaitMs: 1}, current); err != nil {
+			return nil, err
+		}
+	}
+	from := map[string]string{}
+	config.EditTexts(from, current.GetSections())
+	p := &planned{Version: current.GetVersion(), Edits: []plannedEdit{}, wire: config.Difference(from, set.Texts())}
+	for _, e := range p.wire {
+		edit := plannedEdit{Section: e.GetId(), Action: "change", From: from[e.GetId()], To: e.GetText()}
+		switch {
+		case edit.From == "":
+			edit.Action = "add"
+		case edit.To == "":
+			edit.Action = "remove"
+		}
+		p.Edits = append(p.Edits, edit)
+	}
+	return p, nil
+}
+
+func (p *planned) text(w writer) {
+	line(w, "version in force: %d", p.Version)
+	if len(p.Edits) == 0 {
+		line(w, "no changes")
+	}
+	for _, e := range p.Edits {
+		line(w, "%-6s [%s]", e.Action, e.Section)
+		if e.Action == "change" {
+			printDifference(w, e.From, e.To)
+		}
+	}
+}
+
+// printDifference shows the lines that only one of two sections has.
+func printDifference(w writer, from, to string) {
+	old, fresh := strings.Split(from, "\n"), strings.Split(to, "\n")
+	for _, l := range without(old, fresh) {
+		line(w, "    - %s", l)
+	}
+	for _, l := range without(fresh, old) {
+		line(w, "    + %s", l)
+	}
+}
+
+func without(lines, others []string) []string {
+	var out []string
+	for _, l := range lines {
+		found := false
+		for _, o := range others {
+			found = found || l == o
+		}
+		if !found {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// applied is the answer to a change.
+type applied struct {
+	Identity string   `json:"identity"`
+	Status   string   `json:"status"`
+	Version  uint64   `json:"version"`
+	Winner   string   `json:"winner,omitempty"`
+	Operator string   `json:"winner-operator,omitempty"`
+	Findings []string `json:"findings,omitempty"`
+}
+
+var statusNames = map[wire.ChangeStatus]string{
+	wire.ChangeStatus_CHANGE_STATUS_ACCEPTED:        "accepted",
+	wire.ChangeStatus_CHANGE_STATUS_CONFLICT:        "conflict",
+	wire.ChangeStatus_CHANGE_STATUS_IDENTITY_REUSED: "identity-reused",
+	wire.ChangeStatus_CHANGE_STATUS_INVALID:         "invalid",
+}
+
+func (t *tool) apply(c *client, files []string, expected int64, identity, note string) error {
+	p, err := makePlan(c, files)
+	if err != nil {
+		return err
+	}
+	if expected < 0 {
+		expected = int64(p.Version)
+	}
+	if identity == "" {
+		identity = once.NewIdentity()
+	}
+	change := &wire.Change{Identity: identity, ExpectedVersion: uint64(expected), Note: note, Edits: p.wire}
+	result := &wire.ChangeResult{}
+	if err := c.any("Control.Apply", change, result); err != nil {
+		return errors.Wrapf(err, "the outcome of change %s is not known; apply it again under the same --identity", identity)
+	}
+	answer := applied{
+		Identity: identity, Status: statusNames[result.GetStatus()], Version: result.GetVersion(),
+		Winner: result.GetWinner(), Operator: result.GetWinnerOperator(), Findings: result.GetFindings(),
+	}
+	if err := t.print(answer, answer.text); err != nil {
+		return err
+	}
+	switch result.GetStatus() {
+	case wire.ChangeStatus_CHANGE_STATUS_ACCEPTED:
+		return nil
+	case wire.ChangeStatus_CHANGE_STATUS_CONFLICT:
+		return &exitError{ExitConflict, errors.Errorf("change %s of %s won; plan again", answer.Winner, answer.Operator)}
+	}
+	return &exitError{ExitFindings, errors.New("the change was not accepted: " + answer.Status)}
+}
+
+func (a applied) text(w writer) {
+	line(w, "change %s: %s, version %d", a.Identity, a.Status, a.Version)
+	for _, f := range a.Findings {
+		line(w, "%s", f)
+	}
+}
--- /dev/null
+++ b/internal/cli/run.go
@@ -0,0 +1,113 @@
+package cli
+
+import (
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+
+	"github.com/vanillaward/vanillaward/internal/declaration"
+	"github.com/vanillaward/vanillaward/internal/inifile"
+	"github.com/vanillaward/vanillaward/internal/instance"
+	"github.com/vanillaward/vanillaward/internal/settings"
+	"github.com/vanillaward/vanillaward/pkg/finding"
+)
+
+func (t *tool) addRun(app *kingpin.Application) {
+	c := app.Command("run", "Run an instance until SIGTERM or SIGINT, then stop it without cutting a request. A second signal stops it at once.")
+	file := c.Flag("settings", "Settings file of the instance.").Required().String()
+	c.Action(func(*kingpin.ParseContext) error {
+		s, err := settings.Load(*file)
+		if err != nil {
+			return err
+		}
+		i, err := instance.New(s)
+		if err != nil {
+			return err
+		}
+		ctx, cancel, stop := signals()
+		defer cancel()
+		return i.Run(ctx, stop)
+	})
+}
+
+func (t *tool) addCheck(app *kingpin.Application) {
+	c := app.Command("check", "Check settings files and declarations, and report all findings together. Files with a section [instance] are settings; the others are one set of declarations.")
+	files := c.Arg("file", "Files to check.").Required().Strings()
+	c.Action(func(*kingpin.ParseContext) error {
+		found, err := checkFiles(*files)
+		if err != nil {
+			return err
+		}
+		if err := found.Err(); err != nil {
+			return err
+		}
+		return t.print(map[string]int{"files": len(*files), "findings": 0}, func(w writer) {
+			line(w, "%d files, no findings", len(*files))
+		})
+	})
+}
+
+// checkFiles checks settings and declarations, and addresses across settings.
+func checkFiles(files []string) (finding.List, error) {
+	var found finding.List
+	var sections []*inifile.Section
+	owners := map[string]string{}
+	for _, name := range files {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			return found, errors.Wrap(err, "check")
+		}
+		parsed, faults := inifile.Parse(name, data)
+		if !isSettings(parsed) {
+			found.Merge(faults)
+			sections = append(sections, parsed...)
+			continue
+		}
+		s, faults := settings.Parse(name, data)
+		found.Merge(faults)
+		checkOwners(s, name, owners, &found)
+	}
+	if len(sections) > 0 {
+		_, faults := declaration.Build(1, sections, nil)
+		found.Merge(faults)
+	}
+	return found, nil
+}
+
+func isSettings(sections []*inifile.Section) bool {
+	for _, s := range sections {
+		if s.ID() == "instance" {
+			return true
+		}
+	}
+	return false
+}
+
+// checkOwners reports addresses that two settings files claim.
+func checkOwners(s *settings.Settings, file string, owners map[string]string, found *finding.List) {
+	for _, a := range []string{s.Listen.Callers.String(), s.Listen.Peers.String(), s.Listen.Health.String()} {
+		if other, dup := owners[a]; dup && a != "invalid AddrPort" && other != file {
+			found.Add(file, 0, "", "address %s belongs to %s already", a, other)
+		}
+		owners[a] = file
+	}
+}
+
+// readDeclarations reads files as one set of declarations.
+func readDeclarations(files []string) (*declaration.Set, error) {
+	var found finding.List
+	var sections []*inifile.Section
+	for _, name := range files {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "declarations")
+		}
+		parsed, faults := declaration.Parse(name, data)
+		found.Merge(faults)
+		sections = append(sections, parsed...)
+	}
+	set, faults := declaration.Build(1, sections, nil)
+	found.Merge(faults)
+	return set, found.Err()
+}
--- /dev/null
+++ b/internal/config/store.go
@@ -0,0 +1,236 @@
+// Package config holds the version of the configuration that an instance has,
+// keeps it up to date from the control replicas or from peers of the failure
+// domain, and hands it on.
+package config
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanillaward/vanillaward/internal/declaration"
+	"github.com/vanillaward/vanillaward/internal/inifile"
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+// heldDeltas is how many versions a store can catch a follower up by without
+// sending everything.
+const heldDeltas = 512
+
+// ErrRevert is returned for a version that is not higher than the one held.
+var ErrRevert = errors.New("version is not higher than the one held")
+
+// ErrGap is returned for a delta that does not follow the version held.
+var ErrGap = errors.New("delta does not follow the version held")
+
+// Store is one instance's copy of the configuration. Its version only rises. It
+// is safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex // guards the rest; never held while another lock is taken
+	version uint64
+	texts   map[string]string
+	parsed  map[string]*inifile.Section
+	deltas  []*wire.Delta
+	set     *declaration.Set
+	changed chan struct{} // closed at the next version
+}
+
+// NewStore returns a store without any configuration.
+func NewStore() *Store {
+	return &Store{
+		texts: map[string]string{}, parsed: map[string]*inifile.Section{},
+		changed: make(chan struct{}),
+	}
+}
+
+// Current returns the declarations in force here, or nil when there are none.
+func (s *Store) Current() *declaration.Set {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.set
+}
+
+// Version returns the version held, 0 for none.
+func (s *Store) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+// Changed returns a channel that is closed at the next version.
+func (s *Store) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// Advance puts the next version in force.
+func (s *Store) Advance(d *wire.Delta) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if d.GetVersion() <= s.version {
+		return ErrRevert
+	}
+	if d.GetVersion() != s.version+1 {
+		return ErrGap
+	}
+	texts := maps.Clone(s.texts)
+	EditTexts(texts, d.GetEdits())
+	if err := s.install(d.GetVersion(), texts); err != nil {
+		return err
+	}
+	s.deltas = append(s.deltas, d)
+	if len(s.deltas) > heldDeltas {
+		s.deltas = slices.Delete(s.deltas, 0, len(s.deltas)-heldDeltas)
+	}
+	return nil
+}
+
+// Reset puts a whole version in force, which must be higher than the one held.
+func (s *Store) Reset(version uint64, sections []*wire.SectionEdit) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version <= s.version {
+		return ErrRevert
+	}
+	texts := map[string]string{}
+	EditTexts(texts, sections)
+	if err := s.install(version, texts); err != nil {
+		return err
+	}
+	s.deltas = nil
+	return nil
+}
+
+// Check reports what would be wrong with the next version without putting it in
+// force.
+func (s *Store) Check(edits []*wire.SectionEdit) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	texts := maps.Clone(s.texts)
+	EditTexts(texts, edits)
+	_, sections, err := s.parse(texts)
+	if err != nil {
+		return err
+	}
+	next, found := declaration.Build(s.version+1, sections, s.set)
+	if found.Empty() {
+		found.Merge(next.CheckAgainst(s.set))
+	}
+	return found.Err()
+}
+
+// install builds the declarations of the texts and publishes them. Unchanged
+// sections are not parsed again.
+func (s *Store) install(version uint64, texts map[string]string) error {
+	parsed, sections, err := s.parse(texts)
+	if err != nil {
+		return err
+	}
+	set, found := declaration.Build(version, sections, s.set)
+	if err := found.Err(); err != nil {
+		return errors.Wrapf(err, "configuration version %d", version)
+	}
+	s.version, s.texts, s.parsed, s.set = version, texts, parsed, set
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return nil
+}
+
+func (s *Store) parse(texts map[string]string) (map[string]*inifile.Section, []*inifile.Section, error) {
+	parsed := make(map[string]*inifile.Section, len(texts))
+	sections := make([]*inifile.Section, 0, len(texts))
+	for _, id := range slices.Sorted(maps.Keys(texts)) {
+		section := s.parsed[id]
+		if section == nil || s.texts[id] != texts[id] {
+			read, found := declaration.Parse(id, []byte(texts[id]))
+			if err := found.Err(); err != nil {
+				return nil, nil, err
+			}
+			if len(read) != 1 || read[0].ID() != id {
+				return nil, nil, errors.Errorf("section %q holds other sections", id)
+			}
+			section = read[0]
+		}
+		parsed[id] = section
+		sections = append(sections, section)
+	}
+	return parsed, sections, nil
+}
+
+// Watch answers with what takes a follower from its version to the held one,
+// waiting for a higher one at most the given time.
+func (s *Store) Watch(ctx context.Context, version uint64, wait time.Duration) *wire.WatchResponse {
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		s.mu.Lock()
+		changed, held := s.changed, s.version
+		if held > version {
+			answer := s.since(version)
+			s.mu.Unlock()
+			return answer
+		}
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return &wire.WatchResponse{Version: held}
+		case <-ctx.Done():
+			return &wire.WatchResponse{Version: held}
+		}
+	}
+}
+
+// since is called with the lock held.
+func (s *Store) since(version uint64) *wire.WatchResponse {
+	out := &wire.WatchResponse{Version: s.version}
+	missing := s.version - version
+	if version > 0 && missing <= uint64(len(s.deltas)) {
+		out.Deltas = slices.Clone(s.deltas[uint64(len(s.deltas))-missing:])
+		return out
+	}
+	out.Full = true
+	out.Sections = TextSections(s.texts)
+	return out
+}
+
+// EditTexts applies edits to the texts of sections.
+func EditTexts(texts map[string]string, edits []*wire.SectionEdit) {
+	for _, e := range edits {
+		if e.GetText() == "" {
+			delete(texts, e.GetId())
+			continue
+		}
+		texts[e.GetId()] = e.GetText()
+	}
+}
+
+// TextSections lists the texts of sections in order of their identity.
+func TextSections(texts map[string]string) []*wire.SectionEdit {
+	out := make([]*wire.SectionEdit, 0, len(texts))
+	for _, id := range slices.Sorted(maps.Keys(texts)) {
+		out = append(out, &wire.SectionEdit{Id: id, Text: texts[id]})
+	}
+	return out
+}
+
+// Difference lists the edits that turn one set of texts into another.
+func Difference(from, to map[string]string) []*wire.SectionEdit {
+	var out []*wire.SectionEdit
+	for _, id := range slices.Sorted(maps.Keys(to)) {
+		if from[id] != to[id] {
+			out = append(out, &wire.SectionEdit{Id: id, Text: to[id]})
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(from)) {
+		if _, ok := to[id]; !ok {
+			out = append(out, &wire.SectionEdit{Id: id})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/control/service.go
@@ -0,0 +1,285 @@
+package control
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanillaward/vanillaward"
+	"github.com/vanillaward/vanillaward/internal/config"
+	"github.com/vanillaward/vanillaward/internal/peer"
+	"github.com/vanillaward/vanillaward/internal/replog"
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+const (
+	// callTimeout bounds a call that waits for a commit.
+	callTimeout = 5 * time.Second
+	// goneAfter is the silence after which an instance is no longer listed.
+	goneAfter = 30 * time.Second
+)
+
+// ErrNotPermitted is returned to a caller whose certificate does not entitle it
+// to the call.
+var ErrNotPermitted = errors.New("the certificate does not permit this call")
+
+// Service answers the calls of instances and operators.
+type Service struct {
+	ctx     context.Context //nolint:containedctx // net/rpc methods take none
+	node    *Node
+	store   *config.Store
+	timers  vanillaward.Timers
+	creds   *peer.Credentials
+	traffic *peer.Traffic
+
+	mu       sync.Mutex // guards watchers; never held while another lock is taken
+	watchers map[string]watcher
+}
+
+// watcher is an instance that follows the configuration here.
+type watcher struct {
+	domain  string
+	version uint64
+	seen    time.Duration
+	behind  time.Duration // since when it lacks the version held here; 0 when it does not
+}
+
+// NewService returns the receiver of calls to the node. Store holds the versions
+// that the node publishes.
+func NewService(ctx context.Context, node *Node, store *config.Store, timers vanillaward.Timers, creds *peer.Credentials, traffic *peer.Traffic) *Service {
+	return &Service{
+		ctx: ctx, node: node, store: store, timers: timers, creds: creds, traffic: traffic,
+		watchers: map[string]watcher{},
+	}
+}
+
+// Register makes the service callable.
+func (s *Service) Register(server *peer.Server) {
+	server.Register("Replica", func(c peer.Caller) any { return &replicaCalls{s, c} })
+	server.Register("Control", func(c peer.Caller) any { return &controlCalls{s, c} })
+}
+
+// replicaCalls are the calls between replicas.
+type replicaCalls struct {
+	service *Service
+	caller  peer.Caller
+}
+
+// Deliver takes messages of another replica.
+func (r *replicaCalls) Deliver(batch *wire.MessageBatch, _ *wire.Empty) error {
+	if r.caller.Role() != peer.RoleInstance {
+		return ErrNotPermitted
+	}
+	ctx, cancel := context.WithTimeout(r.service.ctx, callTimeout)
+	defer cancel()
+	return r.service.node.Deliver(ctx, batch.GetMessages())
+}
+
+// controlCalls are the calls of instances and operators.
+type controlCalls struct {
+	service *Service
+	caller  peer.Caller
+}
+
+func (c *controlCalls) operatorOnly() error {
+	if c.caller.Role() != peer.RoleOperator {
+		return ErrNotPermitted
+	}
+	return nil
+}
+
+// Apply commits a change. The operator is the one that the certificate names.
+func (c *controlCalls) Apply(change *wire.Change, result *wire.ChangeResult) error {
+	if err := c.operatorOnly(); err != nil {
+		return err
+	}
+	change.Operator = c.caller.Name()
+	ctx, cancel := context.WithTimeout(c.service.ctx, callTimeout)
+	defer cancel()
+	got, err := c.service.node.Change(ctx, change)
+	if err != nil {
+		return err
+	}
+	result.Status, result.Version, result.Findings = got.GetStatus(), got.GetVersion(), got.GetFindings()
+	result.Winner, result.WinnerOperator = got.GetWinner(), got.GetWinnerOperator()
+	return nil
+}
+
+// Watch answers with the versions that follow the asked one.
+func (c *controlCalls) Watch(request *wire.WatchRequest, answer *wire.WatchResponse) error {
+	c.service.sawInstance(request)
+	wait := min(config.MaxWait, time.Duration(request.GetWaitMs())*time.Millisecond)
+	config.Copy(answer, c.service.store.Watch(c.service.ctx, request.GetVersion(), wait))
+	return nil
+}
+
+// OpenDomain lets the first keepers of a failure domain vote.
+func (c *controlCalls) OpenDomain(o *wire.OpenDomain, result *wire.OpenDomainResult) error {
+	if c.caller.Role() != peer.RoleInstance {
+		return ErrNotPermitted
+	}
+	ctx, cancel := context.WithTimeout(c.service.ctx, callTimeout)
+	defer cancel()
+	got, err := c.service.node.OpenDomain(ctx, o)
+	result.Incarnations = got.GetIncarnations()
+	return err
+}
+
+// History lists accepted changes.
+func (c *controlCalls) History(request *wire.HistoryRequest, answer *wire.HistoryResponse) error {
+	ctx, cancel := context.WithTimeout(c.service.ctx, callTimeout)
+	defer cancel()
+	return c.service.node.Read(ctx, false, func(_ *replog.Core, s *State) {
+		answer.Items = s.History(request.GetFromVersion())
+	})
+}
+
+// Identity tells who this replica is.
+func (c *controlCalls) Identity(_ *wire.Empty, answer *wire.ReplicaIdentity) error {
+	ctx, cancel := context.WithTimeout(c.service.ctx, callTimeout)
+	defer cancel()
+	got, err := c.service.node.Identity(ctx)
+	if errors.Is(err, ErrStopped) {
+		answer.Failed = err.Error()
+		return nil
+	}
+	answer.Id, answer.Empty, answer.Membership = got.GetId(), got.GetEmpty(), got.GetMembership()
+	return err
+}
+
+// Bootstrap starts the log.
+func (c *controlCalls) Bootstrap(m *wire.Membership, _ *wire.Empty) error {
+	if err := c.operatorOnly(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.service.ctx, callTimeout)
+	defer cancel()
+	return c.service.node.Bootstrap(ctx, m)
+}
+
+// ChangeReplicas adds or removes a replica.
+func (c *controlCalls) ChangeReplicas(change *wire.ReplicaChange, _ *wire.Empty) error {
+	if err := c.operatorOnly(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.service.ctx, callTimeout)
+	defer cancel()
+	return c.service.node.ChangeReplicas(ctx, change)
+}
+
+// Watchers lists the instances that follow the configuration here.
+func (c *controlCalls) Watchers(_ *wire.Empty, answer *wire.WatchersResponse) error {
+	answer.Instances = c.service.listWatchers()
+	return nil
+}
+
+// Status describes the log and who has which version. A linearizable status is
+// given by a leader with a valid lease only.
+func (c *controlCalls) Status(request *wire.StatusRequest, answer *wire.StatusResponse) error {
+	ctx, cancel := context.WithTimeout(c.service.ctx, callTimeout)
+	defer cancel()
+	return c.service.status(ctx, request.GetLinearizable(), answer)
+}
+
+func (s *Service) status(ctx context.Context, current bool, answer *wire.StatusResponse) error {
+	err := s.node.Read(ctx, current, func(core *replog.Core, state *State) {
+		answer.Leader, answer.Term, answer.Version = core.LeaderID(), core.Term(), state.Version()
+		answer.Current = core.LeaseValid(s.timers.Now())
+		answer.Orders = state.Orders()
+		for _, r := range core.Membership().GetReplicas() {
+			answer.Replicas = append(answer.Replicas, &wire.ReplicaStatus{
+				Replica: r, MatchIndex: core.MatchIndex(r.GetId()), Leader: r.GetId() == core.LeaderID(),
+			})
+		}
+	})
+	if err != nil {
+		return err
+	}
+	answer.Instances = s.allWatchers(ctx, answer.GetReplicas())
+	answer.InForce = answer.GetVersion()
+	for _, i := range answer.GetInstances() {
+		answer.InForce = min(answer.InForce, i.GetVersion())
+	}
+	return nil
+}
+
+// allWatchers merges the lists of all replicas that answer; for an instance in
+// several lists the latest sighting counts.
+func (s *Service) allWatchers(ctx context.Context, replicas []*wire.ReplicaStatus) []*wire.InstanceStatus {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	lists := make([][]*wire.InstanceStatus, len(replicas)+1)
+	lists[len(replicas)] = s.listWatchers()
+	var asking sync.WaitGroup
+	for i, r := range replicas {
+		asking.Go(func() { lists[i] = s.askWatchers(ctx, r.GetReplica().GetAddress()) })
+	}
+	asking.Wait()
+	latest := map[string]*wire.InstanceStatus{}
+	for _, list := range lists {
+		for _, w := range list {
+			if old := latest[w.GetName()]; old == nil || w.GetSeenMsAgo() < old.GetSeenMsAgo() {
+				latest[w.GetName()] = w
+			}
+		}
+	}
+	out := make([]*wire.InstanceStatus, 0, len(latest))
+	for _, w := range latest {
+		out = append(out, w)
+	}
+	slices.SortFunc(out, func(a, b *wire.InstanceStatus) int { return strings.Compare(a.GetName(), b.GetName()) })
+	return out
+}
+
+func (s *Service) askWatchers(ctx context.Context, address string) []*wire.InstanceStatus {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil
+	}
+	client := peer.NewClient(at, s.creds, s.traffic)
+	defer client.Close()
+	answer := &wire.WatchersResponse{}
+	if err := client.Call(ctx, "Control.Watchers", &wire.Empty{}, answer); err != nil {
+		return nil
+	}
+	return answer.GetInstances()
+}
+
+func (s *Service) sawInstance(r *wire.WatchRequest) {
+	now, held := s.timers.Now(), s.store.Version()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := watcher{domain: r.GetFailureDomain(), version: r.GetVersion(), seen: now}
+	if r.GetVersion() < held {
+		if w.behind = s.watchers[r.GetInstance()].behind; w.behind == 0 {
+			w.behind = now
+		}
+	}
+	s.watchers[r.GetInstance()] = w
+}
+
+func (s *Service) listWatchers() []*wire.InstanceStatus {
+	now := s.timers.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*wire.InstanceStatus
+	for name, w := range s.watchers {
+		if now-w.seen > goneAfter {
+			delete(s.watchers, name)
+			continue
+		}
+		status := &wire.InstanceStatus{
+			Name: name, FailureDomain: w.domain, Version: w.version, SeenMsAgo: (now - w.seen).Milliseconds(),
+		}
+		if w.behind > 0 {
+			status.LagMs = (now - w.behind).Milliseconds()
+		}
+		out = append(out, status)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/instance/instance.go
@@ -0,0 +1,276 @@
+// Package instance assembles the roles of one process and runs them from start
+// to a graceful stop.
+package instance
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanillaward/vanillaward/internal/base"
+	"github.com/vanillaward/vanillaward/internal/config"
+	"github.com/vanillaward/vanillaward/internal/control"
+	"github.com/vanillaward/vanillaward/internal/entry"
+	"github.com/vanillaward/vanillaward/internal/inifile"
+	"github.com/vanillaward/vanillaward/internal/once"
+	"github.com/vanillaward/vanillaward/internal/orders"
+	"github.com/vanillaward/vanillaward/internal/peer"
+	"github.com/vanillaward/vanillaward/internal/replog"
+	"github.com/vanillaward/vanillaward/internal/settings"
+	"github.com/vanillaward/vanillaward/internal/storage"
+	"github.com/vanillaward/vanillaward/internal/telemetry"
+	"github.com/vanillaward/vanillaward/internal/timer"
+	"github.com/vanillaward/vanillaward/internal/trace"
+)
+
+const healthHeaderTimeout = 5 * time.Second
+
+// Instance is one process of the system.
+type Instance struct {
+	base     base.Base
+	store    *config.Store
+	server   *peer.Server
+	node     *control.Node
+	entry    *entry.Server
+	keeper   *once.LocalKeeper
+	guard    *once.Guard
+	recorder *trace.Recorder
+	traces   *os.File
+}
+
+// New prepares an instance with the given settings.
+func New(s *settings.Settings) (*Instance, error) {
+	creds, err := peer.LoadCredentials(s.Instance.Credentials)
+	if err != nil {
+		return nil, err
+	}
+	traffic := &peer.Traffic{}
+	log := telemetry.NewLog(os.Stderr, s.Log.Level).WithValues("instance", s.Instance.Name)
+	i := &Instance{
+		base: base.Base{
+			Log: log, Settings: s, Timers: timer.New(), Credentials: creds, Traffic: traffic, Metrics: telemetry.NewMetrics(),
+		},
+		store:  config.NewStore(),
+		server: peer.NewServer(log, creds, traffic),
+	}
+	i.base.Metrics.Gauge("vanillaward_peer_sent_bytes", func() float64 { return float64(traffic.Sent()) })
+	i.base.Metrics.Gauge("vanillaward_peer_received_bytes", func() float64 { return float64(traffic.Received()) })
+	return i, i.openTrace()
+}
+
+func (i *Instance) openTrace() error {
+	name := i.base.Settings.Entry.TraceFile
+	if name == "" {
+		return nil
+	}
+	f, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600) //nolint:gosec // the operator names it
+	if err != nil {
+		return errors.Wrap(err, "trace file")
+	}
+	i.traces, i.recorder = f, trace.NewRecorder(f, i.base.Settings.Instance.Name)
+	return nil
+}
+
+// Run runs the instance until stop is closed, then stops it gracefully. Ending
+// the context stops it at once.
+func (i *Instance) Run(ctx context.Context, stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	listeners, err := i.listen()
+	if err != nil {
+		return err
+	}
+	var ends []<-chan error
+	if i.base.Settings.Has(settings.RoleControl) {
+		end, err := i.startControl(ctx)
+		if err != nil {
+			return err
+		}
+		ends = append(ends, end...)
+	}
+	if i.base.Settings.Has(settings.RoleEntry) {
+		ends = append(ends, i.prepareEntry(ctx)...)
+	}
+	subscriber := i.subscriber()
+	i.server.Register("Config", func(peer.Caller) any { return config.NewPeerService(i.store) })
+	ends = append(ends, i.server.Serve(ctx, listeners.peers), i.serveHealth(ctx, listeners.health), subscriber.Run(ctx))
+	var entryEnd <-chan error
+	if i.entry != nil {
+		entryEnd = i.entry.Run(ctx, listeners.callers)
+		go i.admit(ctx, subscriber)
+	}
+	i.base.Log.Info("started", "failure-domain", i.base.Settings.Instance.FailureDomain, "roles", i.base.Settings.Instance.Roles)
+	i.await(ctx, stop, entryEnd)
+	cancel()
+	for _, end := range ends {
+		if err := <-end; err != nil {
+			i.base.Log.Error(err, "a part ended with an error")
+		}
+	}
+	if i.guard != nil {
+		i.guard.Close()
+	}
+	if i.traces != nil {
+		_ = i.traces.Close() // traces are best effort
+	}
+	i.base.Log.Info("stopped")
+	return nil
+}
+
+// await returns once the instance has stopped gracefully.
+func (i *Instance) await(ctx context.Context, stop <-chan struct{}, entryEnd <-chan error) {
+	select {
+	case <-stop:
+	case <-ctx.Done():
+	}
+	if i.entry == nil {
+		return
+	}
+	i.entry.Stop(ctx)
+	if err := <-entryEnd; err != nil {
+		i.base.Log.Error(err, "serving callers ended")
+	}
+}
+
+// admit makes the instance ready once it has the highest configuration within
+// reach and its keeper votes or has had the time to.
+func (i *Instance) admit(ctx context.Context, subscriber *config.Subscriber) {
+	select {
+	case <-subscriber.Surveyed():
+	case <-ctx.Done():
+		return
+	}
+	for i.store.Current() == nil {
+		select {
+		case <-i.store.Changed():
+		case <-ctx.Done():
+			return
+		}
+	}
+	i.entry.Admit()
+}
+
+type listeners struct {
+	peers   net.Listener
+	health  net.Listener
+	callers net.Listener
+}
+
+func (i *Instance) listen() (listeners, error) {
+	var out listeners
+	l := i.base.Settings.Listen
+	var err error
+	if out.peers, err = net.Listen("tcp", l.Peers.String()); err != nil {
+		return out, errors.Wrap(err, "peers address")
+	}
+	if out.health, err = net.Listen("tcp", l.Health.String()); err != nil {
+		return out, errors.Wrap(err, "health address")
+	}
+	if i.base.Settings.Has(settings.RoleEntry) {
+		if out.callers, err = net.Listen("tcp", l.Callers.String()); err != nil {
+			return out, errors.Wrap(err, "callers address")
+		}
+	}
+	return out, nil
+}
+
+func (i *Instance) self() inifile.Peer {
+	return inifile.Peer{Name: i.base.Settings.Instance.Name, Address: i.base.Settings.Listen.Peers}
+}
+
+// startControl runs the replica and the issuer of orders.
+func (i *Instance) startControl(ctx context.Context) ([]<-chan error, error) {
+	s := i.base.Settings
+	disk, err := storage.NewFolder(s.Instance.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	log := i.base.Log.WithValues("role", "control")
+	transport := control.NewPeerTransport(ctx, log, s.Listen.Peers.String(), i.base.Credentials, i.base.Traffic)
+	published := config.NewStore()
+	timing := replog.Timing{Heartbeat: s.Control.Heartbeat, Election: s.Control.Election, Margin: s.Control.ClockMargin}
+	i.node = control.NewNode(log, disk, i.base.Timers, transport, published, once.NewIdentity(), seed(),
+		control.WithTiming(timing), control.WithSnapshotEvery(s.Control.SnapshotEvery))
+	service := control.NewService(ctx, i.node, published, i.base.Timers, i.base.Credentials, i.base.Traffic)
+	service.Register(i.server)
+	issuer := orders.NewIssuer(log, i.node, i.base.Timers, timing, s.Instance.Name)
+	sent := make(chan error, 1)
+	nodeEnd := i.node.Run(ctx)
+	go func() {
+		<-ctx.Done()
+		transport.Wait()
+		sent <- nil
+	}()
+	return []<-chan error{nodeEnd, sent, issuer.Run(ctx)}, nil
+}
+
+// prepareEntry sets up the keeper, the guard and the role entry.
+func (i *Instance) prepareEntry(ctx context.Context) []<-chan error {
+	s := i.base.Settings
+	i.keeper = once.NewLocalKeeper(i.base.Log, i.base.Timers, i.store, s.Instance.Name, s.Instance.FailureDomain,
+		s.Entry.KeeperRecords, s.Control.Replicas, i.base.Credentials, i.base.Traffic)
+	i.guard = once.NewGuard(i.base.Log, i.base.Timers, i.store, i.self(), s.Instance.FailureDomain,
+		s.Entry.KeeperTimeout, i.keeper, i.base.Credentials, i.base.Traffic)
+	once.Register(i.server, i.keeper, i.guard)
+	i.entry = entry.New(i.base.Log.WithValues("role", "entry"), s, i.base.Timers, i.store, i.guard, i.base.Metrics, i.recorder, seed())
+	return []<-chan error{i.keeper.Run(ctx)}
+}
+
+func (i *Instance) subscriber() *config.Subscriber {
+	s := i.base.Settings
+	return config.NewSubscriber(i.base.Log, i.store, i.self(), s.Instance.FailureDomain, s.Control.WatchWait,
+		nearestFirst(s), s.Control.DomainPeers, i.base.Credentials, i.base.Traffic)
+}
+
+// nearestFirst puts this instance's own replica before the others.
+func nearestFirst(s *settings.Settings) []inifile.Peer {
+	var out, others []inifile.Peer
+	for _, p := range s.Control.Replicas {
+		if p.Name == s.Instance.Name {
+			out = append(out, p)
+			continue
+		}
+		others = append(others, p)
+	}
+	return append(out, others...)
+}
+
+// serveHealth serves /healthz, /readyz and /metrics.
+func (i *Instance) serveHealth(ctx context.Context, listener net.Listener) <-chan error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", i.readiness)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { i.base.Metrics.Write(w) })
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: healthHeaderTimeout}
+	done := make(chan error, 1)
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	go func() {
+		defer stop()
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			err = nil
+		}
+		done <- err
+	}()
+	return done
+}
+
+// readiness fails while the instance should not be sent requests. With
+// ?keepers=1 it also fails while the instance's keeper does not vote.
+func (i *Instance) readiness(w http.ResponseWriter, r *http.Request) {
+	ready := i.entry == nil || i.entry.Ready()
+	if r.URL.Query().Get("keepers") != "" && i.keeper != nil {
+		ready = ready && i.keeper.Voting()
+	}
+	if !ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n")) // the balancer may be gone
+}
+
+func seed() uint64 { return uint64(time.Now().UnixNano()) }
--- /dev/null
+++ b/internal/once/guard.go
@@ -0,0 +1,420 @@
+// Package once makes non-idempotent requests run at most once: it claims them at
+// the keepers of their home failure domain, remembers what became of the
+// attempts of this instance, and serves this instance's own keeper.
+package once
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"hash/fnv"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"github.com/vanillaward/vanillaward"
+	"github.com/vanillaward/vanillaward/internal/config"
+	"github.com/vanillaward/vanillaward/internal/declaration"
+	"github.com/vanillaward/vanillaward/internal/inifile"
+	"github.com/vanillaward/vanillaward/internal/keeper"
+	"github.com/vanillaward/vanillaward/internal/peer"
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+const (
+	// mintedPrefix starts keys that the system made; the home failure domain
+	// follows it.
+	mintedPrefix = "vw1."
+	// identityBytes is the length of random identities.
+	identityBytes = 12
+	// releaseTimeout bounds telling the keepers about the end of an attempt.
+	releaseTimeout = 2 * time.Second
+)
+
+// Guard claims non-idempotent requests. It is safe for concurrent use.
+type Guard struct {
+	log      logr.Logger
+	timers   vanillaward.Timers
+	store    *config.Store
+	creds    *peer.Credentials
+	traffic  *peer.Traffic
+	self     inifile.Peer
+	domain   string
+	timeout  time.Duration
+	local    *LocalKeeper
+	attempts *attempts
+
+	mu      sync.Mutex // guards clients; never held while another lock is taken
+	clients map[string]*peer.Client
+	ended   sync.WaitGroup
+}
+
+// NewGuard returns a guard of the instance self in a failure domain. Timeout
+// bounds one round of calls to keepers.
+func NewGuard(log logr.Logger, timers vanillaward.Timers, store *config.Store, self inifile.Peer, domain string,
+	timeout time.Duration, local *LocalKeeper, creds *peer.Credentials, traffic *peer.Traffic,
+) *Guard {
+	return &Guard{
+		log: log, timers: timers, store: store, self: self, domain: domain, timeout: timeout,
+		local: local, creds: creds, traffic: traffic,
+		attempts: newAttempts(), clients: map[string]*peer.Client{},
+	}
+}
+
+// NewIdentity returns a random identity.
+func NewIdentity() string {
+	b := make([]byte, identityBytes)
+	_, _ = rand.Read(b) // does not fail
+	return hex.EncodeToString(b)
+}
+
+// MintKey returns a new key whose home is this failure domain.
+func (g *Guard) MintKey() string { return mintedPrefix + g.domain + "." + NewIdentity() }
+
+// Home returns the failure domain whose keepers remember a key, or false when
+// the key names one that does not exist.
+func Home(set *declaration.Set, key string) (string, bool) {
+	if rest, ok := strings.CutPrefix(key, mintedPrefix); ok {
+		if domain, _, ok := strings.Cut(rest, "."); ok {
+			_, exists := set.FailureDomain(domain)
+			return domain, exists
+		}
+	}
+	best, bestScore := "", uint64(0)
+	for _, domain := range set.FailureDomains() {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(domain + "\x00" + key)) // a hash does not fail
+		if score := h.Sum64(); best == "" || score > bestScore {
+			best, bestScore = domain, score
+		}
+	}
+	return best, best != ""
+}
+
+// EpochOf returns the keepers' epoch of a failure domain.
+func EpochOf(set *declaration.Set, domain string) (keeper.Epoch, []inifile.Peer) {
+	d, ok := set.FailureDomain(domain)
+	if !ok {
+		return keeper.Epoch{}, nil
+	}
+	return keeper.Epoch{
+		Number: uint64(d.KeeperEpoch()), Members: names(d.Keepers()), Previous: names(d.PreviousKeepers()),
+		Lifetime: set.Fleet().RecordLifetime(),
+	}, d.Keepers()
+}
+
+func names(peers []inifile.Peer) []string {
+	var out []string
+	for _, p := range peers {
+		out = append(out, p.Name)
+	}
+	return out
+}
+
+// Attempt is a claim that was granted: the request may run.
+type Attempt struct {
+	guard   *Guard
+	key     string
+	id      string
+	epoch   keeper.Epoch
+	members []inifile.Peer
+	digest  []byte
+}
+
+// ID returns the attempt's identity.
+func (a *Attempt) ID() string { return a.id }
+
+// Result is the result of a claim.
+type Result struct {
+	// Ruling tells whether the request may run.
+	Ruling keeper.Ruling
+	// Attempt is set when it may.
+	Attempt *Attempt
+	// Record is what another attempt left, when one holds the key.
+	Record *wire.Record
+}
+
+// Claim asks the keepers for the right to run the request with the given key and
+// content.
+func (g *Guard) Claim(ctx context.Context, key string, content []byte) Result {
+	set := g.store.Current()
+	home, ok := Home(set, key)
+	if !ok {
+		return Result{Ruling: keeper.Unavailable}
+	}
+	epoch, members := EpochOf(set, home)
+	digest := sha256.Sum256(content)
+	a := &Attempt{guard: g, key: key, id: NewIdentity(), epoch: epoch, members: members, digest: digest[:]}
+	g.attempts.begin(a.id, g.timers.Now())
+	ruling, record := a.ask(ctx)
+	if ruling == keeper.Granted {
+		return Result{Ruling: ruling, Attempt: a}
+	}
+	g.attempts.end(a.id, nil, true)
+	a.Release()
+	return Result{Ruling: ruling, Record: record}
+}
+
+// ask sends the intent to all keepers and returns as soon as the ruling is
+// certain.
+func (a *Attempt) ask(ctx context.Context) (keeper.Ruling, *wire.Record) {
+	wait, cancel := context.WithTimeout(ctx, a.guard.timeout)
+	defer cancel()
+	claim := keeper.NewClaim(a.epoch, a.digest)
+	request := &wire.IntentRequest{
+		Epoch: a.epoch.Number, Key: a.key, Attempt: a.id, Owner: a.guard.self.Name,
+		OwnerAddress: a.guard.self.Address.String(), Digest: a.digest,
+	}
+	answers := make(chan *wire.IntentResponse, len(a.members))
+	for _, m := range a.members {
+		a.guard.ended.Go(func() {
+			// The call outlives the ruling, so that all keepers hold the record.
+			ctx, cancel := context.WithTimeout(context.Background(), a.guard.timeout)
+			defer cancel()
+			answer := &wire.IntentResponse{}
+			if a.guard.call(ctx, m, "Keeper.Intent", request, answer) != nil {
+				answer = nil
+			}
+			answers <- answer
+		})
+	}
+	ruling := claim.Ruling()
+	for ruling == keeper.Undecided {
+		select {
+		case answer := <-answers:
+			ruling = claim.Answer(answer)
+		case <-wait.Done():
+			// Without an answer in time, a keeper's grant does not count.
+			return settle(claim, len(a.members)), claim.Record()
+		}
+	}
+	return ruling, claim.Record()
+}
+
+func settle(claim *keeper.Claim, members int) keeper.Ruling {
+	for range members {
+		if r := claim.Ruling(); r != keeper.Undecided {
+			return r
+		}
+		claim.Answer(nil)
+	}
+	return claim.Ruling()
+}
+
+// Renew keeps the record of a running request alive until the context ends.
+func (a *Attempt) Renew(ctx context.Context) {
+	ticks := a.guard.timers.Subscribe(ctx, max(time.Second, a.epoch.Lifetime/4))
+	a.guard.ended.Go(func() {
+		for range ticks {
+			a.ask(ctx)
+		}
+	})
+}
+
+// Release tells the keepers that the attempt never left for a target. The call
+// returns at once.
+func (a *Attempt) Release() {
+	a.guard.attempts.end(a.id, nil, true)
+	a.tell(&wire.OutcomeRequest{Epoch: a.epoch.Number, Key: a.key, Attempt: a.id, Release: true})
+}
+
+// Finish stores the answer at the keepers, so that a resend gets it. The call
+// returns at once.
+func (a *Attempt) Finish(answer *wire.Answer) {
+	a.guard.attempts.end(a.id, answer, false)
+	a.tell(&wire.OutcomeRequest{Epoch: a.epoch.Number, Key: a.key, Attempt: a.id, Answer: answer})
+}
+
+// Abandon records that nobody knows whether the request ran.
+func (a *Attempt) Abandon() { a.guard.attempts.forget(a.id) }
+
+func (a *Attempt) tell(request *wire.OutcomeRequest) {
+	for _, m := range a.members {
+		a.guard.ended.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+			defer cancel()
+			if err := a.guard.call(ctx, m, "Keeper.Outcome", request, &wire.Empty{}); err != nil {
+				a.guard.log.V(1).Info("keeper was not told of an outcome", "keeper", m.Name, "reason", err.Error())
+			}
+		})
+	}
+}
+
+// ReleaseRecord removes the record of an attempt that its owner said did not run,
+// in case the owner's own message was overtaken by its intent.
+func (g *Guard) ReleaseRecord(r *wire.Record) {
+	set := g.store.Current()
+	home, ok := Home(set, r.GetKey())
+	if !ok {
+		return
+	}
+	epoch, members := EpochOf(set, home)
+	a := &Attempt{guard: g, key: r.GetKey(), id: r.GetAttempt(), epoch: epoch, members: members}
+	a.tell(&wire.OutcomeRequest{Epoch: epoch.Number, Key: a.key, Attempt: a.id, Release: true})
+}
+
+// Fate is what became of a request that another attempt holds.
+type Fate int
+
+// Fates.
+const (
+	// FateUnknown means that nobody who can be asked knows.
+	FateUnknown Fate = iota
+	// FateRunning means that the request still runs.
+	FateRunning
+	// FateNotRun means that the attempt ended without running.
+	FateNotRun
+	// FateDone means that there is an answer.
+	FateDone
+)
+
+// Follow asks what became of the request of a record: its owner, and the keepers
+// when the owner cannot tell.
+func (g *Guard) Follow(ctx context.Context, r *wire.Record) (Fate, *wire.Answer) {
+	if r.GetDone() {
+		return FateDone, r.GetAnswer()
+	}
+	ctx, cancel := context.WithTimeout(ctx, g.timeout)
+	defer cancel()
+	answer := &wire.OwnerResponse{}
+	owner, err := parsePeer(r.GetOwner(), r.GetOwnerAddress())
+	if err == nil {
+		err = g.call(ctx, owner, "Owner.Ask", &wire.OwnerRequest{Key: r.GetKey(), Attempt: r.GetAttempt()}, answer)
+	}
+	switch {
+	case err != nil || !answer.GetKnown():
+		return g.lookup(ctx, r.GetKey())
+	case answer.GetRunning():
+		return FateRunning, nil
+	case answer.GetNotRun():
+		return FateNotRun, nil
+	}
+	return FateDone, answer.GetAnswer()
+}
+
+// Outcome asks the keepers of a key's home what became of its request.
+func (g *Guard) Outcome(ctx context.Context, key string) (Fate, *wire.Answer) {
+	record, known := g.find(ctx, key)
+	switch {
+	case record != nil:
+		return g.Follow(ctx, record)
+	case known:
+		return FateNotRun, nil
+	}
+	return FateUnknown, nil
+}
+
+func (g *Guard) lookup(ctx context.Context, key string) (Fate, *wire.Answer) {
+	if record, _ := g.find(ctx, key); record.GetDone() {
+		return FateDone, record.GetAnswer()
+	}
+	return FateUnknown, nil
+}
+
+// find returns the record of a key, and whether a majority of voting keepers was
+// asked, so that the absence of a record means something.
+func (g *Guard) find(ctx context.Context, key string) (*wire.Record, bool) {
+	set := g.store.Current()
+	home, ok := Home(set, key)
+	if !ok {
+		return nil, false
+	}
+	epoch, members := EpochOf(set, home)
+	var found *wire.Record
+	voting := 0
+	for _, m := range members {
+		answer := &wire.IntentResponse{}
+		request := &wire.IntentRequest{Epoch: epoch.Number, Key: key}
+		if g.call(ctx, m, "Keeper.Lookup", request, answer) != nil {
+			continue
+		}
+		if answer.GetStatus() != wire.IntentStatus_INTENT_STATUS_NOT_READY {
+			voting++
+		}
+		if r := answer.GetRecord(); r != nil && (found == nil || r.GetDone()) {
+			found = r
+		}
+	}
+	return found, voting >= epoch.Quorum()
+}
+
+// call reaches a peer, or this instance's own keeper without a connection.
+func (g *Guard) call(ctx context.Context, to inifile.Peer, method string, request, response message) error {
+	if to.Name == g.self.Name {
+		return g.callLocal(method, request, response)
+	}
+	return g.client(to).Call(ctx, method, request, response)
+}
+
+func (g *Guard) callLocal(method string, request, response message) error {
+	switch in := request.(type) {
+	case *wire.IntentRequest:
+		out, ok := response.(*wire.IntentResponse)
+		if ok && method == "Keeper.Lookup" {
+			return g.local.Lookup(in, out)
+		}
+		if ok {
+			return g.local.Intent(in, out)
+		}
+	case *wire.OutcomeRequest:
+		return g.local.Outcome(in, &wire.Empty{})
+	case *wire.OwnerRequest:
+		if out, ok := response.(*wire.OwnerResponse); ok {
+			return g.Ask(in, out)
+		}
+	}
+	return errors.Errorf("no local call %s", method)
+}
+
+// Ask answers what became of an attempt of this instance.
+func (g *Guard) Ask(in *wire.OwnerRequest, out *wire.OwnerResponse) error {
+	g.attempts.describe(in.GetAttempt(), out)
+	return nil
+}
+
+func (g *Guard) client(to inifile.Peer) *peer.Client {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	key := to.Address.String()
+	c := g.clients[key]
+	if c == nil {
+		c = peer.NewClient(to.Address, g.creds, g.traffic)
+		g.clients[key] = c
+	}
+	return c
+}
+
+// Flush waits until all pending messages to keepers were sent or given up.
+func (g *Guard) Flush() { g.ended.Wait() }
+
+// Close ends the connections to keepers after Flush.
+func (g *Guard) Close() {
+	g.Flush()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range g.clients {
+		c.Close()
+	}
+}
+
+// HandOn gives the records of this instance's keeper to the other keepers, for
+// when the instance stops.
+func (g *Guard) HandOn(ctx context.Context) {
+	records := g.local.All()
+	set := g.store.Current()
+	if set == nil || len(records.GetRecords()) == 0 {
+		return
+	}
+	_, members := EpochOf(set, g.domain)
+	members = slices.DeleteFunc(slices.Clone(members), func(p inifile.Peer) bool { return p.Name == g.self.Name })
+	for _, m := range members {
+		if err := g.call(ctx, m, "Keeper.Adopt", records, &wire.Empty{}); err != nil {
+			g.log.Info("records were not handed on", "keeper", m.Name, "reason", err.Error())
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,111 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+// dialTimeout bounds connecting and the TLS handshake.
+const dialTimeout = time.Second
+
+// ErrUnreachable is returned when no connection to the peer could be made, so
+// that the call certainly did not arrive.
+var ErrUnreachable = errors.New("peer is unreachable")
+
+// Client calls one peer over one connection, which it opens on demand and
+// replaces after a failure. It is safe for concurrent use.
+type Client struct {
+	address netip.AddrPort
+	creds   *Credentials
+	traffic *Traffic
+
+	mu      sync.Mutex // guards current; held while dialing, so that one call dials
+	current *connection
+}
+
+type connection struct {
+	rpc      *rpc.Client
+	answered atomic.Int64 // number of calls that were answered
+}
+
+// NewClient returns a client for the peer at the address.
+func NewClient(address netip.AddrPort, creds *Credentials, traffic *Traffic) *Client {
+	return &Client{address: address, creds: creds, traffic: traffic}
+}
+
+// Address returns the peer's address.
+func (c *Client) Address() netip.AddrPort { return c.address }
+
+// Call sends the request and waits for the response or the end of the context.
+func (c *Client) Call(ctx context.Context, method string, request, response proto.Message) error {
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return err
+	}
+	before := conn.answered.Load()
+	call := conn.rpc.Go(method, request, response, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		conn.answered.Add(1)
+		return c.finish(conn, call.Error)
+	case <-ctx.Done():
+		// Nothing at all was answered meanwhile: the link is taken for dead.
+		if conn.answered.Load() == before {
+			c.drop(conn)
+		}
+		return ctx.Err()
+	}
+}
+
+func (c *Client) finish(conn *connection, err error) error {
+	var refused rpc.ServerError
+	if err != nil && !errors.As(err, &refused) {
+		c.drop(conn)
+	}
+	return err
+}
+
+func (c *Client) connect(ctx context.Context) (*connection, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current != nil {
+		return c.current, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	dialer := &tls.Dialer{NetDialer: &net.Dialer{}, Config: c.creds.client()}
+	conn, err := dialer.DialContext(ctx, "tcp", c.address.String())
+	if err != nil {
+		return nil, errors.Wrapf(ErrUnreachable, "%s: %v", c.address, err)
+	}
+	c.current = &connection{rpc: rpc.NewClientWithCodec(&clientCodec{newFramer(conn, c.traffic)})}
+	return c.current, nil
+}
+
+func (c *Client) drop(conn *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current == conn {
+		c.current = nil
+	}
+	_ = conn.rpc.Close() // it is given up either way
+}
+
+// Close ends the connection. A later call opens a new one.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current != nil {
+		_ = c.current.rpc.Close() // it is given up either way
+		c.current = nil
+	}
+}
--- /dev/null
+++ b/internal/peer/credentials.go
@@ -0,0 +1,235 @@
+package peer
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// serverName is the name that every instance certificate carries. Instances are
+// found by IP number; what counts is that the operator's authority signed.
+const serverName = "vanillaward-instance"
+
+// Credentials hold an instance's certificate, its key and the authorities that
+// it trusts. Files are read again when they changed, so that keys are replaced
+// without a restart.
+type Credentials struct {
+	folder string
+
+	mu     sync.Mutex // guards the rest; never held while another lock is taken
+	stamp  time.Time
+	cert   *tls.Certificate
+	accept *x509.CertPool
+}
+
+// Role is what a certificate entitles its holder to.
+type Role string
+
+// Roles that a certificate can carry.
+const (
+	// RoleInstance may replicate, vote and keep records.
+	RoleInstance Role = "instance"
+	// RoleOperator may change and read the configuration.
+	RoleOperator Role = "operator"
+)
+
+// Names of the files in the folder of an instance's credentials.
+const (
+	certFile      = "instance.crt"
+	keyFile       = "instance.key"
+	authorityFile = "authority.crt"
+	signingFile   = "authority.key"
+)
+
+// LoadCredentials reads instance.crt, instance.key and authority.crt of a
+// folder. The last may hold several certificates while an authority is being
+// replaced.
+func LoadCredentials(folder string) (*Credentials, error) {
+	c := &Credentials{folder: folder}
+	if _, _, err := c.current(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// current returns the certificate and the trusted authorities. When changed
+// files cannot be read, the previous ones stay in use.
+func (c *Credentials) current() (*tls.Certificate, *x509.CertPool, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	stamp, err := c.newest()
+	if err == nil && !stamp.Equal(c.stamp) {
+		err = c.load()
+	}
+	if err == nil {
+		c.stamp = stamp
+	}
+	if c.cert == nil {
+		return nil, nil, errors.Wrap(err, "credentials")
+	}
+	return c.cert, c.accept, nil
+}
+
+func (c *Credentials) newest() (time.Time, error) {
+	var newest time.Time
+	for _, name := range []string{certFile, keyFile, authorityFile} {
+		info, err := os.Stat(filepath.Join(c.folder, name))
+		if err != nil {
+			return newest, err
+		}
+		if info.ModTime().After(newest) {
+			newest = info.ModTime()
+		}
+	}
+	return newest, nil
+}
+
+func (c *Credentials) load() error {
+	cert, err := tls.LoadX509KeyPair(filepath.Join(c.folder, certFile), filepath.Join(c.folder, keyFile))
+	if err != nil {
+		return err
+	}
+	authorities, err := os.ReadFile(filepath.Join(c.folder, authorityFile))
+	if err != nil {
+		return err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authorities) {
+		return errors.Errorf("%s holds no certificate", authorityFile)
+	}
+	c.cert, c.accept = &cert, pool
+	return nil
+}
+
+// server returns the configuration for one incoming connection.
+func (c *Credentials) server() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			cert, pool, err := c.current()
+			if err != nil {
+				return nil, err
+			}
+			return &tls.Config{
+				MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{*cert},
+				ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool,
+			}, nil
+		},
+	}
+}
+
+// client returns the configuration for one outgoing connection.
+func (c *Credentials) client() *tls.Config {
+	cert, pool, err := c.current()
+	if err != nil {
+		return &tls.Config{MinVersion: tls.VersionTLS13, ServerName: serverName}
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13, ServerName: serverName,
+		Certificates: []tls.Certificate{*cert}, RootCAs: pool,
+	}
+}
+
+const (
+	authorityLifetime = 10 * 365 * 24 * time.Hour
+	instanceLifetime  = 365 * 24 * time.Hour
+	serialBits        = 120
+)
+
+// WriteAuthority creates a signing authority in the folder.
+func WriteAuthority(folder string) error {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return errors.Wrap(err, "authority key")
+	}
+	template, err := newTemplate("vanillaward authority", authorityLifetime)
+	if err != nil {
+		return err
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return errors.Wrap(err, "authority certificate")
+	}
+	return writePair(folder, authorityFile, signingFile, der, key)
+}
+
+// WriteMember creates the credentials of an instance or an operator in the
+// folder, signed by the authority in the folder authority.
+func WriteMember(folder, authority, name string, role Role) error {
+	pair, err := tls.LoadX509KeyPair(filepath.Join(authority, authorityFile), filepath.Join(authority, signingFile))
+	if err != nil {
+		return errors.Wrap(err, "authority")
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return errors.Wrap(err, "instance key")
+	}
+	template, err := newTemplate(name, instanceLifetime)
+	if err != nil {
+		return err
+	}
+	template.Subject.OrganizationalUnit = []string{string(role)}
+	template.DNSNames = []string{serverName}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, template, pair.Leaf, &key.PublicKey, pair.PrivateKey)
+	if err != nil {
+		return errors.Wrap(err, "instance certificate")
+	}
+	if err := writePair(folder, certFile, keyFile, der, key); err != nil {
+		return err
+	}
+	signed, err := os.ReadFile(filepath.Join(authority, authorityFile))
+	if err != nil {
+		return errors.Wrap(err, "authority")
+	}
+	return errors.Wrap(os.WriteFile(filepath.Join(folder, authorityFile), signed, publicMode), "authority")
+}
+
+func newTemplate(name string, lifetime time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, errors.Wrap(err, "serial number")
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial, Subject: pkix.Name{CommonName: name},
+		NotBefore: now.Add(-time.Hour), NotAfter: now.Add(lifetime),
+	}, nil
+}
+
+const (
+	privateMode = 0o600
+	publicMode  = 0o644
+	folderMode  = 0o750
+)
+
+func writePair(folder, certName, keyName string, der []byte, key *ecdsa.PrivateKey) error {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return errors.Wrap(err, "folder of credentials")
+	}
+	secret, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return errors.Wrap(err, "private key")
+	}
+	private := pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: secret})
+	if err := os.WriteFile(filepath.Join(folder, keyName), private, privateMode); err != nil {
+		return errors.Wrap(err, "private key")
+	}
+	public := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+	return errors.Wrap(os.WriteFile(filepath.Join(folder, certName), public, publicMode), "certificate")
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,156 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// handshakeTimeout bounds how long an unauthenticated peer can hold a
+// connection.
+const handshakeTimeout = 5 * time.Second
+
+// Caller is the authenticated other side of a connection.
+type Caller struct {
+	name string
+	role Role
+}
+
+// NewCaller returns a caller, for calls within a process and for tests.
+func NewCaller(name string, role Role) Caller { return Caller{name: name, role: role} }
+
+// Name returns the common name of the caller's certificate.
+func (c Caller) Name() string { return c.name }
+
+// Role returns what the caller's certificate entitles it to.
+func (c Caller) Role() Role { return c.role }
+
+// Factory returns the receiver of calls for one connection.
+type Factory func(Caller) any
+
+// Server accepts connections of own processes and serves registered receivers.
+type Server struct {
+	log       logr.Logger
+	factories map[string]Factory
+	creds     *Credentials
+	traffic   *Traffic
+	mu        sync.Mutex // guards conns; never held while another lock is taken
+	conns     map[net.Conn]struct{}
+	stopping  bool
+}
+
+// NewServer returns a server that admits peers with valid credentials only.
+func NewServer(log logr.Logger, creds *Credentials, traffic *Traffic) *Server {
+	return &Server{
+		log: log, creds: creds, traffic: traffic,
+		factories: map[string]Factory{}, conns: map[net.Conn]struct{}{},
+	}
+}
+
+// Register makes the methods of the factory's receivers callable as
+// "name.Method". It must not be called after Serve.
+func (s *Server) Register(name string, factory Factory) { s.factories[name] = factory }
+
+// Serve accepts connections until the context ends, then closes all of them. It
+// reports its end on the returned channel.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) <-chan error {
+	done := make(chan error, 1)
+	stop := context.AfterFunc(ctx, func() {
+		_ = listener.Close() // the accept loop reports the error that matters
+		s.closeAll()
+	})
+	go func() {
+		defer stop()
+		var serving sync.WaitGroup
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				serving.Wait()
+				if ctx.Err() != nil {
+					err = nil
+				}
+				done <- err
+				return
+			}
+			serving.Go(func() { s.serve(ctx, conn) })
+		}
+	}()
+	return done
+}
+
+func (s *Server) serve(ctx context.Context, conn net.Conn) {
+	if !s.track(conn) {
+		_ = conn.Close()
+		return
+	}
+	defer s.untrack(conn)
+	secure := tls.Server(conn, s.creds.server())
+	handshake, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	if err := secure.HandshakeContext(handshake); err != nil {
+		s.log.Info("peer refused", "address", conn.RemoteAddr().String(), "reason", err.Error())
+		_ = conn.Close()
+		return
+	}
+	calls, err := s.receivers(callerOf(secure.ConnectionState()))
+	if err != nil {
+		s.log.Error(err, "receiver cannot be registered")
+		_ = conn.Close()
+		return
+	}
+	calls.ServeCodec(&serverCodec{newFramer(secure, s.traffic)})
+}
+
+// receivers builds the call table of one connection, so that each method knows
+// its authenticated caller.
+func (s *Server) receivers(caller Caller) (*rpc.Server, error) {
+	calls := rpc.NewServer()
+	for name, factory := range s.factories {
+		if err := calls.RegisterName(name, factory(caller)); err != nil {
+			return nil, err
+		}
+	}
+	return calls, nil
+}
+
+func callerOf(state tls.ConnectionState) Caller {
+	if len(state.PeerCertificates) == 0 {
+		return Caller{}
+	}
+	subject := state.PeerCertificates[0].Subject
+	role := RoleOperator
+	if len(subject.OrganizationalUnit) > 0 && subject.OrganizationalUnit[0] == string(RoleInstance) {
+		role = RoleInstance
+	}
+	return Caller{name: subject.CommonName, role: role}
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) untrack(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+	for conn := range s.conns {
+		_ = conn.Close() // ends the connection's goroutine
+	}
+}
--- /dev/null
+++ b/internal/replog/core.go
@@ -0,0 +1,338 @@
+package replog
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+// Errors of proposals.
+var (
+	// ErrNotLeader is returned by a replica that does not lead.
+	ErrNotLeader = errors.New("this replica is not the leader")
+	// ErrMembershipPending is returned while an earlier membership change is not
+	// committed.
+	ErrMembershipPending = errors.New("another membership change is not committed yet")
+	// ErrMembershipStep is returned for a change of more than one voter.
+	ErrMembershipStep = errors.New("a membership change may add or remove one voter only")
+)
+
+// Bounds on one append message.
+const (
+	maxAppendEntries = 64
+	maxAppendBytes   = 1 << 20
+)
+
+// progress is what a leader knows about another replica.
+type progress struct {
+	match    uint64 // highest index known to be durable there
+	next     uint64 // next index to send
+	round    uint64 // newest heartbeat round that it answered
+	heard    time.Duration
+	snapshot time.Duration // when a snapshot was last sent
+}
+
+// Core is one replica's state. It is not safe for concurrent use.
+type Core struct {
+	id     string
+	timing Timing
+	random *rand.Rand
+
+	now      time.Duration
+	role     Role
+	term     uint64
+	vote     string
+	leader   string
+	commit   uint64
+	log      entryLog
+	snapshot *wire.Snapshot
+
+	heard    time.Duration // last message of a current leader, or the start
+	deadline time.Duration // when to campaign
+	votes    map[string]bool
+
+	others    map[string]*progress
+	round     uint64
+	roundTime map[uint64]time.Duration
+	beat      time.Duration // when the next heartbeat is due
+	elected   time.Duration
+	leaseFrom time.Duration
+	leased    bool
+
+	actions []Action
+}
+
+// New returns a replica restored from durable state. Until the shortest election
+// timeout has passed it grants no votes, since it may have promised that silence
+// to a leader before it restarted.
+func New(id string, timing Timing, random *rand.Rand, now time.Duration, from Durable) *Core {
+	c := &Core{id: id, timing: timing, random: random, now: now, heard: now}
+	if from.HardState != nil {
+		c.term, c.vote = from.HardState.GetTerm(), from.HardState.GetVote()
+	}
+	if from.Snapshot != nil {
+		c.snapshot = from.Snapshot
+		c.log.reset(from.Snapshot)
+	}
+	c.log.append(from.Entries...)
+	c.commit = c.log.snapIndex // what is committed beyond it is learned again
+	c.postpone()
+	return c
+}
+
+// ID returns the replica's identity.
+func (c *Core) ID() string { return c.id }
+
+// Role returns the current role.
+func (c *Core) Role() Role { return c.role }
+
+// Term returns the current term.
+func (c *Core) Term() uint64 { return c.term }
+
+// LeaderID returns the leader of the current term as far as it is known.
+func (c *Core) LeaderID() string { return c.leader }
+
+// Commit returns the highest committed index known here.
+func (c *Core) Commit() uint64 { return c.commit }
+
+// LastIndex returns the index of the last record held.
+func (c *Core) LastIndex() uint64 { return c.log.last() }
+
+// FirstIndex returns the index of the first record held after the snapshot.
+func (c *Core) FirstIndex() uint64 { return c.log.snapIndex + 1 }
+
+// EntryTerm returns the term of a held record.
+func (c *Core) EntryTerm(index uint64) (uint64, bool) { return c.log.term(index) }
+
+// Membership returns the latest membership, committed or not.
+func (c *Core) Membership() *wire.Membership {
+	m, _ := c.log.latestMembership()
+	return m
+}
+
+// MatchIndex returns the highest index that a leader knows to be durable at a
+// replica.
+func (c *Core) MatchIndex(id string) uint64 {
+	if id == c.id {
+		return c.log.last()
+	}
+	if p := c.others[id]; p != nil {
+		return p.match
+	}
+	return 0
+}
+
+// LeaseValid reports whether this replica leads and no other can have been
+// elected by the given time.
+func (c *Core) LeaseValid(now time.Duration) bool {
+	return c.role == Leader && c.leased && now < c.leaseFrom+c.timing.Election-c.timing.Margin &&
+		c.committedInTerm()
+}
+
+// Tick advances time: elections, heartbeats and the loss of a majority.
+func (c *Core) Tick(now time.Duration) []Action {
+	c.now = now
+	switch {
+	case c.role == Leader:
+		c.tickLeader()
+	case now >= c.deadline:
+		c.campaign()
+	}
+	return c.take()
+}
+
+// Propose appends data to the log and returns its index.
+func (c *Core) Propose(now time.Duration, data []byte) (uint64, []Action, error) {
+	c.now = now
+	if c.role != Leader {
+		return 0, nil, ErrNotLeader
+	}
+	index := c.appendOwn(&wire.Entry{Data: data})
+	return index, c.take(), nil
+}
+
+// ProposeMembership appends a membership that differs from the latest by at most
+// one voter.
+func (c *Core) ProposeMembership(now time.Duration, next *wire.Membership) (uint64, []Action, error) {
+	c.now = now
+	if c.role != Leader {
+		return 0, nil, ErrNotLeader
+	}
+	latest, at := c.log.latestMembership()
+	if at > c.commit || !c.committedInTerm() {
+		return 0, nil, ErrMembershipPending
+	}
+	if voterDistance(latest, next) > 1 {
+		return 0, nil, ErrMembershipStep
+	}
+	index := c.appendOwn(&wire.Entry{Membership: next})
+	return index, c.take(), nil
+}
+
+// Compact replaces the log up to an applied index by the state machine's state.
+func (c *Core) Compact(index uint64, state []byte) []Action {
+	if index <= c.log.snapIndex || index > c.commit {
+		return nil
+	}
+	c.log.compact(index)
+	c.snapshot = &wire.Snapshot{Index: index, Term: c.log.snapTerm, Membership: c.log.membership, State: state}
+	return []Action{SaveSnapshot{c.snapshot}}
+}
+
+// Receive handles a message of another replica.
+func (c *Core) Receive(now time.Duration, m *wire.Message) []Action {
+	c.now = now
+	if m.GetTo() != c.id {
+		return nil // meant for an earlier replica at this address
+	}
+	if c.role == Leader {
+		c.checkMajority() // a frozen leader must not act on what waited for it
+	}
+	if m.GetTerm() > c.term && !c.adoptTerm(m) {
+		return c.take()
+	}
+	if m.GetTerm() < c.term {
+		c.answerStale(m)
+		return c.take()
+	}
+	c.dispatch(m)
+	return c.take()
+}
+
+func (c *Core) dispatch(m *wire.Message) {
+	switch m.GetKind() {
+	case wire.Kind_KIND_PRE_VOTE:
+		c.onPreVote(m)
+	case wire.Kind_KIND_PRE_VOTE_REPLY:
+		c.onPreVoteReply(m)
+	case wire.Kind_KIND_VOTE:
+		c.onVote(m)
+	case wire.Kind_KIND_VOTE_REPLY:
+		c.onVoteReply(m)
+	case wire.Kind_KIND_APPEND:
+		c.onAppend(m)
+	case wire.Kind_KIND_APPEND_REPLY:
+		c.onAppendReply(m)
+	case wire.Kind_KIND_SNAPSHOT:
+		c.onSnapshot(m)
+	}
+}
+
+// adoptTerm handles a higher term. It reports whether the message is to be
+// dispatched. Pre-votes carry a term that nobody holds yet and change nothing.
+func (c *Core) adoptTerm(m *wire.Message) bool {
+	switch m.GetKind() {
+	case wire.Kind_KIND_PRE_VOTE:
+		c.onPreVote(m)
+		return false
+	case wire.Kind_KIND_PRE_VOTE_REPLY:
+		if !m.GetReject() {
+			c.onPreVoteReply(m)
+			return false
+		}
+	case wire.Kind_KIND_VOTE:
+		if c.hearsLeader() {
+			return false
+		}
+	}
+	c.become(Follower, m.GetTerm())
+	return true
+}
+
+// answerStale tells a replica of an older term about the current one.
+func (c *Core) answerStale(m *wire.Message) {
+	switch m.GetKind() {
+	case wire.Kind_KIND_APPEND, wire.Kind_KIND_SNAPSHOT:
+		c.send(&wire.Message{Kind: wire.Kind_KIND_APPEND_REPLY, To: m.GetFrom(), Reject: true, Hint: c.log.last()})
+	case wire.Kind_KIND_PRE_VOTE:
+		c.send(&wire.Message{Kind: wire.Kind_KIND_PRE_VOTE_REPLY, To: m.GetFrom(), Reject: true})
+	case wire.Kind_KIND_VOTE:
+		c.send(&wire.Message{Kind: wire.Kind_KIND_VOTE_REPLY, To: m.GetFrom(), Reject: true})
+	}
+}
+
+// become changes role and term and makes a new term durable.
+func (c *Core) become(role Role, term uint64) {
+	if term > c.term {
+		c.term, c.vote, c.leader = term, "", ""
+		c.saveState()
+	}
+	if role != Leader {
+		c.others, c.roundTime, c.leased = nil, nil, false
+	}
+	if role == Candidate || role == PreCandidate {
+		c.leader = ""
+	}
+	c.role = role
+	c.emit(RoleChange{Role: role, Term: term})
+}
+
+func (c *Core) saveState() {
+	c.emit(SaveState{&wire.HardState{Term: c.term, Vote: c.vote}})
+}
+
+func (c *Core) emit(a Action) { c.actions = append(c.actions, a) }
+
+func (c *Core) take() []Action {
+	out := c.actions
+	c.actions = nil
+	return out
+}
+
+func (c *Core) send(m *wire.Message) {
+	m.From = c.id
+	if m.Term == 0 {
+		m.Term = c.term
+	}
+	c.emit(Send{m})
+}
+
+// voters returns the identities of the voting replicas.
+func (c *Core) voters() []string { return voterIDs(c.Membership()) }
+
+func (c *Core) isVoter() bool { return slices.Contains(c.voters(), c.id) }
+
+func voterIDs(m *wire.Membership) []string {
+	var out []string
+	for _, r := range m.GetReplicas() {
+		if !r.GetLearner() {
+			out = append(out, r.GetId())
+		}
+	}
+	return out
+}
+
+// voterDistance counts the voters that stand in just one of two memberships.
+func voterDistance(a, b *wire.Membership) int {
+	left, right := voterIDs(a), voterIDs(b)
+	n := 0
+	for _, id := range left {
+		if !slices.Contains(right, id) {
+			n++
+		}
+	}
+	for _, id := range right {
+		if !slices.Contains(left, id) {
+			n++
+		}
+	}
+	return n
+}
+
+// quorumValue returns the highest value that a majority of the voters reaches.
+func (c *Core) quorumValue(of func(id string) uint64) uint64 {
+	voters := c.voters()
+	if len(voters) == 0 {
+		return 0
+	}
+	values := make([]uint64, len(voters))
+	for i, id := range voters {
+		values[i] = of(id)
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
--- /dev/null
+++ b/internal/replog/replication.go
@@ -0,0 +1,254 @@
+package replog
+
+import (
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+// snapshotRetryHeartbeats is how many heartbeats a leader waits before it sends
+// a snapshot again.
+const snapshotRetryHeartbeats = 10
+
+func (c *Core) tickLeader() {
+	if !c.checkMajority() || c.now < c.beat {
+		return
+	}
+	c.beat = c.now + c.timing.Heartbeat
+	c.nextRound()
+	c.broadcast()
+}
+
+// checkMajority steps down when a majority was silent for an election timeout.
+// It reports whether the replica still leads.
+func (c *Core) checkMajority() bool {
+	voters := c.voters()
+	n := 0
+	for _, id := range voters {
+		p := c.others[id]
+		if id == c.id || p != nil && c.now < p.heard+2*c.timing.Election {
+			n++
+		}
+	}
+	if n > len(voters)/2 {
+		return true
+	}
+	c.become(Follower, c.term)
+	c.leader = ""
+	c.postpone()
+	return false
+}
+
+func (c *Core) nextRound() {
+	c.round++
+	c.roundTime[c.round] = c.now
+	c.updateLease()
+}
+
+// updateLease extends the lease to the newest round that a majority answered.
+func (c *Core) updateLease() {
+	round := c.quorumValue(func(id string) uint64 {
+		if id == c.id {
+			return c.round
+		}
+		if p := c.others[id]; p != nil {
+			return p.round
+		}
+		return 0
+	})
+	start, ok := c.roundTime[round]
+	if !ok {
+		return
+	}
+	c.leaseFrom, c.leased = start, true
+	for r := range c.roundTime {
+		if r < round {
+			delete(c.roundTime, r)
+		}
+	}
+}
+
+// appendOwn appends a record of the leader's term, replicates it and returns its
+// index.
+func (c *Core) appendOwn(e *wire.Entry) uint64 {
+	e.Index, e.Term = c.log.last()+1, c.term
+	c.log.append(e)
+	c.emit(SaveEntries{Entries: []*wire.Entry{e}})
+	c.advanceCommit()
+	c.broadcast()
+	return e.GetIndex()
+}
+
+func (c *Core) broadcast() {
+	known := map[string]bool{}
+	for _, r := range c.Membership().GetReplicas() {
+		id := r.GetId()
+		known[id] = true
+		if id == c.id {
+			continue
+		}
+		p := c.others[id]
+		if p == nil {
+			p = &progress{next: c.log.last() + 1, heard: c.now}
+			c.others[id] = p
+		}
+		c.replicate(id, p)
+	}
+	for id := range c.others {
+		if !known[id] {
+			delete(c.others, id)
+		}
+	}
+}
+
+// replicate sends what the replica lacks, or an empty append as a heartbeat.
+func (c *Core) replicate(id string, p *progress) {
+	before := p.next - 1
+	term, held := c.log.term(before)
+	if !held {
+		c.sendSnapshot(id, p)
+		return
+	}
+	entries := boundEntries(c.log.between(before, c.log.last()))
+	c.send(&wire.Message{
+		Kind: wire.Kind_KIND_APPEND, To: id, Index: before, LogTerm: term,
+		Entries: entries, Commit: c.commit, Round: c.round,
+	})
+	p.next += uint64(len(entries))
+}
+
+func boundEntries(entries []*wire.Entry) []*wire.Entry {
+	size := 0
+	for i, e := range entries {
+		size += len(e.GetData())
+		if i > 0 && (i >= maxAppendEntries || size > maxAppendBytes) {
+			return entries[:i]
+		}
+	}
+	return entries
+}
+
+func (c *Core) sendSnapshot(id string, p *progress) {
+	if c.snapshot == nil || p.snapshot > 0 && c.now < p.snapshot+snapshotRetryHeartbeats*c.timing.Heartbeat {
+		return
+	}
+	p.snapshot = c.now
+	c.send(&wire.Message{Kind: wire.Kind_KIND_SNAPSHOT, To: id, Snapshot: c.snapshot, Commit: c.commit, Round: c.round})
+}
+
+// follow accepts the sender as the leader of the term.
+func (c *Core) follow(leader string) {
+	if c.role != Follower {
+		c.become(Follower, c.term)
+	}
+	c.leader = leader
+	c.heard = c.now
+	c.postpone()
+}
+
+func (c *Core) onAppend(m *wire.Message) {
+	c.follow(m.GetFrom())
+	reply := &wire.Message{Kind: wire.Kind_KIND_APPEND_REPLY, To: m.GetFrom(), Round: m.GetRound()}
+	before := m.GetIndex()
+	if before > c.commit {
+		if term, ok := c.log.term(before); !ok || term != m.GetLogTerm() {
+			reply.Reject = true
+			reply.Hint = min(c.log.last(), before-1)
+			c.send(reply)
+			return
+		}
+	}
+	c.store(m.GetEntries())
+	matched := before + uint64(len(m.GetEntries()))
+	c.commitTo(min(m.GetCommit(), matched))
+	reply.Index = matched
+	c.send(reply)
+}
+
+// store appends the records that are missing, voiding a conflicting suffix.
+// Committed records never conflict.
+func (c *Core) store(entries []*wire.Entry) {
+	for i, e := range entries {
+		if e.GetIndex() <= c.commit {
+			continue
+		}
+		term, held := c.log.term(e.GetIndex())
+		if held && term == e.GetTerm() {
+			continue
+		}
+		save := SaveEntries{Entries: entries[i:]}
+		if held {
+			save.TruncateFrom = e.GetIndex()
+			c.log.truncate(e.GetIndex())
+		}
+		c.log.append(entries[i:]...)
+		c.emit(save)
+		return
+	}
+}
+
+func (c *Core) commitTo(index uint64) {
+	if index <= c.commit {
+		return
+	}
+	entries := c.log.between(c.commit, index)
+	c.commit = index
+	c.emit(Apply{entries})
+}
+
+func (c *Core) onAppendReply(m *wire.Message) {
+	p := c.others[m.GetFrom()]
+	if c.role != Leader || p == nil {
+		return
+	}
+	p.heard = c.now
+	p.round = max(p.round, m.GetRound())
+	c.updateLease()
+	if m.GetReject() {
+		p.next = max(p.match+1, min(p.next, m.GetHint()+1))
+		c.replicate(m.GetFrom(), p)
+		return
+	}
+	p.match = max(p.match, m.GetIndex())
+	p.next = max(p.next, p.match+1)
+	c.advanceCommit()
+	if c.role == Leader && p.next <= c.log.last() {
+		c.replicate(m.GetFrom(), p)
+	}
+}
+
+// committedInTerm reports whether a record of the leader's own term is committed,
+// so that its commit index is current.
+func (c *Core) committedInTerm() bool {
+	term, ok := c.log.term(c.commit)
+	return ok && term == c.term
+}
+
+// advanceCommit commits what a majority holds. Records of earlier terms are only
+// committed by one of the current term.
+func (c *Core) advanceCommit() {
+	index := c.quorumValue(c.MatchIndex)
+	if index <= c.commit {
+		return
+	}
+	if term, ok := c.log.term(index); !ok || term != c.term {
+		return
+	}
+	c.commitTo(index)
+	if !c.isVoter() {
+		c.become(Follower, c.term)
+		c.leader = ""
+		c.postpone()
+	}
+}
+
+func (c *Core) onSnapshot(m *wire.Message) {
+	c.follow(m.GetFrom())
+	s := m.GetSnapshot()
+	if s.GetIndex() > c.commit {
+		c.log.reset(s)
+		c.snapshot = s
+		c.commit = s.GetIndex()
+		c.emit(SaveSnapshot{s})
+		c.emit(Restore{s})
+	}
+	c.send(&wire.Message{Kind: wire.Kind_KIND_APPEND_REPLY, To: m.GetFrom(), Index: s.GetIndex(), Round: m.GetRound()})
+}
--- /dev/null
+++ b/internal/replog/types.go
@@ -0,0 +1,86 @@
+package replog
+
+import (
+	"time"
+
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+// Role is the part that a replica plays in its term.
+type Role int
+
+// Roles of a replica.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String returns the role's name.
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// Timing holds the core's time bounds.
+type Timing struct {
+	// Heartbeat is the interval between a leader's messages.
+	Heartbeat time.Duration
+	// Election is the shortest silence after which a replica campaigns; each
+	// wait is drawn between this and its double.
+	Election time.Duration
+	// Margin is subtracted from the lease to cover different clock rates.
+	Margin time.Duration
+}
+
+// DefaultTiming suits replicas that are a few milliseconds apart.
+func DefaultTiming() Timing {
+	return Timing{Heartbeat: 100 * time.Millisecond, Election: 600 * time.Millisecond, Margin: 100 * time.Millisecond}
+}
+
+// Durable is what a replica restores from its storage.
+type Durable struct {
+	HardState *wire.HardState
+	Snapshot  *wire.Snapshot
+	Entries   []*wire.Entry
+}
+
+// Action is something that the caller must do for the core.
+type Action interface{ action() }
+
+// SaveState asks to make the term and vote durable.
+type SaveState struct{ State *wire.HardState }
+
+// SaveEntries asks to make records durable after voiding those from
+// TruncateFrom on, where that is not 0.
+type SaveEntries struct {
+	TruncateFrom uint64
+	Entries      []*wire.Entry
+}
+
+// SaveSnapshot asks to make a snapshot durable that replaces the log up to its
+// index.
+type SaveSnapshot struct{ Snapshot *wire.Snapshot }
+
+// Send asks to send a message to the replica that it names.
+type Send struct{ Message *wire.Message }
+
+// Apply asks to apply committed records, in order.
+type Apply struct{ Entries []*wire.Entry }
+
+// Restore asks to replace the state machine's state by that of a snapshot.
+type Restore struct{ Snapshot *wire.Snapshot }
+
+// RoleChange reports a new role or term.
+type RoleChange struct {
+	Role Role
+	Term uint64
+}
+
+func (SaveState) action()    {}
+func (SaveEntries) action()  {}
+func (SaveSnapshot) action() {}
+func (Send) action()         {}
+func (Apply) action()        {}
+func (Restore) action()      {}
+func (RoleChange) action()   {}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,219 @@
+// Package settings defines everything that an instance reads from its settings
+// file.
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanillaward/vanillaward/internal/inifile"
+	"github.com/vanillaward/vanillaward/pkg/finding"
+)
+
+// Roles that an instance can carry.
+const (
+	RoleEntry   = "entry"
+	RoleControl = "control"
+)
+
+// Settings are the settings of one instance. Each field is a section of the
+// file. The fields are exported because they are decoded by reflection.
+type Settings struct {
+	Instance Instance
+	Listen   Listen
+	Control  Control
+	Entry    Entry
+	Platform Platform
+	Log      Log
+
+	file     string
+	sections map[string]*inifile.Section
+}
+
+// Instance identifies the process.
+type Instance struct {
+	Name          string   `ini:"name" required:"true" doc:"Name of the instance, unique in the deployment."`
+	FailureDomain string   `ini:"failure-domain" required:"true" doc:"Failure domain that the instance runs in."`
+	Roles         []string `ini:"roles" required:"true" doc:"Roles of the instance: entry, control or both."`
+	DataFolder    string   `ini:"data-folder" doc:"Folder for durable state. Required for the role control; its disk must honour syncs."`
+	Credentials   string   `ini:"credentials" required:"true" doc:"Folder with instance.crt, instance.key and authority.crt. Changed files are used for the next connection."`
+}
+
+// Listen holds the instance's own addresses.
+type Listen struct {
+	Callers netip.AddrPort `ini:"callers" doc:"Address for callers' requests. Required for the role entry."`
+	Peers   netip.AddrPort `ini:"peers" required:"true" doc:"Address for the system's own processes and for operators."`
+	Health  netip.AddrPort `ini:"health" required:"true" doc:"Address for /healthz, /readyz and /metrics."`
+}
+
+// Control names the replicas of the configuration and its timing.
+type Control struct {
+	Replicas      []inifile.Peer `ini:"replicas" required:"true" doc:"Instances that replicate the configuration."`
+	DomainPeers   []inifile.Peer `ini:"domain-peers" doc:"Other instances of the failure domain, which hand on the configuration while no replica can be reached."`
+	Heartbeat     time.Duration  `ini:"heartbeat" default:"100ms" min:"1000000" doc:"Interval between a leader's heartbeats."`
+	Election      time.Duration  `ini:"election-timeout" default:"600ms" min:"10000000" doc:"Shortest silence of the leader after which a replica campaigns."`
+	ClockMargin   time.Duration  `ini:"clock-margin" default:"100ms" doc:"Part of the leader's lease that covers clocks of different rates."`
+	SnapshotEvery int            `ini:"snapshot-every" default:"1000" min:"10" doc:"Number of log records after which a snapshot is taken."`
+	WatchWait     time.Duration  `ini:"watch-wait" default:"4s" min:"100000000" doc:"Longest wait of an instance for a new version before it asks again; also the interval at which it is seen to be alive."`
+}
+
+// Entry bounds the work of the role entry.
+type Entry struct {
+	MaxBody           inifile.Bytes `ini:"max-body" default:"1MiB" min:"1" doc:"Largest request body."`
+	MaxOpen           int           `ini:"max-open" default:"4000" min:"1" doc:"Requests that may be open at once; more are refused."`
+	MaxQueue          int           `ini:"max-queue" default:"2000" min:"1" doc:"Requests that may wait for a target."`
+	WholeMemory       inifile.Bytes `ini:"whole-memory" default:"48MiB" min:"1" doc:"Memory for answers that are held until they are whole. Beyond it, requests of delivery whole are refused before they start."`
+	MaxAnswer         inifile.Bytes `ini:"max-answer" default:"4MiB" min:"1" doc:"Largest answer held for delivery whole. A longer one ends as incomplete."`
+	DialTimeout       time.Duration `ini:"dial-timeout" default:"1s" min:"1000000" doc:"Bound on connecting to a target."`
+	CallerWrite       time.Duration `ini:"caller-write-timeout" default:"30s" min:"1000000" doc:"How long a caller may leave an answer unread before its request is cancelled."`
+	LoadInterval      time.Duration `ini:"load-interval" default:"500ms" min:"10000000" doc:"Interval between readings of a target's load."`
+	KeeperTimeout     time.Duration `ini:"keeper-timeout" default:"500ms" min:"1000000" doc:"Bound on one round of calls to the keepers of a failure domain."`
+	ReadinessDelay    time.Duration `ini:"readiness-delay" default:"3s" doc:"How long a stopping instance still takes requests after its readiness fails, so that the balancer can see it."`
+	KeeperRecords     int           `ini:"keeper-records" default:"20000" min:"1" doc:"Records of non-idempotent requests that this instance keeps; beyond it, such requests are refused."`
+	KeeperAnswerBytes inifile.Bytes `ini:"keeper-answer-bytes" default:"2KiB" doc:"Largest answer that is kept for a repeated non-idempotent request."`
+	TraceFile         string        `ini:"trace-file" doc:"File to which request events are written as JSON lines for replay. Empty writes none."`
+}
+
+// Platform names the platform's list of live and leaving instances.
+type Platform struct {
+	List         string        `ini:"list-url" doc:"URL of the platform's list of targets. Empty uses the declared targets only."`
+	PollInterval time.Duration `ini:"poll-interval" default:"500ms" min:"10000000" doc:"Interval between readings of the list."`
+}
+
+// Log sets what is logged.
+type Log struct {
+	Level string `ini:"level" default:"info" oneof:"error|info|debug" doc:"Least severe level that is logged."`
+}
+
+// SectionDoc describes one section for the settings page.
+type SectionDoc struct {
+	Name   string
+	Doc    string
+	Fields []inifile.Field
+}
+
+// Sections describes every section in file order.
+func Sections() []SectionDoc {
+	return []SectionDoc{
+		{"instance", "Who this process is.", inifile.Fields(Instance{})},
+		{"listen", "Addresses of this process. Only IP numbers are accepted.", inifile.Fields(Listen{})},
+		{"control", "The replicated configuration.", inifile.Fields(Control{})},
+		{"entry", "Bounds on the work of the role entry.", inifile.Fields(Entry{})},
+		{"platform", "The platform's list of targets.", inifile.Fields(Platform{})},
+		{"log", "Logs, written to standard error as JSON lines.", inifile.Fields(Log{})},
+	}
+}
+
+// Load reads a settings file. The error lists every finding.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	s, found := Parse(path, data)
+	return s, found.Err()
+}
+
+// Parse decodes a settings file and returns everything that is wrong with it.
+func Parse(file string, data []byte) (*Settings, finding.List) {
+	sections, found := inifile.Parse(file, data)
+	s := &Settings{file: file, sections: map[string]*inifile.Section{}}
+	targets := map[string]any{
+		"instance": &s.Instance, "listen": &s.Listen, "control": &s.Control,
+		"entry": &s.Entry, "platform": &s.Platform, "log": &s.Log,
+	}
+	for _, section := range sections {
+		if _, ok := targets[section.ID()]; !ok {
+			found.Add(file, section.Line(), "", "unknown section [%s]", section.ID())
+			continue
+		}
+		s.sections[section.ID()] = section
+	}
+	for _, doc := range Sections() {
+		section := s.sections[doc.Name]
+		if section == nil {
+			section = inifile.NewSection(file, doc.Name, "", 0)
+			s.sections[doc.Name] = section
+		}
+		found.Merge(inifile.Decode(section, targets[doc.Name]))
+	}
+	s.check(&found)
+	return s, found
+}
+
+// Has reports whether the instance carries the role.
+func (s *Settings) Has(role string) bool { return slices.Contains(s.Instance.Roles, role) }
+
+func (s *Settings) check(found *finding.List) {
+	for _, role := range s.Instance.Roles {
+		if role != RoleEntry && role != RoleControl {
+			s.add(found, "instance", "roles", "%q is neither entry nor control", role)
+		}
+	}
+	if s.Has(RoleControl) && s.Instance.DataFolder == "" {
+		s.add(found, "instance", "data-folder", "the role control needs a data folder")
+	}
+	if s.Has(RoleEntry) && !s.Listen.Callers.IsValid() {
+		s.add(found, "listen", "callers", "the role entry needs an address for callers")
+	}
+	if s.Has(RoleControl) && !s.listsSelf() {
+		s.add(found, "control", "replicas", "the role control needs this instance, %q at its peers address, among the replicas", s.Instance.Name)
+	}
+	if s.Control.Election < 3*s.Control.Heartbeat {
+		s.add(found, "control", "election-timeout", "less than three heartbeats")
+	}
+	if s.Control.ClockMargin >= s.Control.Election {
+		s.add(found, "control", "clock-margin", "not below the election timeout")
+	}
+	s.checkAddresses(found)
+}
+
+func (s *Settings) listsSelf() bool {
+	for _, p := range s.Control.Replicas {
+		if p.Name == s.Instance.Name && p.Address == s.Listen.Peers {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Settings) checkAddresses(found *finding.List) {
+	used := map[netip.AddrPort]string{}
+	for _, own := range []struct {
+		key     string
+		address netip.AddrPort
+	}{{"callers", s.Listen.Callers}, {"peers", s.Listen.Peers}, {"health", s.Listen.Health}} {
+		if !own.address.IsValid() {
+			continue
+		}
+		if first, dup := used[own.address]; dup {
+			s.add(found, "listen", own.key, "%s is the address of %s already", own.address, first)
+		}
+		used[own.address] = own.key
+	}
+	checkPeers(s, "replicas", s.Control.Replicas, found)
+	checkPeers(s, "domain-peers", s.Control.DomainPeers, found)
+}
+
+func checkPeers(s *Settings, key string, peers []inifile.Peer, found *finding.List) {
+	names := map[string]bool{}
+	addresses := map[netip.AddrPort]bool{}
+	for _, p := range peers {
+		if names[p.Name] || addresses[p.Address] {
+			s.add(found, "control", key, "%s@%s stands twice", p.Name, p.Address)
+		}
+		names[p.Name], addresses[p.Address] = true, true
+	}
+}
+
+func (s *Settings) add(found *finding.List, section, key, format string, args ...any) {
+	line := s.sections[section].Line()
+	if k, ok := s.sections[section].Lookup(key); ok {
+		line = k.Line()
+	}
+	found.Add(s.file, line, key, format, args...)
+}
--- /dev/null
+++ b/internal/standin/command/command.go
@@ -0,0 +1,101 @@
+// Package command is the command line of the stand-ins.
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+
+	"github.com/vanillaward/vanillaward/internal/declaration"
+	"github.com/vanillaward/vanillaward/internal/inifile"
+	"github.com/vanillaward/vanillaward/internal/standin"
+	"github.com/vanillaward/vanillaward/pkg/finding"
+)
+
+// Run executes the command line and returns its exit code.
+func Run(args []string, out, errOut io.Writer) int {
+	app := kingpin.New("vanillaward-standin", "Stand-ins for the systems around vanillaward, and a small caller.")
+	app.UsageWriter(errOut).ErrorWriter(errOut)
+	code := -1
+	app.Terminate(func(c int) { code = c })
+	addRun(app)
+	addCall(app, out)
+	_, err := app.Parse(args)
+	if code >= 0 {
+		return code
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, "vanillaward-standin: "+err.Error()) // there is nowhere else to report it
+		return 1
+	}
+	return 0
+}
+
+func addRun(app *kingpin.Application) {
+	c := app.Command("run", "Run the targets that declarations name, each at its address, and the platform's list. Faults are switched at the admin address.")
+	admin := c.Flag("admin", "Address of the admin interface.").Required().String()
+	speed := c.Flag("speed", "Divides the engines' durations.").Default("1").Float64()
+	lag := c.Flag("list-lag", "How late the platform's list shows a change.").Default("5s").Duration()
+	files := c.Arg("file", "Files of the declarations.").Required().Strings()
+	c.Action(func(*kingpin.ParseContext) error {
+		set, err := read(*files)
+		if err != nil {
+			return err
+		}
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+		defer stop()
+		done, err := standin.NewHost(set.Targets(), *speed, *lag).Run(ctx, *admin)
+		if err != nil {
+			return err
+		}
+		return <-done
+	})
+}
+
+func read(files []string) (*declaration.Set, error) {
+	var found finding.List
+	var sections []*inifile.Section
+	for _, name := range files {
+		data, err := os.ReadFile(name) //nolint:gosec // the operator names it
+		if err != nil {
+			return nil, errors.Wrap(err, "declarations")
+		}
+		parsed, faults := declaration.Parse(name, data)
+		found.Merge(faults)
+		sections = append(sections, parsed...)
+	}
+	set, faults := declaration.Build(1, sections, nil)
+	found.Merge(faults)
+	return set, found.Err()
+}
+
+func addCall(app *kingpin.Application, out io.Writer) {
+	c := app.Command("call", "Send the requests of a small demonstration and show the answers.")
+	base := c.Flag("url", "URL of an entry instance.").Required().String()
+	key := c.Flag("key", "Key of the organisation.").Required().String()
+	file := c.Arg("file", "File of requests, one a line: name, class, method, path and body, separated by tabs.").Required().String()
+	timeout := c.Flag("timeout", "Bound on one request.").Default("60s").Duration()
+	c.Action(func(*kingpin.ParseContext) error {
+		calls, err := readCalls(*file)
+		if err != nil {
+			return err
+		}
+		caller := &caller{url: *base, key: *key, timeout: *timeout, out: out}
+		for _, one := range calls {
+			if err := caller.send(one); err != nil {
+				return errors.Wrap(err, one.name)
+			}
+			time.Sleep(callPause)
+		}
+		return nil
+	})
+}
+
+const callPause = 50 * time.Millisecond
--- /dev/null
+++ b/internal/storage/store.go
@@ -0,0 +1,283 @@
+package storage
+
+import (
+	"io/fs"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/vanillaward/vanillaward"
+	"github.com/vanillaward/vanillaward/internal/replog"
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+// Names of the files in the data folder.
+const (
+	identityFile = "replica-id"
+	logFile      = "log"
+	newLogFile   = "log.new"
+	snapshotFile = "snapshot"
+	newSnapshot  = "snapshot.new"
+)
+
+// Store makes a replica's state durable. It is not safe for concurrent use.
+// After an error the store must not be used further: what the last sync left
+// behind is unknown.
+type Store struct {
+	disk     vanillaward.Disk
+	id       string
+	file     vanillaward.File
+	pending  []byte
+	state    *wire.HardState
+	snapshot *wire.Snapshot
+	suffix   []*wire.Entry
+}
+
+// Open reads the state of the folder. A folder without a replica identity is
+// given the new one: it belongs to a replica that never voted.
+func Open(disk vanillaward.Disk, newID string) (*Store, error) {
+	s := &Store{disk: disk, state: &wire.HardState{}}
+	if err := s.openIdentity(newID); err != nil {
+		return nil, err
+	}
+	if err := s.readSnapshot(); err != nil {
+		return nil, err
+	}
+	if err := s.readLog(); err != nil {
+		return nil, err
+	}
+	file, err := disk.Append(logFile)
+	if err != nil {
+		return nil, errors.Wrap(err, logFile)
+	}
+	s.file = file
+	return s, errors.Wrap(disk.SyncFolder(), "data folder")
+}
+
+// ID returns the replica's identity.
+func (s *Store) ID() string { return s.id }
+
+// Durable returns what was restored or saved so far.
+func (s *Store) Durable() replog.Durable {
+	return replog.Durable{HardState: s.state, Snapshot: s.snapshot, Entries: append([]*wire.Entry(nil), s.suffix...)}
+}
+
+// Close closes the log file.
+func (s *Store) Close() error { return s.file.Close() }
+
+func (s *Store) openIdentity(newID string) error {
+	data, err := s.disk.ReadFile(identityFile)
+	if err == nil && len(data) > 0 {
+		s.id = string(data)
+		return nil
+	}
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return errors.Wrap(err, identityFile)
+	}
+	if _, err := s.disk.ReadFile(logFile); err == nil {
+		return errors.Wrapf(ErrDamaged, "%s is missing beside a log", identityFile)
+	}
+	s.id = newID
+	return s.replace(identityFile+".new", identityFile, []byte(newID))
+}
+
+// replace writes a file under a temporary name, syncs it and renames it.
+func (s *Store) replace(temporary, name string, data []byte) error {
+	f, err := s.disk.Create(temporary)
+	if err != nil {
+		return errors.Wrap(err, name)
+	}
+	if _, err := f.Write(data); err != nil {
+		_ = f.Close() // the write error is the one to report
+		return errors.Wrap(err, name)
+	}
+	if err := f.Sync(); err != nil {
+		_ = f.Close() // the sync error is the one to report
+		return errors.Wrap(err, name)
+	}
+	if err := f.Close(); err != nil {
+		return errors.Wrap(err, name)
+	}
+	if err := s.disk.Rename(temporary, name); err != nil {
+		return errors.Wrap(err, name)
+	}
+	return errors.Wrap(s.disk.SyncFolder(), name)
+}
+
+func (s *Store) readSnapshot() error {
+	data, err := s.disk.ReadFile(snapshotFile)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, snapshotFile)
+	}
+	message, _, valid := body(data)
+	if !valid {
+		return errors.Wrap(ErrDamaged, snapshotFile)
+	}
+	s.snapshot = &wire.Snapshot{}
+	return errors.Wrap(proto.Unmarshal(message, s.snapshot), snapshotFile)
+}
+
+func (s *Store) readLog() error {
+	data, err := s.disk.ReadFile(logFile)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, logFile)
+	}
+	records, whole, err := readRecords(data)
+	if err != nil {
+		return errors.Wrap(err, logFile)
+	}
+	if whole < int64(len(data)) {
+		if err := s.disk.Truncate(logFile, whole); err != nil {
+			return errors.Wrap(err, logFile)
+		}
+	}
+	return s.replay(records)
+}
+
+// replay rebuilds the suffix of the log from the file's records. Records that a
+// snapshot covers are dropped, and with them a suffix that does not follow from
+// the snapshot: a crash can leave both between the snapshot's rename and the
+// log's.
+func (s *Store) replay(records []*wire.LogRecord) error {
+	for _, r := range records {
+		if r.GetHardState() != nil {
+			s.state = r.GetHardState()
+		}
+		s.cut(r.GetTruncateFrom())
+		e := r.GetEntry()
+		if e == nil {
+			continue
+		}
+		if n := len(s.suffix); n > 0 && e.GetIndex() != s.suffix[n-1].GetIndex()+1 {
+			return errors.Wrapf(ErrDamaged, "record %d follows record %d", e.GetIndex(), s.suffix[n-1].GetIndex())
+		}
+		s.suffix = append(s.suffix, e)
+	}
+	if len(s.suffix) == 0 || s.suffix[0].GetIndex() == s.snapshot.GetIndex()+1 {
+		return nil
+	}
+	if s.suffix[0].GetIndex() > s.snapshot.GetIndex() {
+		return errors.Wrapf(ErrDamaged, "records before %d are missing", s.suffix[0].GetIndex())
+	}
+	s.keepAfter(s.snapshot)
+	return nil
+}
+
+// cut voids the records from an index on; 0 voids none.
+func (s *Store) cut(from uint64) {
+	if from == 0 {
+		return
+	}
+	for i, e := range s.suffix {
+		if e.GetIndex() >= from {
+			s.suffix = s.suffix[:i]
+			return
+		}
+	}
+}
+
+// Stage takes a save action of the core. It is durable only after Sync.
+func (s *Store) Stage(action replog.Action) error {
+	switch a := action.(type) {
+	case replog.SaveState:
+		s.state = a.State
+		return s.stage(&wire.LogRecord{HardState: a.State})
+	case replog.SaveEntries:
+		return s.stageEntries(a)
+	case replog.SaveSnapshot:
+		return s.saveSnapshot(a.Snapshot)
+	}
+	return nil
+}
+
+func (s *Store) stageEntries(a replog.SaveEntries) error {
+	s.cut(a.TruncateFrom)
+	for i, e := range a.Entries {
+		record := &wire.LogRecord{Entry: e}
+		if i == 0 {
+			record.TruncateFrom = a.TruncateFrom
+		}
+		if err := s.stage(record); err != nil {
+			return err
+		}
+		s.suffix = append(s.suffix, e)
+	}
+	return nil
+}
+
+func (s *Store) stage(r *wire.LogRecord) error {
+	data, err := appendRecord(s.pending, r)
+	if err != nil {
+		return err
+	}
+	s.pending = data
+	return nil
+}
+
+// Sync writes what was staged and makes it durable.
+func (s *Store) Sync() error {
+	if len(s.pending) == 0 {
+		return nil
+	}
+	if _, err := s.file.Write(s.pending); err != nil {
+		return errors.Wrap(err, logFile)
+	}
+	s.pending = s.pending[:0]
+	return errors.Wrap(s.file.Sync(), logFile)
+}
+
+// saveSnapshot replaces the snapshot, then rewrites the log without the records
+// that it covers. A crash between the two leaves records that are skipped.
+func (s *Store) saveSnapshot(snapshot *wire.Snapshot) error {
+	if err := s.Sync(); err != nil {
+		return err
+	}
+	data, err := appendRecord(nil, snapshot)
+	if err != nil {
+		return err
+	}
+	if err := s.replace(newSnapshot, snapshotFile, data); err != nil {
+		return err
+	}
+	s.keepAfter(snapshot)
+	s.snapshot = snapshot
+	return s.rewriteLog()
+}
+
+// keepAfter drops the records that the snapshot covers; when the log does not
+// reach or does not match the snapshot, all of them.
+func (s *Store) keepAfter(snapshot *wire.Snapshot) {
+	for i, e := range s.suffix {
+		if e.GetIndex() == snapshot.GetIndex() && e.GetTerm() == snapshot.GetTerm() {
+			s.suffix = append([]*wire.Entry(nil), s.suffix[i+1:]...)
+			return
+		}
+	}
+	s.suffix = nil
+}
+
+func (s *Store) rewriteLog() error {
+	data, err := appendRecord(nil, &wire.LogRecord{HardState: s.state})
+	if err != nil {
+		return err
+	}
+	for _, e := range s.suffix {
+		if data, err = appendRecord(data, &wire.LogRecord{Entry: e}); err != nil {
+			return err
+		}
+	}
+	if err := s.file.Close(); err != nil {
+		return errors.Wrap(err, logFile)
+	}
+	if err := s.replace(newLogFile, logFile, data); err != nil {
+		return err
+	}
+	s.file, err = s.disk.Append(logFile)
+	return errors.Wrap(err, logFile)
+}
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,133 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	// maxLabels bounds the pairs of organisation and class that have series of
+	// their own. The requests of further pairs are counted under the organisation
+	// "other". A pair that was idle for labelIdle makes room for another.
+	maxLabels = 64
+	labelIdle = 10 * time.Minute
+	// otherOrganisation stands for all organisations without series of their own.
+	otherOrganisation = "other"
+)
+
+// Metrics are the series of one instance. It is safe for concurrent use.
+type Metrics struct {
+	set *metrics.Set
+
+	mu     sync.Mutex // guards labels; never held while another lock is taken
+	labels map[labelKey]*Labels
+	now    func() time.Time
+}
+
+type labelKey struct {
+	organisation string
+	class        string
+}
+
+// Labels are the histograms and counters of one organisation and class.
+type Labels struct {
+	key      labelKey
+	lastUsed time.Time
+
+	// FirstToken measures the time from arrival to the first token.
+	FirstToken *metrics.Histogram
+	// BetweenTokens measures the time from one token to the next.
+	BetweenTokens *metrics.Histogram
+	// Stall measures silences of at least a second within a stream.
+	Stall *metrics.Histogram
+	// Queue measures the time that requests waited for a target.
+	Queue *metrics.Histogram
+}
+
+// NewMetrics returns an empty set of series.
+func NewMetrics() *Metrics {
+	return &Metrics{set: metrics.NewSet(), labels: map[labelKey]*Labels{}, now: time.Now}
+}
+
+// For returns the series of an organisation and a class.
+func (m *Metrics) For(organisation, class string) *Labels {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	key := labelKey{organisation, class}
+	if m.labels[key] == nil && len(m.labels) >= maxLabels && !m.evict(now) {
+		key.organisation = otherOrganisation
+	}
+	l := m.labels[key]
+	if l == nil {
+		l = m.create(key)
+		m.labels[key] = l
+	}
+	l.lastUsed = now
+	return l
+}
+
+// evict drops one idle pair. It is called with the lock held.
+func (m *Metrics) evict(now time.Time) bool {
+	for key, l := range m.labels {
+		if now.Sub(l.lastUsed) < labelIdle || key.organisation == otherOrganisation {
+			continue
+		}
+		for _, name := range histogramNames {
+			m.set.UnregisterMetric(seriesName(name, key))
+		}
+		delete(m.labels, key)
+		return true
+	}
+	return false
+}
+
+var histogramNames = []string{
+	"vanillaward_first_token_seconds", "vanillaward_between_tokens_seconds",
+	"vanillaward_stall_seconds", "vanillaward_queue_seconds",
+}
+
+func seriesName(name string, key labelKey) string {
+	return fmt.Sprintf("%s{organisation=%q,class=%q}", name, key.organisation, key.class)
+}
+
+func (m *Metrics) create(key labelKey) *Labels {
+	h := func(i int) *metrics.Histogram { return m.set.GetOrCreateHistogram(seriesName(histogramNames[i], key)) }
+	return &Labels{key: key, FirstToken: h(0), BetweenTokens: h(1), Stall: h(2), Queue: h(3)}
+}
+
+// Outcome counts a request's outcome.
+func (m *Metrics) Outcome(class, outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_outcomes_total{class=%q,outcome=%q}", class, outcome)).Inc()
+}
+
+// Refusal counts a refusal by its reason.
+func (m *Metrics) Refusal(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_refusals_total{reason=%q}", reason)).Inc()
+}
+
+// Retry counts a further run of a request.
+func (m *Metrics) Retry(kind string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_retries_total{kind=%q}", kind)).Inc()
+}
+
+// Dropped counts tokens that did not belong to the current run.
+func (m *Metrics) Dropped() { m.set.GetOrCreateCounter("vanillaward_tokens_dropped_total").Inc() }
+
+// Preemptions sets the preemptions that a target reported.
+func (m *Metrics) Preemptions(target string, n int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_target_preemptions_total{target=%q}", target)).Set(uint64(max(0, n)))
+}
+
+// Gauge registers a value that is read when the metrics are.
+func (m *Metrics) Gauge(name string, value func() float64) { m.set.GetOrCreateGauge(name, value) }
+
+// Write writes all series in the Prometheus text format.
+func (m *Metrics) Write(w io.Writer) {
+	m.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/internal/trace/event.go
@@ -0,0 +1,128 @@
+// Package trace records what happened to requests, replays recordings through
+// the decision cores and checks them against the system's promises.
+//
+// A trace is a file of JSON lines, one event each. Running instances write the
+// same format as tests.
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Kind is what an event reports.
+type Kind string
+
+// Kinds of events.
+const (
+	// Arrive is a caller's request at an instance.
+	Arrive Kind = "arrive"
+	// Begin is the start of a run at a target.
+	Begin Kind = "begin"
+	// Token is a token that came from a target, with the verdict on it.
+	Token Kind = "token"
+	// Deliver is a token that was passed to the caller.
+	Deliver Kind = "deliver"
+	// Finish is the end of a run after its last token.
+	Finish Kind = "finish"
+	// Lost is a run that ended early, with the step that followed.
+	Lost Kind = "lost"
+	// Execute is a run of a non-idempotent request, as its target counted it.
+	Execute Kind = "execute"
+	// Outcome is the final answer to the caller.
+	Outcome Kind = "outcome"
+	// Leave is a target that began to leave.
+	Leave Kind = "leave"
+	// Stop is a planned stop of an instance; its end has the note "end".
+	Stop Kind = "stop"
+	// Accepted is a configuration version that was committed.
+	Accepted Kind = "accepted"
+	// InForce is a configuration version at an instance.
+	InForce Kind = "in-force"
+)
+
+// Event is one line of a trace.
+type Event struct {
+	AtMillis   int64  `json:"at-ms"`
+	Kind       Kind   `json:"event"`
+	Instance   string `json:"instance,omitempty"`
+	Request    string `json:"request,omitempty"`
+	Target     string `json:"target,omitempty"`
+	Generation int    `json:"generation,omitempty"`
+	Index      int    `json:"index,omitempty"`
+	Text       string `json:"text,omitempty"`
+	Total      int    `json:"total,omitempty"`
+	Key        string `json:"key,omitempty"`
+	Idempotent bool   `json:"idempotent,omitempty"`
+	Whole      bool   `json:"whole,omitempty"`
+	Verdict    string `json:"verdict,omitempty"`
+	Loss       string `json:"loss,omitempty"`
+	MayRetry   bool   `json:"may-retry,omitempty"`
+	Step       string `json:"step,omitempty"`
+	Outcome    string `json:"outcome,omitempty"`
+	Version    uint64 `json:"version,omitempty"`
+	Note       string `json:"note,omitempty"`
+
+	line int
+}
+
+// Line returns the 1-based line of the event in its file.
+func (e *Event) Line() int { return e.line }
+
+// maxLine bounds one line of a trace.
+const maxLine = 1 << 20
+
+// Read reads a trace.
+func Read(r io.Reader) ([]Event, error) {
+	var out []Event
+	lines := bufio.NewScanner(r)
+	lines.Buffer(make([]byte, 0, 64<<10), maxLine)
+	for n := 1; lines.Scan(); n++ {
+		text := bytes.TrimSpace(lines.Bytes())
+		if len(text) == 0 || text[0] == '#' {
+			continue
+		}
+		e := Event{line: n}
+		decoder := json.NewDecoder(bytes.NewReader(text))
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(&e); err != nil {
+			return nil, errors.Wrapf(err, "line %d", n)
+		}
+		e.line = n
+		out = append(out, e)
+	}
+	return out, errors.Wrap(lines.Err(), "trace")
+}
+
+// Recorder writes events of a running instance. A nil recorder writes nothing.
+// It is safe for concurrent use.
+type Recorder struct {
+	instance string
+	start    time.Time
+
+	mu sync.Mutex // guards w
+	w  *json.Encoder
+}
+
+// NewRecorder returns a recorder for the named instance.
+func NewRecorder(w io.Writer, instance string) *Recorder {
+	return &Recorder{instance: instance, start: time.Now(), w: json.NewEncoder(w)}
+}
+
+// Record writes an event with the current time.
+func (r *Recorder) Record(e Event) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e.Instance = r.instance
+	e.AtMillis = time.Since(r.start).Milliseconds()
+	_ = r.w.Encode(e) // a full disk must not stop requests
+}
--- /dev/null
+++ b/vanillaward.go
@@ -0,0 +1,91 @@
+// Package vanillaward is the root of an open-source serving system for text
+// generations of unknown length. It defines the interfaces between the parts;
+// their implementations are in the packages below.
+package vanillaward
+
+import (
+	"context"
+	"io"
+	"time"
+)
+
+// Timers is the time service of a process.
+type Timers interface {
+	// Now returns the time since an arbitrary start. It advances while the
+	// process or the machine is frozen.
+	Now() time.Duration
+	// Subscribe delivers the current time at each interval until the context
+	// ends, and closes the channel then.
+	Subscribe(ctx context.Context, interval time.Duration) <-chan time.Duration
+}
+
+// Disk is the part of a file system that durable state needs. What was written
+// survives a crash only after a sync: file contents after File.Sync, names
+// after SyncFolder.
+type Disk interface {
+	// ReadFile returns the contents of a file. The error matches fs.ErrNotExist
+	// when there is none.
+	ReadFile(name string) ([]byte, error)
+	// Append opens a file for appending, creating it when there is none.
+	Append(name string) (File, error)
+	// Create opens an empty file, truncating an existing one.
+	Create(name string) (File, error)
+	// Rename replaces the file newName by oldName in one step.
+	Rename(oldName, newName string) error
+	// Truncate cuts a file to the given size in bytes.
+	Truncate(name string, size int64) error
+	// SyncFolder makes creations and renames durable.
+	SyncFolder() error
+}
+
+// File is an open file of a Disk.
+type File interface {
+	io.WriteCloser
+	// Sync makes everything written so far durable. After an error the state of
+	// the file is unknown and the sync must not be tried again.
+	Sync() error
+}
+
+// RoutingPolicy chooses a target for a request. Implementations are pure: they
+// read the candidates and the random value and keep no reference to either.
+type RoutingPolicy interface {
+	// Name identifies the policy in reports.
+	Name() string
+	// Choose returns the index of the chosen candidate, or -1 when the request
+	// should wait. Random is uniformly distributed.
+	Choose(request RoutingRequest, candidates []Candidate, random uint64) int
+}
+
+// RoutingRequest is what a policy knows about a request.
+type RoutingRequest struct {
+	// PromptTokens is the length of the prompt in tokens.
+	PromptTokens int
+	// ExpectedTokens is the estimated length of the output in tokens.
+	ExpectedTokens float64
+	// LongestTokens is the upper bound on the output in tokens.
+	LongestTokens int
+	// Urgency ranks classes; a higher value goes first.
+	Urgency int
+	// PrefixTarget is the index of the candidate that likely has the prompt's
+	// prefix in its cache, or -1.
+	PrefixTarget int
+}
+
+// Candidate is what a policy knows about a target. Token counts are entries of
+// the engine's key-value cache.
+type Candidate struct {
+	// CapacityTokens is the size of the key-value cache.
+	CapacityTokens float64
+	// UsedTokens is the estimated use now, requests on their way included.
+	UsedTokens float64
+	// PeakTokens is the predicted peak of the requests that run now.
+	PeakTokens float64
+	// ReservedTokens is the sum of prompt and longest output of the requests.
+	ReservedTokens float64
+	// Running is the number of requests that run or are on their way.
+	Running int
+	// BatchCap is the largest batch that keeps the time between tokens in bound.
+	BatchCap int
+	// Available is false for a target that is leaving, ejected or full of refusals.
+	Available bool
+}
