Forecast a batch's memory from the lengths seen; compare ways of routing

Cause: admission by the sum of expected lengths kept memory unused at 1.5 of capacity, and many instances took the same free memory after one report. Change: survival of lengths from learned histograms gives mean and variance of the memory at eight horizons; a request starts where mean plus 1.5 deviations fits. The free memory of a report is divided by the instance's own share, with a lottery for what is smaller than a request. Two candidates are compared.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -8,7 +8,9 @@
 package admission
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/vanillaward/vanillaward"
@@ -50,14 +52,13 @@
 	arrived  time.Duration
 	started  time.Duration
 	expected float64
+	forecast vanillaward.Forecast
 	written  int
 	target   *target
 }
 
 func (r *request) held() float64 { return float64(r.Prompt + r.written) }
 
-func (r *request) remaining() float64 { return max(1, r.expected-float64(r.written)) }
-
 func (r *request) cost() float64 { return float64(r.Prompt) + r.expected }
 
 func (r *request) longest() int {
@@ -111,6 +112,9 @@
 	maxBudget = 20
 	// prefixesKept bounds the prefixes whose targets are remembered.
 	prefixesKept = 4096
+	// initialShare is the share of a pool that an instance expects to have before
+	// it has seen others.
+	initialShare = 0.25
 	// agingPart is the part of its time to the deadline after which a waiting
 	// request gains urgency.
 	agingPart = 2
@@ -166,7 +170,8 @@
 	for _, s := range specs {
 		wanted[s.Name] = s
 	}
-	for name, t := range c.targets {
+	for _, name := range slices.Sorted(maps.Keys(c.targets)) {
+		t := c.targets[name]
 		if s, ok := wanted[name]; !ok || s.Pool != t.pool.name {
 			t.pool.remove(t)
 			delete(c.targets, name)
@@ -187,7 +192,7 @@
 func (c *Core) pool(name string) *pool {
 	p := c.pools[name]
 	if p == nil {
-		p = &pool{name: name, meanLength: priorTokens}
+		p = &pool{name: name, meanLength: priorTokens, share: initialShare}
 		c.pools[name] = p
 		c.order = append(c.order, p)
 	}
@@ -215,15 +220,18 @@
 	return c.take()
 }
 
+// estimate predicts the length and the memory of a request from what it has
+// written so far.
 func (c *Core) estimate(r *request) {
+	bound := r.longest()
 	if r.KnownLength > 0 {
 		r.expected = float64(r.KnownLength)
+		r.forecast = knownForecast(r.Prompt, r.written, r.KnownLength)
 		return
 	}
-	r.expected = min(c.estimator.Expected(r.Class, r.Organisation, r.Prompt, r.written), float64(r.longest()))
-	if r.MaxTokens == 0 || r.MaxTokens > r.written {
-		r.expected = max(r.expected, float64(r.written+1))
-	}
+	h := c.estimator.lengths(r.Class, r.Organisation, r.Prompt)
+	r.expected = min(h.expected(r.written), float64(max(bound, r.written+1)))
+	r.forecast = h.forecast(r.Prompt, r.written, r.MaxTokens)
 }
 
 // boundQueue refuses the newest requests of the organisations that exceed their
@@ -269,6 +277,7 @@
 	p.queue.charge(r, r.cost())
 	r.target, r.started = t, now
 	t.own = append(t.own, r)
+	t.allowance.tokens -= r.forecast[0].Mean
 	t.trial = t.ejections > 0
 	t.refresh(now)
 	if r.Prefix != 0 {
@@ -281,7 +290,7 @@
 func (c *Core) choose(now time.Duration, p *pool, r *request) *target {
 	routing := vanillaward.RoutingRequest{
 		PromptTokens: r.Prompt, ExpectedTokens: r.expected, LongestTokens: r.longest(),
-		Urgency: r.Urgency, PrefixTarget: -1,
+		Urgency: r.Urgency, PrefixTarget: -1, Forecast: r.forecast,
 	}
 	if t := c.targets[c.prefixes[r.Prefix]]; t != nil && t.pool == p && r.Prefix != 0 {
 		routing.PrefixTarget = t.index
@@ -325,8 +334,9 @@
 		r.target.pool.rate.add(now, written-r.written)
 	}
 	r.written = written
-	if float64(written) >= r.expected {
-		c.estimate(r)
+	c.estimate(r)
+	if r.target.pool != nil {
+		r.target.pool.typical.observe(r)
 	}
 	r.target.refresh(now)
 }
@@ -419,6 +429,9 @@
 	}
 	t.reported, t.reportTime, t.load = true, now, load
 	t.refresh(now)
+	t.pool.observeShare(t)
+	t.allow(now, 1-c.random.Float64())
+	t.refresh(now)
 	c.pump(now, t.pool)
 	return c.take()
 }
--- a/internal/admission/estimator.go
+++ b/internal/admission/estimator.go
@@ -1,16 +1,22 @@
 package admission
 
-import "math"
+import (
+	"math"
+	"math/bits"
+
+	"github.com/vanillaward/vanillaward"
+)
 
 const (
-	// bucketsPerDoubling is the resolution of the length histograms.
-	bucketsPerDoubling = 2
-	lengthBuckets      = 34 // up to 2^17 tokens
+	// lengthBuckets is the number of buckets of a histogram, two for each
+	// doubling, up to 2^17 tokens.
+	lengthBuckets = 34
 	// decayAfter halves a histogram's weights once it holds this much, so that
 	// it follows changes.
 	decayAfter = 2000
 	// trustAfter is the number of samples from which an organisation's own
-	// histogram is used in place of its class's.
+	// histogram is used in place of its class's, and a class's in place of the
+	// prior.
 	trustAfter = 40
 	// priorTokens is the estimate before anything was seen.
 	priorTokens = 128
@@ -24,41 +30,109 @@
 	weight [lengthBuckets]float64
 	sum    [lengthBuckets]float64
 	total  float64
+	// tail holds, for each bucket, the weight of that and all longer ones.
+	tail [lengthBuckets + 1]float64
 }
 
+// halfOctave is the lower bound of the upper bucket of a doubling, times 2^-16.
+const halfOctave = 92682 // sqrt(2) * 2^16
+
+// bucketOf returns the bucket of a length: 2k from 2^k on, 2k+1 from 2^(k+1/2).
 func bucketOf(tokens int) int {
 	if tokens < 1 {
 		return 0
 	}
-	return min(lengthBuckets-1, int(bucketsPerDoubling*math.Log2(float64(tokens))))
+	k := bits.Len(uint(tokens)) - 1
+	b := 2 * k
+	if tokens<<16>>k >= halfOctave {
+		b++
+	}
+	return min(b, lengthBuckets-1)
 }
 
+// lowerBound returns the shortest length of each bucket; the last entry closes
+// the last bucket.
+var lowerBound = func() (out [lengthBuckets + 1]float64) {
+	for b := range out {
+		out[b] = math.Pow(2, float64(b)/2)
+	}
+	return out
+}()
+
 func (h *histogram) add(tokens int) {
 	b := bucketOf(tokens)
 	h.weight[b]++
 	h.sum[b] += float64(tokens)
 	h.total++
-	if h.total < decayAfter {
-		return
+	if h.total >= decayAfter {
+		for i := range h.weight {
+			h.weight[i] /= 2
+			h.sum[i] /= 2
+		}
+		h.total /= 2
 	}
-	for i := range h.weight {
-		h.weight[i] /= 2
-		h.sum[i] /= 2
+	for i := lengthBuckets - 1; i >= 0; i-- {
+		h.tail[i] = h.tail[i+1] + h.weight[i]
 	}
-	h.total /= 2
 }
 
-// expected returns the mean length of outputs that are longer than written.
-func (h *histogram) expected(written int) (float64, bool) {
+// longer returns the weight of the outputs with more than the given tokens.
+func (h *histogram) longer(tokens int) float64 {
+	b := bucketOf(tokens + 1)
+	inside := (lowerBound[b+1] - float64(tokens)) / (lowerBound[b+1] - lowerBound[b])
+	return h.tail[b+1] + h.weight[b]*min(1, max(0, inside))
+}
+
+// expected returns the mean length of the outputs that are longer than written.
+func (h *histogram) expected(written int) float64 {
 	weight, sum := 0.0, 0.0
 	for b := bucketOf(written + 1); b < lengthBuckets; b++ {
 		weight += h.weight[b]
 		sum += h.sum[b]
 	}
 	if weight < 1 {
-		return 0, false
+		// Beyond everything seen, a heavy tail is as likely to double as not.
+		return max(priorTokens, 1.5*float64(written))
+	}
+	return max(sum/weight, float64(written+1))
+}
+
+// running returns the probability that an output which has written tokens goes on
+// for more than ahead tokens.
+func (h *histogram) running(written, ahead int) float64 {
+	now := h.longer(written)
+	if now < 1 {
+		return float64(max(written, priorTokens)) / float64(max(written, priorTokens)+ahead)
 	}
-	return math.Max(sum/weight, float64(written+1)), true
+	return h.longer(written+ahead) / now
+}
+
+// forecast returns the memory that a request will hold, when its output ends at
+// maxTokens at the latest (0 for no bound).
+func (h *histogram) forecast(prompt, written, maxTokens int) vanillaward.Forecast {
+	var out vanillaward.Forecast
+	for i, ahead := range vanillaward.Horizons {
+		if maxTokens > 0 && written+ahead > maxTokens {
+			break
+		}
+		p := h.running(written, ahead)
+		held := float64(prompt + written + ahead)
+		out[i] = vanillaward.Moments{Mean: p * held, Variance: p * (1 - p) * held * held}
+	}
+	return out
+}
+
+// knownForecast returns the memory of a request whose length is known. Between
+// two horizons it counts as it is at the first, grown to its end.
+func knownForecast(prompt, written, length int) vanillaward.Forecast {
+	var out vanillaward.Forecast
+	for i, ahead := range vanillaward.Horizons {
+		if written+ahead > length {
+			break
+		}
+		out[i].Mean = float64(prompt + written + ahead)
+	}
+	return out
 }
 
 // estimateKey selects the requests that share a histogram.
@@ -81,11 +155,12 @@
 type Estimator struct {
 	own   map[estimateKey]*histogram
 	class map[estimateKey]*histogram
+	prior *histogram
 }
 
 // NewEstimator returns an estimator that has seen nothing.
 func NewEstimator() *Estimator {
-	return &Estimator{own: map[estimateKey]*histogram{}, class: map[estimateKey]*histogram{}}
+	return &Estimator{own: map[estimateKey]*histogram{}, class: map[estimateKey]*histogram{}, prior: &histogram{}}
 }
 
 // Learn records a finished output.
@@ -105,21 +180,21 @@
 	return h
 }
 
-// Expected returns the expected output length in tokens, given that written
-// tokens did not end it.
-func (e *Estimator) Expected(class, organisation string, prompt, written int) float64 {
+// lengths returns the histogram that describes a request best.
+func (e *Estimator) lengths(class, organisation string, prompt int) *histogram {
 	key := estimateKey{class, organisation, promptBucket(prompt)}
 	if h := e.own[key]; h != nil && h.total >= trustAfter {
-		if x, ok := h.expected(written); ok {
-			return x
-		}
+		return h
 	}
 	key.organisation = ""
 	if h := e.class[key]; h != nil {
-		if x, ok := h.expected(written); ok {
-			return x
-		}
+		return h
 	}
-	// Beyond everything seen, a heavy tail is as likely to double as not.
-	return math.Max(priorTokens, 1.5*float64(written))
+	return e.prior
+}
+
+// Expected returns the expected output length in tokens, given that written
+// tokens did not end it.
+func (e *Estimator) Expected(class, organisation string, prompt, written int) float64 {
+	return e.lengths(class, organisation, prompt).expected(written)
 }
--- a/internal/admission/policy.go
+++ b/internal/admission/policy.go
@@ -100,8 +100,10 @@
 // PredictedPeak admits a request where the predicted peak of the batch stays
 // below the capacity, and takes the least loaded of such candidates.
 type PredictedPeak struct {
-	// Headroom is the part of the capacity that is kept free for outputs that
-	// turn out longer than predicted.
+	// Deviations is how many standard deviations above the mean the forecast
+	// memory must stay within the capacity.
+	Deviations float64
+	// Headroom is the part of the capacity that is kept free beyond that.
 	Headroom float64
 	// UrgentHeadroom is the further part that only urgent requests may use.
 	UrgentHeadroom float64
@@ -115,9 +117,13 @@
 
 // DefaultPolicy returns the policy in use.
 func DefaultPolicy() PredictedPeak {
-	return PredictedPeak{Headroom: 0.06, UrgentHeadroom: 0.06, PrefixBonus: 0.05}
+	return PredictedPeak{Deviations: 1.5, Headroom: 0.02, UrgentHeadroom: 0.03, PrefixBonus: 0.05, Samples: 2}
 }
 
+// urgentSlots is the part of a batch, as its divisor, that only urgent requests
+// may use.
+const urgentSlots = 16
+
 // Name implements vanillaward.RoutingPolicy.
 func (PredictedPeak) Name() string { return "predicted-peak" }
 
@@ -131,12 +137,11 @@
 	if r.Urgency == 0 {
 		headroom += p.UrgentHeadroom
 	}
-	need := float64(r.PromptTokens) + r.ExpectedTokens
 	best, bestLoad, fitting := -1, 0.0, 0
 	at := int(random % uint64(n))
 	for range n {
 		c := &candidates[at]
-		if load, ok := p.load(c, need, headroom, r.Urgency > 0); ok {
+		if load, ok := p.load(c, &r, headroom); ok {
 			if at == r.PrefixTarget {
 				load -= p.PrefixBonus
 			}
@@ -154,18 +159,29 @@
 	return best
 }
 
-// load returns the use that the candidate would have with the request, as a part
-// of its capacity, and whether the request fits.
-func (p PredictedPeak) load(c *vanillaward.Candidate, need, headroom float64, urgent bool) (float64, bool) {
+// load returns the highest mean of the memory that the candidate would hold with
+// the request, as a part of its capacity, and whether the request fits.
+func (p PredictedPeak) load(c *vanillaward.Candidate, r *vanillaward.RoutingRequest, headroom float64) (float64, bool) {
 	slots := c.BatchCap
-	if !urgent {
-		slots -= c.BatchCap / 16
+	if r.Urgency == 0 {
+		slots -= c.BatchCap / urgentSlots
 	}
 	if !c.Available || c.Running >= slots {
 		return 0, false
 	}
-	peak := c.PeakTokens + need
-	if peak > c.CapacityTokens*(1-headroom) && c.Running > 0 {
+	limit := c.CapacityTokens * (1 - headroom)
+	square := p.Deviations * p.Deviations
+	peak, need := 0.0, 0.0
+	for i := range c.Forecast {
+		mean := c.Forecast[i].Mean + r.Forecast[i].Mean
+		left := limit - mean
+		if c.Running > 0 && (left < 0 || left*left < square*(c.Forecast[i].Variance+r.Forecast[i].Variance)) {
+			return 0, false
+		}
+		peak = max(peak, mean)
+		need = max(need, r.Forecast[i].Mean)
+	}
+	if need > c.Allowance {
 		return 0, false
 	}
 	return max(peak/c.CapacityTokens, float64(c.Running+1)/float64(c.BatchCap)), true
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -77,20 +77,19 @@
 	return o.tag < other.tag
 }
 
-// remove takes a request out of the queue and reports whether it was there.
-func (q *fairQueue) remove(r *request) bool {
+// remove takes a request out of the queue, if it is there.
+func (q *fairQueue) remove(r *request) {
 	o := q.byName[r.Organisation]
 	if o == nil {
-		return false
+		return
 	}
 	i := slices.Index(o.waiting, r)
 	if i < 0 {
-		return false
+		return
 	}
 	o.waiting = slices.Delete(o.waiting, i, i+1)
 	o.tokens -= r.cost()
 	q.length--
-	return true
 }
 
 // charge counts a started request as service of its organisation.
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -150,7 +150,7 @@
 	if !c.class.Idempotent() {
 		client = c.server.fresh
 	}
-	response, err := client.Do(r)
+	response, err := client.Do(r) //nolint:bodyclose // readAnswer closes it
 	if c.class.Idempotent() || sent.Load() > 0 {
 		c.core.Sent()
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -83,7 +83,7 @@
 	defer cancel(nil)
 	w := g.server.watch.add(bound, cancel)
 	defer g.server.watch.remove(w)
-	response, err := open(ctx)
+	response, err := open(ctx) //nolint:bodyclose // the stream closes it
 	if err != nil {
 		return err
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -123,7 +123,9 @@
 		}
 		cancel()
 		for _, end := range ended {
-			<-end
+			if endErr := <-end; err == nil {
+				err = endErr
+			}
 		}
 		s.background.Wait()
 		s.engines.CloseIdleConnections()
--- a/internal/inifile/decode.go
+++ b/internal/inifile/decode.go
@@ -233,11 +233,10 @@
 	if err != nil {
 		return errors.Wrap(err, "minimum in the struct's tag")
 	}
-	value := 0.0
-	switch field.Kind() {
-	case reflect.Float64:
+	var value float64
+	if field.Kind() == reflect.Float64 {
 		value = field.Float()
-	default:
+	} else {
 		value = float64(field.Int())
 	}
 	if value < least {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -285,7 +285,7 @@
 		refuse(w, http.StatusNotFound, "unknown-generation")
 		return
 	}
-	_, index, _ := cutLast(r.Header.Get("Last-Event-ID"), ":")
+	_, index := cutLast(r.Header.Get("Last-Event-ID"), ":")
 	last, err := strconv.Atoi(index)
 	if err != nil {
 		last = -1
@@ -293,12 +293,13 @@
 	e.stream(w, r, id, g, last+1)
 }
 
-func cutLast(s, sep string) (before, after string, found bool) {
+// cutLast cuts a string around the last separator. Without one, all is before it.
+func cutLast(s, sep string) (before, after string) {
 	i := strings.LastIndex(s, sep)
 	if i < 0 {
-		return s, "", false
+		return s, ""
 	}
-	return s[:i], s[i+len(sep):], true
+	return s[:i], s[i+len(sep):]
 }
 
 func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
@@ -386,7 +387,7 @@
 // requestPart drops the number of the attempt from a generation's identity, so
 // that the identity that callers see does not change when a request is retried.
 func requestPart(id string) string {
-	request, _, _ := cutLast(id, ".")
+	request, _ := cutLast(id, ".")
 	return request
 }
 
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -92,10 +92,13 @@
 			_ = s.Close() // open streams are cut on purpose
 		}
 		serving.Wait()
+		var err error
 		for _, end := range ends {
-			<-end
+			if endErr := <-end; err == nil {
+				err = endErr
+			}
 		}
-		done <- nil
+		done <- err
 	}()
 	return done, nil
 }
--- a/internal/trace/check.go
+++ b/internal/trace/check.go
@@ -1,6 +1,10 @@
 package trace
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/vanillaward/vanillaward/internal/delivery"
+)
 
 // Promise is a point that must always hold.
 type Promise string
@@ -84,15 +88,11 @@
 	case Begin:
 		c.begin(e)
 	case Token:
-		if r := c.requests[e.Request]; r != nil && e.Verdict == "withhold" {
-			r.compared[e.Generation]++
-		}
+		c.token(e)
 	case Deliver:
 		c.deliver(e)
 	case Finish:
-		if r := c.requests[e.Request]; r != nil && e.Generation == r.latest(e) {
-			r.total = e.Total
-		}
+		c.finishRun(e)
 	case Execute:
 		c.execute(e)
 	case Outcome:
@@ -108,6 +108,12 @@
 	}
 }
 
+func (c *checker) finishRun(e *Event) {
+	if r := c.requests[e.Request]; r != nil && e.Generation == r.latest(e) {
+		r.total = e.Total
+	}
+}
+
 // latest returns the number of the run that an event may belong to.
 func (r *requestState) latest(e *Event) int { return max(r.generation, e.Generation) }
 
@@ -120,6 +126,12 @@
 	}
 }
 
+func (c *checker) token(e *Event) {
+	if r := c.requests[e.Request]; r != nil && e.Verdict == VerdictName(delivery.Withhold) {
+		r.compared[e.Generation]++
+	}
+}
+
 func (c *checker) deliver(e *Event) {
 	r := c.requests[e.Request]
 	if r == nil {
--- a/vanillaward.go
+++ b/vanillaward.go
@@ -46,6 +46,27 @@
 	Sync() error
 }
 
+// Horizons are the points ahead, in tokens generated per request, at which the
+// memory of a batch is forecast.
+var Horizons = [...]int{0, 32, 96, 224, 480, 992, 2016, 4064}
+
+// Moments are the mean and the variance of an uncertain number of tokens.
+type Moments struct {
+	Mean     float64
+	Variance float64
+}
+
+// Forecast is the memory that requests will hold at each of the horizons.
+type Forecast [len(Horizons)]Moments
+
+// Add adds independent memory.
+func (f *Forecast) Add(other *Forecast) {
+	for i := range f {
+		f[i].Mean += other[i].Mean
+		f[i].Variance += other[i].Variance
+	}
+}
+
 // RoutingPolicy chooses a target for a request. Implementations are pure: they
 // read the candidates and the random value and keep no reference to either.
 type RoutingPolicy interface {
@@ -66,6 +87,8 @@
 	LongestTokens int
 	// Urgency ranks classes; a higher value goes first.
 	Urgency int
+	// Forecast is the memory that the request will hold.
+	Forecast Forecast
 	// PrefixTarget is the index of the candidate that likely has the prompt's
 	// prefix in its cache, or -1.
 	PrefixTarget int
@@ -78,10 +101,14 @@
 	CapacityTokens float64
 	// UsedTokens is the estimated use now, requests on their way included.
 	UsedTokens float64
-	// PeakTokens is the predicted peak of the requests that run now.
-	PeakTokens float64
+	// Forecast is the memory that the requests which run now will hold.
+	Forecast Forecast
 	// ReservedTokens is the sum of prompt and longest output of the requests.
 	ReservedTokens float64
+	// Allowance is the memory, in tokens, that this instance may take before the
+	// next report, so that many instances do not all take what one report shows
+	// as free.
+	Allowance float64
 	// Running is the number of requests that run or are on their way.
 	Running int
 	// BatchCap is the largest batch that keeps the time between tokens in bound.
