--- a/internal/replog/replication.go
+++ b/internal/replog/replication.go
@@ -244,7 +244,13 @@
 	c.follow(m.GetFrom())
 	s := m.GetSnapshot()
 	if s.GetIndex() > c.commit {
-		c.log.reset(s)
+		// Records after the snapshot that follow from it were acknowledged and
+		// must stay.
+		if term, held := c.log.term(s.GetIndex()); held && term == s.GetTerm() {
+			c.log.compact(s.GetIndex())
+		} else {
+			c.log.reset(s)
+		}
 		c.snapshot = s
 		c.commit = s.GetIndex()
 		c.emit(SaveSnapshot{s})
