--- a/internal/cli/changes.go
+++ b/internal/cli/changes.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"strings"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/pkg/errors"
@@ -67,16 +68,10 @@
 	if err != nil {
 		return nil, err
 	}
-	current := &wire.WatchResponse{}
-	status := &wire.StatusResponse{}
-	if err := c.any("Control.Status", &wire.StatusRequest{Linearizable: true}, status); err != nil {
+	current, err := currentVersion(c)
+	if err != nil {
 		return nil, err
 	}
-	if status.GetVersion() > 0 {
-		if err := c.any("Control.Watch", &wire.WatchRequest{Instance: "", WaitMs: 1}, current); err != nil {
-			return nil, err
-		}
-	}
 	from := map[string]string{}
 	config.EditTexts(from, current.GetSections())
 	p := &planned{Version: current.GetVersion(), Edits: []plannedEdit{}, wire: config.Difference(from, set.Texts())}
@@ -93,6 +88,31 @@
 	return p, nil
 }
 
+// currentVersion returns the sections of the version that the leader has. A
+// replica that lags is asked again.
+func currentVersion(c *client) (*wire.WatchResponse, error) {
+	status := &wire.StatusResponse{}
+	if err := c.any("Control.Status", &wire.StatusRequest{Linearizable: true}, status); err != nil {
+		return nil, err
+	}
+	current := &wire.WatchResponse{}
+	if status.GetVersion() == 0 {
+		return current, nil
+	}
+	for deadline := time.Now().Add(c.timeout); ; time.Sleep(tryPause) {
+		current.Reset()
+		if err := c.any("Control.Watch", &wire.WatchRequest{WaitMs: 1}, current); err != nil {
+			return nil, err
+		}
+		if current.GetVersion() >= status.GetVersion() {
+			return current, nil
+		}
+		if time.Now().After(deadline) {
+			return nil, &exitError{ExitUnreachable, errors.New("no replica that answers has the latest version")}
+		}
+	}
+}
+
 func (p *planned) text(w writer) {
 	line(w, "version in force: %d", p.Version)
 	if len(p.Edits) == 0 {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -112,7 +112,9 @@
 
 // Watch answers with the versions that follow the asked one.
 func (c *controlCalls) Watch(request *wire.WatchRequest, answer *wire.WatchResponse) error {
-	c.service.sawInstance(request)
+	if c.caller.Role() == peer.RoleInstance {
+		c.service.sawInstance(request)
+	}
 	wait := min(config.MaxWait, time.Duration(request.GetWaitMs())*time.Millisecond)
 	config.Copy(answer, c.service.store.Watch(c.service.ctx, request.GetVersion(), wait))
 	return nil
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -151,6 +151,14 @@
 // delivery, into the held answer.
 func (c *Core) Passed() int { return c.passed }
 
+// Delivered returns how many tokens the caller has before the end of the answer.
+func (c *Core) Delivered() int {
+	if c.policy.Whole {
+		return 0
+	}
+	return c.passed
+}
+
 // Token judges a token. The caller of Token acts on the verdict at once.
 func (c *Core) Token(now time.Duration, generation, index int, text []byte) Verdict {
 	switch {
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -228,7 +228,7 @@
 		return p
 	}
 	p.outcome = delivery.Incomplete
-	p.tokens = g.core.Passed()
+	p.tokens = g.core.Delivered()
 	if !g.class.Idempotent() {
 		p.outcome = delivery.Unknown
 	}
@@ -257,8 +257,8 @@
 func (g *generation) cut(code Code, message string) *problem {
 	p := &problem{status: http.StatusBadGateway, code: code, message: message, outcome: delivery.NotRun, retryAfter: time.Second}
 	if g.core.MayHaveRun() {
-		p.outcome, p.tokens = delivery.Incomplete, g.core.Passed()
-		if !g.class.Idempotent() && g.core.Passed() == 0 {
+		p.outcome, p.tokens = delivery.Incomplete, g.core.Delivered()
+		if !g.class.Idempotent() && g.core.Delivered() == 0 {
 			p.outcome = delivery.Unknown
 		}
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -78,7 +78,7 @@
 	v.engines = &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: s.Entry.DialTimeout}).DialContext,
 		MaxIdleConnsPerHost: targetConnections, DisableCompression: true,
-		ReadBufferSize: relayBufferBytes, WriteBufferSize: relayBufferBytes,
+		IdleConnTimeout: idleTimeout, ReadBufferSize: relayBufferBytes, WriteBufferSize: relayBufferBytes,
 	}}
 	v.fresh = &http.Client{
 		Transport: newFreshTransport(s.Entry.DialTimeout),
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -68,6 +68,7 @@
 	cacheLog    []CacheEvent
 	state       EngineState
 	started     int
+	asked       int
 }
 
 // LoadReport is the engine's answer to GET /load.
@@ -241,6 +242,7 @@
 func (e *Engine) submit(id, prompt string, in request, chat bool) (*generation, string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.asked++
 	switch {
 	case e.faults.Refuse:
 		return nil, "overloaded"
@@ -253,7 +255,7 @@
 	}
 	e.started++
 	if e.faults.Nondeterministic {
-		in.Seed += int64(e.started) << 32
+		in.Seed += int64(e.started)<<32 + int64(len(e.config.Name)+int(e.config.Name[len(e.config.Name)-1]))<<40
 	}
 	text := engine.NewText(prompt, in.Seed)
 	s := &engine.Sequence{
@@ -360,10 +362,14 @@
 }
 
 func (e *Engine) writeToken(w http.ResponseWriter, id string, g *generation, index int) {
-	owner, text := id, g.text.Token(index)
 	if e.crosses(index) {
-		owner, text = id+"-other", "crossed "
+		writeEvent(w, id+"-other", id, g, index, "crossed ")
 	}
+	writeEvent(w, id, id, g, index, g.text.Token(index))
+}
+
+// writeEvent writes one token. Owner is the generation that the event names.
+func writeEvent(w http.ResponseWriter, owner, id string, g *generation, index int, text string) {
 	field := `"text":` + strconv.Quote(text)
 	object := "text_completion"
 	if g.chat {
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -58,6 +58,26 @@
 	return e.started
 }
 
+// Asked returns how many requests for a generation arrived.
+func (e *Engine) Asked() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.asked
+}
+
+// Written returns how many tokens the open generations have.
+func (e *Engine) Written() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, g := range e.generations {
+		if !g.done {
+			n += g.written
+		}
+	}
+	return n
+}
+
 // Open returns how many generations the engine holds.
 func (e *Engine) Open() int {
 	e.mu.Lock()
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -57,6 +57,15 @@
 // Plain returns a plain service by name, or nil.
 func (h *Host) Plain(name string) *Plain { return h.plains[name] }
 
+// Running returns how many generations all engines hold.
+func (h *Host) Running() int {
+	n := 0
+	for _, e := range h.engines {
+		n += e.Open()
+	}
+	return n
+}
+
 // Run serves all stand-ins and the admin interface until the context ends, and
 // reports its end on the returned channel.
 func (h *Host) Run(ctx context.Context, admin string) (<-chan error, error) {
