Hold every attempt that a keeper recalls, after earlier claims are decided

Cause: a keeper that recalled two attempts at one key kept the first it heard of. A vote given before a restart could also still count for a claim that the recall did not show. Ruled out: expiry (all records were younger than their lifetime); the network. Change: a keeper holds all recalled attempts and grants none of them; it recalls 2 s after its start, when every claim that its earlier votes count for is decided; a claim that takes longer is not granted, also after a freeze.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -29,6 +29,7 @@
 	history := app.Command("history", "List accepted changes with their operators.")
 	t.reach(history)
 	from := history.Flag("after", "List changes after this version.").Uint64()
+	staleHistory := history.Flag("stale", "Accept the list of any replica, for when there is no leader.").Bool()
 	history.Action(func(*kingpin.ParseContext) error {
 		c, err := t.client()
 		if err != nil {
@@ -36,7 +37,7 @@
 		}
 		defer c.close()
 		answer := &wire.HistoryResponse{}
-		if err := c.any("Control.History", &wire.HistoryRequest{FromVersion: *from}, answer); err != nil {
+		if err := c.any("Control.History", &wire.HistoryRequest{FromVersion: *from, Linearizable: !*staleHistory}, answer); err != nil {
 			return err
 		}
 		return t.printHistory(answer)
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -136,7 +136,7 @@
 func (c *controlCalls) History(request *wire.HistoryRequest, answer *wire.HistoryResponse) error {
 	ctx, cancel := context.WithTimeout(c.service.ctx, callTimeout)
 	defer cancel()
-	return c.service.node.Read(ctx, false, func(_ *replog.Core, s *State) {
+	return c.service.node.Read(ctx, request.GetLinearizable(), func(_ *replog.Core, s *State) {
 		answer.Items = s.History(request.GetFromVersion())
 	})
 }
--- a/internal/keeper/claim.go
+++ b/internal/keeper/claim.go
@@ -29,14 +29,16 @@
 	quorum   int
 	waiting  int
 	granted  int
+	attempt  string
 	digest   []byte
 	held     *wire.Record
 	mismatch bool
 }
 
-// NewClaim returns a claim that was sent to all keepers of an epoch.
-func NewClaim(epoch Epoch, digest []byte) *Claim {
-	return &Claim{quorum: epoch.Quorum(), waiting: len(epoch.Members), digest: digest}
+// NewClaim returns the claim of an attempt that was sent to all keepers of an
+// epoch.
+func NewClaim(epoch Epoch, attempt string, digest []byte) *Claim {
+	return &Claim{quorum: epoch.Quorum(), waiting: len(epoch.Members), attempt: attempt, digest: digest}
 }
 
 // Answer takes one keeper's answer; nil stands for none in time.
@@ -52,6 +54,9 @@
 }
 
 func (c *Claim) hold(r *wire.Record) {
+	if r.GetAttempt() == c.attempt {
+		return // recalled from a keeper that granted it; this one cannot
+	}
 	if !bytes.Equal(r.GetDigest(), c.digest) {
 		c.mismatch = true
 	}
--- a/internal/keeper/core.go
+++ b/internal/keeper/core.go
@@ -5,8 +5,12 @@
 // Rules that make a record's majority lasting:
 //
 //   - A keeper votes only while it holds every record that it ever granted. One
-//     that restarted has a new incarnation and first recalls the records of as
+//     that restarted has a new incarnation. It waits until every claim that its
+//     earlier votes could count for is decided, then recalls the records of as
 //     many voting keepers as any majority must meet.
+//   - A keeper grants a key to one attempt only, and only as long as it knows of
+//     no other. Recalled attempts are held, all of them, and get no grant: the
+//     keeper may have voted for any of them.
 //   - When the declared keepers change, the new ones recall the records of a
 //     majority of the old ones, which thereby stop granting in the old epoch.
 //   - Where that many keepers cannot be reached, a keeper waits for one record
@@ -17,8 +21,9 @@
 package keeper
 
 import (
-	"bytes"
+	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/vanillaward/vanillaward/internal/wire"
@@ -49,9 +54,31 @@
 	voting
 )
 
+// ClaimBound is the longest time from the first intent of a claim to its ruling.
+// Claims that take longer must not be granted.
+const ClaimBound = 2 * time.Second
+
+// record is what a keeper knows of one key.
 type record struct {
-	wire    *wire.Record
-	touched time.Duration
+	attempts []*wire.Record
+	granted  string // attempt that this start of the keeper granted in this epoch
+	touched  time.Duration
+}
+
+// find returns the position of an attempt, or -1.
+func (r *record) find(attempt string) int {
+	return slices.IndexFunc(r.attempts, func(w *wire.Record) bool { return w.GetAttempt() == attempt })
+}
+
+// best returns the attempt that says most about the request: one that is done
+// before one that is not.
+func (r *record) best() *wire.Record {
+	for _, w := range r.attempts {
+		if w.GetDone() {
+			return w
+		}
+	}
+	return r.attempts[0]
 }
 
 // Core is one keeper. It is not safe for concurrent use.
@@ -108,6 +135,9 @@
 	c.sealed = max(c.sealed, epoch.Number)
 	c.recalls = map[string]*wire.RecallResponse{}
 	c.since = now
+	for _, r := range c.records {
+		r.granted = "" // a grant counts in its own epoch only
+	}
 	c.mode = absent
 	if slices.Contains(epoch.Members, c.name) {
 		c.mode = recovering
@@ -140,23 +170,25 @@
 		out.Status = wire.IntentStatus_INTENT_STATUS_FULL
 		return out
 	}
-	c.records[in.GetKey()] = &record{touched: now, wire: &wire.Record{
+	c.records[in.GetKey()] = &record{touched: now, granted: in.GetAttempt(), attempts: []*wire.Record{{
 		Key: in.GetKey(), Attempt: in.GetAttempt(), Owner: in.GetOwner(),
 		OwnerAddress: in.GetOwnerAddress(), Digest: in.GetDigest(),
-	}}
+	}}}
 	out.Status = wire.IntentStatus_INTENT_STATUS_GRANTED
 	return out
 }
 
 func (c *Core) answerHeld(now time.Duration, held *record, in *wire.IntentRequest) *wire.IntentResponse {
 	out := &wire.IntentResponse{Epoch: c.epoch.Number}
-	if held.wire.GetAttempt() == in.GetAttempt() {
+	if held.find(in.GetAttempt()) >= 0 {
 		held.touched = now
+	}
+	if held.granted == in.GetAttempt() {
 		out.Status = wire.IntentStatus_INTENT_STATUS_GRANTED
 		return out
 	}
 	out.Status = wire.IntentStatus_INTENT_STATUS_HELD
-	out.Record = held.wire
+	out.Record = held.best()
 	return out
 }
 
@@ -164,18 +196,26 @@
 // never left for its target.
 func (c *Core) Outcome(now time.Duration, in *wire.OutcomeRequest) {
 	held := c.records[in.GetKey()]
-	if held == nil || held.wire.GetAttempt() != in.GetAttempt() {
+	if held == nil {
+		return
+	}
+	i := held.find(in.GetAttempt())
+	if i < 0 {
 		return
 	}
 	if in.GetRelease() {
-		delete(c.records, in.GetKey())
+		held.attempts = slices.Delete(held.attempts, i, i+1)
+		if len(held.attempts) == 0 {
+			delete(c.records, in.GetKey())
+		}
 		return
 	}
 	held.touched = now
 	// Records are shared with recall answers, so they are replaced, not changed.
-	held.wire = &wire.Record{
-		Key: held.wire.GetKey(), Attempt: held.wire.GetAttempt(), Owner: held.wire.GetOwner(),
-		OwnerAddress: held.wire.GetOwnerAddress(), Digest: held.wire.GetDigest(), Done: true, Answer: in.GetAnswer(),
+	old := held.attempts[i]
+	held.attempts[i] = &wire.Record{
+		Key: old.GetKey(), Attempt: old.GetAttempt(), Owner: old.GetOwner(),
+		OwnerAddress: old.GetOwnerAddress(), Digest: old.GetDigest(), Done: true, Answer: in.GetAnswer(),
 	}
 }
 
@@ -183,7 +223,7 @@
 func (c *Core) Lookup(now time.Duration, key string) *wire.Record {
 	c.expire(now)
 	if r := c.records[key]; r != nil {
-		return r.wire
+		return r.best()
 	}
 	return nil
 }
@@ -200,13 +240,17 @@
 	}
 	c.expire(now)
 	for _, r := range c.records {
-		out.Records = append(out.Records, &wire.Record{
-			Key: r.wire.GetKey(), Attempt: r.wire.GetAttempt(), Owner: r.wire.GetOwner(),
-			OwnerAddress: r.wire.GetOwnerAddress(), Digest: r.wire.GetDigest(),
-			Done: r.wire.GetDone(), Answer: r.wire.GetAnswer(), AgeMs: uint64((now - r.touched).Milliseconds()),
-		})
+		age := uint64((now - r.touched).Milliseconds())
+		for _, w := range r.attempts {
+			out.Records = append(out.Records, &wire.Record{
+				Key: w.GetKey(), Attempt: w.GetAttempt(), Owner: w.GetOwner(), OwnerAddress: w.GetOwnerAddress(),
+				Digest: w.GetDigest(), Done: w.GetDone(), Answer: w.GetAnswer(), AgeMs: age,
+			})
+		}
 	}
-	slices.SortFunc(out.Records, func(a, b *wire.Record) int { return bytes.Compare([]byte(a.GetKey()), []byte(b.GetKey())) })
+	slices.SortFunc(out.Records, func(a, b *wire.Record) int {
+		return cmp.Or(strings.Compare(a.GetKey(), b.GetKey()), strings.Compare(a.GetAttempt(), b.GetAttempt()))
+	})
 	return out
 }
 
@@ -229,6 +273,9 @@
 	if c.mode != recovering || epoch != c.epoch.Number || answer.GetEpoch() > epoch {
 		return
 	}
+	if !c.live && answer.GetHeldEpoch() > 0 && now < c.since+ClaimBound {
+		return // a claim that counts a vote of the earlier start may be undecided
+	}
 	c.recalls[from] = answer
 	c.merge(now, answer.GetRecords())
 	if len(answer.GetFirstKeepers()) > 0 {
@@ -237,16 +284,22 @@
 	c.settle()
 }
 
-// merge adds records. One that is done wins over one that is not.
+// merge adds attempts. One that is done replaces what is known of it.
 func (c *Core) merge(now time.Duration, records []*wire.Record) {
-	for _, r := range records {
-		touched := now - time.Duration(r.GetAgeMs())*time.Millisecond
-		held := c.records[r.GetKey()]
+	for _, w := range records {
+		touched := now - time.Duration(w.GetAgeMs())*time.Millisecond
+		held := c.records[w.GetKey()]
+		if held == nil {
+			held = &record{}
+			c.records[w.GetKey()] = held
+		}
+		held.touched = max(held.touched, touched)
+		i := held.find(w.GetAttempt())
 		switch {
-		case held == nil, r.GetDone() && !held.wire.GetDone():
-			c.records[r.GetKey()] = &record{wire: r, touched: touched}
-		case touched > held.touched:
-			held.touched = touched
+		case i < 0:
+			held.attempts = append(held.attempts, w)
+		case w.GetDone():
+			held.attempts[i] = w
 		}
 	}
 }
--- a/internal/once/guard.go
+++ b/internal/once/guard.go
@@ -165,7 +165,7 @@
 func (a *Attempt) ask(ctx context.Context) (keeper.Ruling, *wire.Record) {
 	wait, cancel := context.WithTimeout(ctx, a.guard.timeout)
 	defer cancel()
-	claim := keeper.NewClaim(a.epoch, a.digest)
+	claim := keeper.NewClaim(a.epoch, a.id, a.digest)
 	request := &wire.IntentRequest{
 		Epoch: a.epoch.Number, Key: a.key, Attempt: a.id, Owner: a.guard.self.Name,
 		OwnerAddress: a.guard.self.Address.String(), Digest: a.digest,
@@ -183,10 +183,15 @@
 			answers <- answer
 		})
 	}
+	start := a.guard.timers.Now()
 	ruling := claim.Ruling()
 	for ruling == keeper.Undecided {
 		select {
 		case answer := <-answers:
+			// A process that was frozen meanwhile finds old grants here.
+			if a.guard.timers.Now() > start+keeper.ClaimBound {
+				answer = nil
+			}
 			ruling = claim.Answer(answer)
 		case <-wait.Done():
 			// Without an answer in time, a keeper's grant does not count.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,6 +20,10 @@
 	RoleControl = "control"
 )
 
+// maxKeeperTimeout is half of the time after which a restarted keeper takes all
+// earlier claims as decided.
+const maxKeeperTimeout = time.Second
+
 // Settings are the settings of one instance. Each field is a section of the
 // file. The fields are exported because they are decoded by reflection.
 type Settings struct {
@@ -166,6 +170,9 @@
 	if s.Control.Election < 3*s.Control.Heartbeat {
 		s.add(found, "control", "election-timeout", "less than three heartbeats")
 	}
+	if s.Entry.KeeperTimeout > maxKeeperTimeout {
+		s.add(found, "entry", "keeper-timeout", "above %s, the longest that the keepers allow", maxKeeperTimeout)
+	}
 	if s.Control.ClockMargin >= s.Control.Election {
 		s.add(found, "control", "clock-margin", "not below the election timeout")
 	}
