Measure slopes of roles; bound idle connections and memory

Cause: the size that the system is designed for was not worked out from measurements, and an instance with 1,200 open streams reached 134 MB after a second batch of requests. Ruled out: held answers (18 MB of heap); a leak (goroutines return). Change: 32 idle connections are kept to a target in place of 256, the collector has a target of 112 MiB, profiles are served beside the metrics, and a program measures slopes.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -32,7 +32,7 @@
 	// stopPoll is how often a stopping instance looks for open requests.
 	stopPoll = 20 * time.Millisecond
 	// targetConnections bounds the idle connections that are kept to a target.
-	targetConnections = 256
+	targetConnections = 32
 	// relayBufferBytes is the size of the read and write buffers of a connection
 	// to an engine.
 	relayBufferBytes = 2048
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -6,7 +6,9 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,6 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
+	debug.SetMemoryLimit(int64(s.Instance.MemoryTarget))
 	traffic := &peer.Traffic{}
 	log := telemetry.NewLog(os.Stderr, s.Log.Level).WithValues("instance", s.Instance.Name)
 	i := &Instance{
@@ -239,12 +242,14 @@
 	return append(out, others...)
 }
 
-// serveHealth serves /healthz, /readyz and /metrics.
+// serveHealth serves /healthz, /readyz, /metrics and profiles.
 func (i *Instance) serveHealth(ctx context.Context, listener net.Listener) <-chan error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", i.readiness)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { i.base.Metrics.Write(w) })
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: healthHeaderTimeout}
 	done := make(chan error, 1)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,11 +40,12 @@
 
 // Instance identifies the process.
 type Instance struct {
-	Name          string   `ini:"name" required:"true" doc:"Name of the instance, unique in the deployment."`
-	FailureDomain string   `ini:"failure-domain" required:"true" doc:"Failure domain that the instance runs in."`
-	Roles         []string `ini:"roles" required:"true" doc:"Roles of the instance: entry, control or both."`
-	DataFolder    string   `ini:"data-folder" doc:"Folder for durable state. Required for the role control; its disk must honour syncs."`
-	Credentials   string   `ini:"credentials" required:"true" doc:"Folder with instance.crt, instance.key and authority.crt. Changed files are used for the next connection."`
+	Name          string        `ini:"name" required:"true" doc:"Name of the instance, unique in the deployment."`
+	FailureDomain string        `ini:"failure-domain" required:"true" doc:"Failure domain that the instance runs in."`
+	Roles         []string      `ini:"roles" required:"true" doc:"Roles of the instance: entry, control or both."`
+	DataFolder    string        `ini:"data-folder" doc:"Folder for durable state. Required for the role control; its disk must honour syncs."`
+	Credentials   string        `ini:"credentials" required:"true" doc:"Folder with instance.crt, instance.key and authority.crt. Changed files are used for the next connection."`
+	MemoryTarget  inifile.Bytes `ini:"memory-target" default:"112MiB" min:"16777216" doc:"Memory that the garbage collector tries to stay below. It is no bound: open requests are bounded by max-open and whole-memory."`
 }
 
 // Listen holds the instance's own addresses.
--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -27,6 +27,7 @@
 	app.Terminate(func(c int) { code = c })
 	addRun(app)
 	addCall(app, out)
+	addLoad(app, out)
 	_, err := app.Parse(args)
 	if code >= 0 {
 		return code
