--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,251 @@
+package admission_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillaward/vanillaward"
+	"github.com/vanillaward/vanillaward/internal/admission"
+)
+
+func newCore(targets int, settings admission.Settings) *admission.Core {
+	core := admission.New(settings, admission.DefaultPolicy(), rand.New(rand.NewPCG(1, 2)))
+	var specs []admission.TargetSpec
+	for i := range targets {
+		specs = append(specs, admission.TargetSpec{Name: "t" + strconv.Itoa(i), Pool: "m", Capacity: 4000, BatchCap: 16})
+	}
+	core.SetTargets(0, specs)
+	return core
+}
+
+func ask(id uint64, organisation string, urgency int) admission.Request {
+	return admission.Request{
+		ID: id, Pool: "m", Organisation: organisation, Class: "c", Weight: 1, Urgency: urgency,
+		Prompt: 100, Longest: 1000, Deadline: time.Hour,
+	}
+}
+
+func started(decisions []admission.Decision) (ids []uint64) {
+	for _, d := range decisions {
+		if d.Target != "" {
+			ids = append(ids, d.ID)
+		}
+	}
+	return ids
+}
+
+// fill starts requests until the next one waits, and returns how many started.
+func fill(t *testing.T, core *admission.Core) uint64 {
+	t.Helper()
+	for id := uint64(1); id < 1000; id++ {
+		if len(started(core.Arrive(0, ask(id, "filler", 0)))) == 0 {
+			return id - 1
+		}
+	}
+	t.Fatal("the targets never fill")
+	return 0
+}
+
+// TestFairShares: while one organisation floods the queue, another one's requests
+// take turns with it.
+func TestFairShares(t *testing.T) {
+	core := newCore(1, admission.DefaultSettings())
+	running := fill(t, core)
+	for id := uint64(1000); id < 1100; id++ {
+		core.Arrive(0, ask(id, "large", 0))
+	}
+	for id := uint64(2000); id < 2010; id++ {
+		core.Arrive(0, ask(id, "small", 0))
+	}
+	small := 0
+	for id := uint64(1); id <= running; id++ {
+		for _, s := range started(core.Done(time.Second, id, 50, admission.Finished)) {
+			if s >= 2000 {
+				small++
+			}
+		}
+	}
+	require.GreaterOrEqual(t, small, int(running)/3, "of %d places", running)
+}
+
+// TestUrgency: an urgent request passes those that wait.
+func TestUrgency(t *testing.T) {
+	core := newCore(1, admission.DefaultSettings())
+	fill(t, core)
+	core.Arrive(0, ask(1000, "a", 0))
+	core.Arrive(0, ask(1001, "a", 0))
+	decided := started(core.Arrive(0, ask(1002, "a", 1)))
+	if len(decided) == 0 { // the part for urgent requests is taken as well
+		decided = started(core.Done(time.Second, 1, 50, admission.Finished))
+	}
+	require.Equal(t, uint64(1002), decided[0])
+}
+
+// TestEarlyRefusal: a request that cannot start before its deadline is refused
+// when that is certain, with when to come back; it is not held until then.
+func TestEarlyRefusal(t *testing.T) {
+	core := newCore(1, admission.DefaultSettings())
+	running := fill(t, core)
+	now := time.Duration(0)
+	for i := range 40 { // the core learns how fast the target works
+		now += 250 * time.Millisecond
+		for id := uint64(1); id <= running; id++ {
+			core.Progress(now, id, 20*(i+1))
+		}
+	}
+	for id := uint64(1000); id < 1200; id++ {
+		core.Arrive(now, ask(id, "a", 0))
+	}
+	late := ask(5000, "a", 0)
+	late.Deadline = now + 5*time.Second
+	decisions := core.Arrive(now, late)
+	require.Len(t, decisions, 1)
+	require.Equal(t, admission.ReasonDeadline, decisions[0].Reason)
+	require.Greater(t, decisions[0].RetryAfter, 5*time.Second)
+}
+
+// TestQueueBound refuses the newest of the organisation that exceeds its share.
+func TestQueueBound(t *testing.T) {
+	settings := admission.DefaultSettings()
+	settings.MaxQueue = 10
+	core := newCore(1, settings)
+	fill(t, core)
+	core.Arrive(0, ask(999, "small", 0))
+	refused := 0
+	for id := uint64(1000); id < 1030; id++ {
+		for _, d := range core.Arrive(0, ask(id, "large", 0)) {
+			require.Equal(t, admission.ReasonQueueFull, d.Reason)
+			require.NotEqual(t, uint64(999), d.ID)
+			require.Positive(t, d.RetryAfter)
+			refused++
+		}
+	}
+	require.Equal(t, 22, refused, "fill left one waiting beside the small one")
+	require.Equal(t, 10, core.Queued())
+}
+
+// TestRetryBudget: retries cannot double the load of a sick fleet.
+func TestRetryBudget(t *testing.T) {
+	core := newCore(3, admission.DefaultSettings())
+	allowed := 0
+	for range 1000 {
+		if core.MayRetry() {
+			allowed++
+		}
+	}
+	require.LessOrEqual(t, allowed, 20)
+	for id := range uint64(100) {
+		core.Arrive(0, ask(id, "a", 0))
+		core.Done(0, id, 10, admission.Finished)
+	}
+	allowed = 0
+	for core.MayRetry() {
+		allowed++
+	}
+	require.InDelta(t, 10, allowed, 1, "a tenth of the requests that succeeded")
+}
+
+// TestEjection: a target that fails is left out, tried by one request after a
+// while, and returns after a success.
+func TestEjection(t *testing.T) {
+	core := newCore(2, admission.DefaultSettings())
+	id := uint64(0)
+	fail := 0
+	for range 60 { // everything on t0 fails
+		id++
+		for _, d := range core.Arrive(0, ask(id, "a", 0)) {
+			result := admission.Finished
+			if d.Target == "t0" {
+				result = admission.Failed
+				fail++
+			}
+			core.Done(0, id, 10, result)
+		}
+	}
+	require.Equal(t, admission.DefaultSettings().EjectAfter, fail)
+	core.Tick(6 * time.Second)
+	onTrial := 0
+	for range 20 {
+		id++
+		for _, d := range core.Arrive(6*time.Second, ask(id, "a", 0)) {
+			if d.Target == "t0" {
+				onTrial++
+			}
+		}
+	}
+	require.Equal(t, 1, onTrial, "one request tries the target")
+}
+
+// TestReports: a target that must report is used only with a fresh report, and
+// not while it leaves.
+func TestReports(t *testing.T) {
+	core := admission.New(admission.DefaultSettings(), admission.DefaultPolicy(), rand.New(rand.NewPCG(1, 2)))
+	core.SetTargets(0, []admission.TargetSpec{{Name: "t", Pool: "m", Capacity: 4000, BatchCap: 16, Reports: true}})
+	require.Empty(t, core.Arrive(0, ask(1, "a", 0)), "no report yet")
+	require.Len(t, started(core.Report(0, "t", admission.Load{Ready: true})), 1)
+	core.Report(time.Second, "t", admission.Load{Ready: true, Leaving: true})
+	require.Empty(t, core.Arrive(time.Second, ask(2, "a", 0)), "leaving")
+	require.Len(t, started(core.Report(2*time.Second, "t", admission.Load{Ready: true})), 1)
+	core.Tick(6 * time.Second)
+	require.Empty(t, core.Arrive(6*time.Second, ask(3, "a", 0)), "the report is too old")
+	core.Report(7*time.Second, "t", admission.Load{Ready: false})
+	require.Empty(t, core.Arrive(7*time.Second, ask(4, "a", 0)), "another model than declared")
+}
+
+// TestEstimator: estimates follow what was seen, and grow with what is written.
+func TestEstimator(t *testing.T) {
+	e := admission.NewEstimator()
+	random := rand.New(rand.NewPCG(4, 4))
+	for range 500 {
+		e.Learn("short", "o", 50, 3+random.IntN(5))
+		e.Learn("long", "o", 50, 200+random.IntN(400))
+	}
+	require.InDelta(t, 5, e.Expected("short", "o", 50, 0), 1)
+	require.InDelta(t, 400, e.Expected("long", "o", 50, 0), 40)
+	require.Greater(t, e.Expected("long", "o", 50, 500), 500.0)
+	require.InDelta(t, 5, e.Expected("short", "unseen", 50, 0), 1, "the class stands for an organisation without samples")
+}
+
+func candidates(n int, full bool) []vanillaward.Candidate {
+	out := make([]vanillaward.Candidate, n)
+	for i := range out {
+		out[i] = vanillaward.Candidate{CapacityTokens: 65536, BatchCap: 64, Running: i % 40, Allowance: 1e9, Available: true}
+		for h := range out[i].Forecast {
+			out[i].Forecast[h] = vanillaward.Moments{Mean: float64(i % 40000), Variance: 1e6}
+			if full {
+				out[i].Forecast[h].Mean = 65000
+			}
+		}
+	}
+	return out
+}
+
+// BenchmarkChoose measures one routing decision: with room, with all targets
+// compared, and with no room anywhere.
+func BenchmarkChoose(b *testing.B) {
+	all := admission.DefaultPolicy()
+	all.Samples = 0
+	for _, n := range []int{3, 30, 673, 7400} {
+		for name, run := range map[string]struct {
+			policy vanillaward.RoutingPolicy
+			full   bool
+		}{"two": {admission.DefaultPolicy(), false}, "all": {all, false}, "full": {admission.DefaultPolicy(), true}} {
+			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
+				c := candidates(n, run.full)
+				request := vanillaward.RoutingRequest{PromptTokens: 200, ExpectedTokens: 300, PrefixTarget: -1}
+				for i := range request.Forecast {
+					request.Forecast[i] = vanillaward.Moments{Mean: 500, Variance: 1000}
+				}
+				b.ReportAllocs()
+				for i := range b.N {
+					run.policy.Choose(request, c, uint64(i)*2654435761)
+				}
+			})
+		}
+	}
+}
--- a/internal/declaration/build.go
+++ b/internal/declaration/build.go
@@ -23,7 +23,9 @@
 	b.exceptions = map[string][]*Exception{}
 	for _, s := range sections {
 		if first, dup := b.set.sections[s.ID()]; dup {
-			b.found.Add(s.File(), s.Line(), "", "section [%s] stands already in %s", s.ID(), first.File())
+			if first.File() != s.File() { // within a file, the parser has reported it
+				b.found.Add(s.File(), s.Line(), "", "section [%s] stands already in %s", s.ID(), first.File())
+			}
 			continue
 		}
 		b.set.sections[s.ID()] = s
--- a/internal/instance/config_test.go
+++ b/internal/instance/config_test.go
@@ -14,6 +14,7 @@
 )
 
 type statusOutput struct {
+	Term      uint64 `json:"term"`
 	Accepted  uint64 `json:"accepted-version"`
 	InForce   uint64 `json:"in-force-version"`
 	Instances []struct {
--- a/internal/instance/deployment_test.go
+++ b/internal/instance/deployment_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -45,6 +46,7 @@
 	host      *standin.Host
 	stopHost  context.CancelFunc
 	hostEnd   <-chan error
+	binary    string // runs each instance as a process of its own, where set
 }
 
 // running is one instance.
@@ -56,15 +58,21 @@
 	stop    chan struct{}
 	kill    context.CancelFunc
 	end     chan error
+	process *os.Process
 }
 
 // newDeployment starts instances, named by failure domain and number, and waits
 // until all of them serve. The first three instances replicate the
 // configuration.
 func newDeployment(t *testing.T, domains map[string]int) *deployment {
+	t.Helper()
+	return newDeploymentOf(t, domains, "")
+}
+
+func newDeploymentOf(t *testing.T, domains map[string]int, binary string) *deployment {
 	t.Helper()
 	d := &deployment{
-		t: t, folder: t.TempDir(), instances: map[string]*running{},
+		t: t, binary: binary, folder: t.TempDir(), instances: map[string]*running{},
 		network: fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, networks.Add(1)),
 	}
 	require.NoError(t, peer.WriteAuthority(filepath.Join(d.folder, "authority")))
@@ -215,6 +223,10 @@
 func (d *deployment) start(name string) {
 	d.t.Helper()
 	r := d.instances[name]
+	if d.binary != "" {
+		d.startProcess(r)
+		return
+	}
 	s, found := settings.Parse(name+".ini", []byte(d.settings(r)))
 	require.NoError(d.t, found.Err())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -228,7 +240,11 @@
 func (d *deployment) shutdown(name string) {
 	d.t.Helper()
 	r := d.instances[name]
-	close(r.stop)
+	if r.process != nil {
+		d.signal(name, syscall.SIGTERM)
+	} else {
+		close(r.stop)
+	}
 	require.NoError(d.t, <-r.end)
 	r.kill()
 	r.end = nil
--- /dev/null
+++ b/internal/instance/process_test.go
@@ -0,0 +1,135 @@
+package instance_test
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillaward/vanillaward/internal/cli"
+	"github.com/vanillaward/vanillaward/internal/standin"
+)
+
+// buildBinary builds the program for tests that kill and freeze processes.
+func buildBinary(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "vanillaward")
+	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/vanillaward").CombinedOutput()
+	require.NoError(t, err, string(out))
+	return binary
+}
+
+func (d *deployment) startProcess(r *running) {
+	d.t.Helper()
+	file := d.file(r.name + ".ini")
+	require.NoError(d.t, os.WriteFile(file, []byte(d.settings(r)), 0o600))
+	command := exec.Command(d.binary, "run", "--settings", file) //nolint:gosec // the test's own build
+	log, err := os.OpenFile(d.file(r.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(d.t, err)
+	command.Stderr = log
+	require.NoError(d.t, command.Start())
+	r.process, r.end = command.Process, make(chan error, 1)
+	r.kill = func() { _ = command.Process.Kill() } // it may have ended
+	go func() {
+		err := command.Wait()
+		var exit *exec.ExitError
+		if err != nil && !asExit(err, &exit) {
+			r.end <- err
+			return
+		}
+		_ = log.Close() // for reading by a person only
+		r.end <- nil
+	}()
+}
+
+func asExit(err error, exit **exec.ExitError) bool {
+	e, ok := err.(*exec.ExitError) //nolint:errorlint // Wait returns it as it is
+	*exit = e
+	return ok
+}
+
+func (d *deployment) signal(name string, s syscall.Signal) {
+	d.t.Helper()
+	require.NoError(d.t, d.instances[name].process.Signal(s))
+}
+
+// TestProcesses kills, freezes and stops processes of a deployment.
+func TestProcesses(t *testing.T) {
+	d := newDeploymentOf(t, map[string]int{"a": 3}, buildBinary(t))
+
+	t.Run("kill -9 of the leader: another leads, nothing accepted is lost", func(t *testing.T) {
+		d.change(1)
+		require.Equal(t, cli.ExitOK, d.apply("before-kill"))
+		leader := d.leader()
+		d.crash(leader)
+		d.change(2)
+		d.await("accepted without the old leader", func() bool { return d.apply("after-kill") == cli.ExitOK })
+		_, history := d.output("history")
+		require.Contains(t, history, "before-kill")
+		require.Contains(t, history, "after-kill")
+		d.start(leader)
+		d.awaitReady(leader)
+	})
+
+	t.Run("a leader frozen for longer than its lease does not disturb", func(t *testing.T) {
+		frozen := d.leader()
+		d.signal(frozen, syscall.SIGSTOP)
+		d.change(3)
+		d.await("accepted while it is frozen", func() bool { return d.apply("while-frozen") == cli.ExitOK })
+		leader, term := d.leader(), d.term()
+		require.NotEqual(t, frozen, leader)
+		d.signal(frozen, syscall.SIGCONT)
+		d.awaitReady(frozen)
+		d.await("it has what was accepted meanwhile", func() bool {
+			return d.metric(frozen, "vanillaward_configuration_version") == fmt.Sprint(d.status().Accepted)
+		})
+		require.Equal(t, term, d.term(), "no election after its return")
+	})
+
+	t.Run("kill -9 of an instance in the middle of a booking: a resend does not run it again", func(t *testing.T) {
+		d.slow(700)
+		first := make(chan answer, 1)
+		go func() { first <- d.book("a-2", "killed", "key-kill") }()
+		d.await("the booking runs", func() bool { return d.host.Plain("plain-1").Arrived("POST /slots killed") == 1 })
+		d.crash("a-2")
+		require.Error(t, (<-first).err)
+		d.slow(0)
+		for _, name := range []string{"a-1", "a-3"} {
+			a := d.book(name, "killed", "key-kill")
+			require.NoError(t, a.err)
+			require.Equal(t, "unknown", a.outcome(), a.body)
+		}
+		require.Equal(t, 1, d.host.Plain("plain-1").Arrived("POST /slots killed"))
+		d.start("a-2")
+		d.awaitReady("a-2")
+		require.Equal(t, "unknown", d.book("a-2", "killed", "key-kill").outcome())
+	})
+
+	t.Run("SIGTERM cuts no stream", func(t *testing.T) {
+		got := make(chan answer, 1)
+		go func() {
+			got <- d.send("a-1", http.MethodPost, "/v1/completions", streamRequest("stop [tokens=400]", 3), nil)
+		}()
+		d.await("the stream runs", func() bool { return d.host.Running() == 1 })
+		d.shutdown("a-1")
+		a := <-got
+		require.NoError(t, a.err)
+		require.Equal(t, "complete", a.outcome(), tail(a.body))
+		require.Equal(t, expected("stop [tokens=400]", 3, 400), streamed(t, a.body))
+	})
+}
+
+// term returns the term of the log.
+func (d *deployment) term() uint64 {
+	return d.status().Term
+}
+
+// slow delays the answers of the plain service.
+func (d *deployment) slow(millis int) {
+	d.fault("plain-1", standin.Faults{LateMillis: millis})
+}
--- a/internal/keeper/schedule_test.go
+++ b/internal/keeper/schedule_test.go
@@ -350,9 +350,9 @@
 // TestDefectsAreFound shows that the check fails without each rule.
 func TestDefectsAreFound(t *testing.T) {
 	for name, d := range map[string]defect{
-		"a restarted keeper votes at once":       votesAtOnce,
-		"one grant suffices":                     minority,
-		"a restarted keeper keeps its identity":  keepsIncarnation,
+		"a restarted keeper votes at once":      votesAtOnce,
+		"one grant suffices":                    minority,
+		"a restarted keeper keeps its identity": keepsIncarnation,
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(20000) {
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -65,6 +65,13 @@
 	return e.asked
 }
 
+// Version returns the version of the model that is loaded.
+func (e *Engine) Version() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state.ModelVersion
+}
+
 // Written returns how many tokens the open generations have.
 func (e *Engine) Written() int {
 	e.mu.Lock()
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -22,11 +22,14 @@
 	mu     sync.Mutex // guards the rest
 	faults Faults
 	runs   map[string]int
+	asked  map[string]int
 	total  int
 }
 
 // NewPlain returns a plain service.
-func NewPlain(name string) *Plain { return &Plain{name: name, runs: map[string]int{}} }
+func NewPlain(name string) *Plain {
+	return &Plain{name: name, runs: map[string]int{}, asked: map[string]int{}}
+}
 
 // SetFaults replaces the service's faults.
 func (p *Plain) SetFaults(f Faults) {
@@ -46,6 +49,13 @@
 	return out
 }
 
+// Arrived returns how often a request arrived, run or not.
+func (p *Plain) Arrived(what string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.asked[what]
+}
+
 // Handler returns the service's HTTP interface.
 func (p *Plain) Handler() http.Handler { return http.HandlerFunc(p.serve) }
 
@@ -54,8 +64,10 @@
 	if err != nil {
 		return
 	}
+	what := r.Method + " " + r.URL.Path + " " + string(body)
 	p.mu.Lock()
 	faults := p.faults
+	p.asked[what]++
 	p.mu.Unlock()
 	switch {
 	case faults.Dead:
@@ -68,7 +80,7 @@
 	if faults.LateMillis > 0 {
 		sleep(r.Context(), time.Duration(faults.LateMillis)*time.Millisecond)
 	}
-	number := p.run(r.Method + " " + r.URL.Path + " " + string(body))
+	number := p.run(what)
 	if faults.ResetAfterRun {
 		panic(http.ErrAbortHandler)
 	}
