Bind the grant of the first keepers to their epoch; share what stood twice

Cause: a first keeper that learned of its grant late, after the keepers had changed, started to vote in the new epoch with nothing recalled. The random schedules had not shown it; reading the recall path did. Ruled out: restarted keepers (another incarnation is not in the grant). Change: the grant counts only in the epoch in which the keeper started, and is taken also while the keeper waits for earlier claims. Load reports and the reading of declarations stand once. Before: TestLateFirstKeeper failed.

--- a/internal/cli/changes.go
+++ b/internal/cli/changes.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/vanillaward/vanillaward/internal/config"
+	"github.com/vanillaward/vanillaward/internal/declaration"
 	"github.com/vanillaward/vanillaward/internal/once"
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
@@ -64,7 +65,7 @@
 }
 
 func makePlan(c *client, files []string) (*planned, error) {
-	set, err := readDeclarations(files)
+	set, err := declaration.Load(files)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -93,21 +93,3 @@
 		owners[a] = file
 	}
 }
-
-// readDeclarations reads files as one set of declarations.
-func readDeclarations(files []string) (*declaration.Set, error) {
-	var found finding.List
-	var sections []*inifile.Section
-	for _, name := range files {
-		data, err := os.ReadFile(name)
-		if err != nil {
-			return nil, errors.Wrap(err, "declarations")
-		}
-		parsed, faults := declaration.Parse(name, data)
-		found.Merge(faults)
-		sections = append(sections, parsed...)
-	}
-	set, faults := declaration.Build(1, sections, nil)
-	found.Merge(faults)
-	return set, found.Err()
-}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -5,6 +5,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/vanillaward/vanillaward/internal/declaration"
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
@@ -46,7 +47,7 @@
 	exceptions := app.Command("exceptions", "List the exceptions of declarations with their reasons.")
 	files := exceptions.Arg("file", "Files of the declarations.").Required().Strings()
 	exceptions.Action(func(*kingpin.ParseContext) error {
-		set, err := readDeclarations(*files)
+		set, err := declaration.Load(*files)
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/declaration/load.go
@@ -0,0 +1,28 @@
+package declaration
+
+import (
+	"os"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanillaward/vanillaward/internal/inifile"
+	"github.com/vanillaward/vanillaward/pkg/finding"
+)
+
+// Load reads files as one set of declarations. The error lists every finding.
+func Load(files []string) (*Set, error) {
+	var found finding.List
+	var sections []*inifile.Section
+	for _, name := range files {
+		data, err := os.ReadFile(name) //nolint:gosec // the operator names it
+		if err != nil {
+			return nil, errors.Wrap(err, "declarations")
+		}
+		parsed, faults := Parse(name, data)
+		found.Merge(faults)
+		sections = append(sections, parsed...)
+	}
+	set, faults := Build(1, sections, nil)
+	found.Merge(faults)
+	return set, found.Err()
+}
--- /dev/null
+++ b/internal/engineapi/load.go
@@ -0,0 +1,62 @@
+// Package engineapi is the part of the engines' HTTP interface that is not about
+// single generations: load reports.
+package engineapi
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanillaward/vanillaward/internal/declaration"
+)
+
+// maxLoadBytes bounds a load report.
+const maxLoadBytes = 64 << 10
+
+// Load is an engine's answer to GET /load.
+type Load struct {
+	Model          string   `json:"model"`
+	ModelVersion   string   `json:"model-version"`
+	Adapters       []string `json:"adapters"`
+	Role           string   `json:"role"`
+	Leaving        bool     `json:"leaving"`
+	Running        int      `json:"running"`
+	Waiting        int      `json:"waiting"`
+	UsedTokens     int      `json:"used-tokens"`
+	CapacityTokens int      `json:"capacity-tokens"`
+	Preemptions    int      `json:"preemptions"`
+}
+
+// Loaded reports whether the engine has the declared model, version and adapters.
+func (l *Load) Loaded(t *declaration.Target) bool {
+	return l.Model == t.Model() && l.ModelVersion == t.ModelVersion() && slices.Equal(l.Adapters, t.Adapters())
+}
+
+// Loading reports whether the engine is between two models.
+func (l *Load) Loading() bool { return l.Model == "" }
+
+// ReadLoad reads the load of the engine at an address.
+func ReadLoad(ctx context.Context, client *http.Client, address string) (*Load, error) {
+	out := &Load{}
+	return out, GetJSON(ctx, client, "http://"+address+"/load", maxLoadBytes, out)
+}
+
+// GetJSON reads a JSON document of at most limit bytes.
+func GetJSON(ctx context.Context, client *http.Client, url string, limit int64, to any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }() // it was read
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("%s answered %d", url, response.StatusCode)
+	}
+	return json.NewDecoder(http.MaxBytesReader(nil, response.Body, limit)).Decode(to)
+}
--- a/internal/entry/loads.go
+++ b/internal/entry/loads.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +10,7 @@
 
 	"github.com/vanillaward/vanillaward/internal/admission"
 	"github.com/vanillaward/vanillaward/internal/declaration"
+	"github.com/vanillaward/vanillaward/internal/engineapi"
 	"github.com/vanillaward/vanillaward/internal/settings"
 	"github.com/vanillaward/vanillaward/internal/telemetry"
 )
@@ -19,23 +18,9 @@
 const (
 	// loadTimeout bounds one reading of a load or of the platform's list.
 	loadTimeout = 2 * time.Second
-	maxLoadBody = 64 << 10
 	maxListBody = 16 << 20
 )
 
-// loadReport is what engines answer to GET /load.
-type loadReport struct {
-	Model        string   `json:"model"`
-	ModelVersion string   `json:"model-version"`
-	Adapters     []string `json:"adapters"`
-	Role         string   `json:"role"`
-	Leaving      bool     `json:"leaving"`
-	Running      int      `json:"running"`
-	Waiting      int      `json:"waiting"`
-	UsedTokens   int      `json:"used-tokens"`
-	Preemptions  int      `json:"preemptions"`
-}
-
 // loadReader reads the engines' loads and the platform's list at intervals.
 type loadReader struct {
 	log      logr.Logger
@@ -117,37 +102,18 @@
 		defer l.mu.Unlock()
 		delete(l.busy, t.Name())
 	}()
-	var report loadReport
-	if err := l.get(ctx, "http://"+t.Address().String()+"/load", maxLoadBody, &report); err != nil {
+	report, err := engineapi.ReadLoad(ctx, l.client, t.Address().String())
+	if err != nil {
 		l.log.V(1).Info("load cannot be read", "target", t.Name(), "reason", err.Error())
 		return
 	}
 	l.metrics.Preemptions(t.Name(), report.Preemptions)
 	l.dispatch.report(t.Name(), admission.Load{
 		Running: report.Running, Waiting: report.Waiting, UsedTokens: report.UsedTokens,
-		Leaving: report.Leaving, Ready: serves(t, report),
+		Leaving: report.Leaving, Ready: report.Loaded(t) && report.Role == t.Role(),
 	})
 }
 
-// serves reports whether the engine has what is declared for it.
-func serves(t *declaration.Target, r loadReport) bool {
-	return r.Role == t.Role() && r.Model == t.Model() && r.ModelVersion == t.ModelVersion() &&
-		slices.Equal(r.Adapters, t.Adapters())
-}
-
-func (l *loadReader) get(ctx context.Context, url string, limit int64, to any) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return err
-	}
-	response, err := l.client.Do(request)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = response.Body.Close() }() // it was read
-	return json.NewDecoder(http.MaxBytesReader(nil, response.Body, limit)).Decode(to)
-}
-
 // followPlatform reads the platform's list of targets. It lags, so an entry only
 // ever takes targets out; the engines' own word comes sooner.
 func (l *loadReader) followPlatform(ctx context.Context) {
@@ -156,7 +122,7 @@
 	}
 	for range l.dispatch.timers.Subscribe(ctx, l.platform.PollInterval) {
 		states := map[string]string{}
-		if err := l.get(ctx, l.platform.List, maxListBody, &states); err != nil {
+		if err := engineapi.GetJSON(ctx, l.client, l.platform.List, maxListBody, &states); err != nil {
 			l.log.V(1).Info("platform's list cannot be read", "reason", err.Error())
 			continue
 		}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -13,6 +13,9 @@
 	"github.com/vanillaward/vanillaward/internal/trace"
 )
 
+// maxProblemBytes bounds what is read of an engine's refusal.
+const maxProblemBytes = 4 << 10
+
 // errDiverged ends a request whose second run differs from what the caller has.
 var errDiverged = errors.New("a second run gave other tokens")
 
@@ -123,8 +126,8 @@
 		g.core.Accepted()
 		return response, nil
 	}
-	body, _ := io.ReadAll(io.LimitReader(response.Body, maxLoadBody)) // only for the message
-	_ = response.Body.Close()                                         // it was read
+	body, _ := io.ReadAll(io.LimitReader(response.Body, maxProblemBytes)) // only for the message
+	_ = response.Body.Close()                                             // it was read
 	cause := errors.Errorf("target answered %d: %s", response.StatusCode, body)
 	switch response.StatusCode {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
--- /dev/null
+++ b/internal/entry/sse_test.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestEngineStream reads streams as engines and networks shape them.
+func TestEngineStream(t *testing.T) {
+	long := strings.Repeat("x", 20000)
+	cases := []struct {
+		name string
+		in   string
+		want []string // index, own or foreign, data
+	}{
+		{"one event", "id: g:0\ndata: {}\n\n", []string{"0 own {}"}},
+		{"no space after the colon, CRLF", "id:g:7\r\ndata:{}\r\n\r\n", []string{"7 own {}"}},
+		{"another generation", "id: h:0\ndata: a\n\nid: g:0\ndata: b\n\n", []string{"-1 foreign a", "0 own b"}},
+		{"index that is no number", "id: g:x\ndata: a\n\n", []string{"0 foreign a"}},
+		{"comments and other fields", ": keep-alive\n\nevent: x\nid: g:1\ndata: a\n\n", []string{"1 own a"}},
+		{"a line over the buffer", "id: g:1\ndata: " + long + "\n\n", []string{"1 own " + long}},
+		{"cut in the middle", "id: g:0\ndata: a\n\nid: g:1\nda", []string{"0 own a"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newEngineStream(io.NopCloser(strings.NewReader(c.in)), "g")
+			var got []string
+			for {
+				e, err := s.next()
+				if err != nil {
+					break
+				}
+				owner := "foreign"
+				if e.own {
+					owner = "own"
+				}
+				got = append(got, strings.Join([]string{itoa(e.index), owner, string(e.data)}, " "))
+			}
+			require.Equal(t, c.want, got)
+		})
+	}
+}
+
+func itoa(n int) string {
+	if n < 0 {
+		return "-1"
+	}
+	return string(rune('0' + n))
+}
+
+// TestRawText takes the text as it stands in the JSON.
+func TestRawText(t *testing.T) {
+	require.Equal(t, `a\"b`, string(rawText([]byte(`{"choices":[{"text":"a\"b","finish_reason":null}]}`), false)))
+	require.Equal(t, `hi`, string(rawText([]byte(`{"choices":[{"delta":{"content":"hi"}}]}`), true)))
+	require.Equal(t, `hi`, string(rawText([]byte(`{ "choices" : [ { "delta" : { "content" : "hi" } } ] }`), true)))
+	require.Empty(t, rawText([]byte(`{}`), false))
+	require.True(t, isFinal([]byte(`{"choices":[{"text":"","finish_reason":"stop"}]}`)))
+	require.False(t, isFinal([]byte(`{"choices":[{"text":"a","finish_reason":null}]}`)))
+}
+
+// FuzzEngineStream: no stream of an engine harms the entry.
+func FuzzEngineStream(f *testing.F) {
+	f.Add([]byte("id: g:0\ndata: {\"choices\":[{\"text\":\"a\\\"\"}]}\n\n"))
+	f.Add([]byte("data: [DONE]\n\nid: g:-9\ndata:\n"))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		s := newEngineStream(io.NopCloser(bytes.NewReader(data)), "g")
+		for {
+			e, err := s.next()
+			if err != nil {
+				return
+			}
+			rawText(e.data, false)
+			rawText(e.data, true)
+			isFinal(e.data)
+		}
+	})
+}
--- a/internal/keeper/core.go
+++ b/internal/keeper/core.go
@@ -273,14 +273,17 @@
 	if c.mode != recovering || epoch != c.epoch.Number || answer.GetEpoch() > epoch {
 		return
 	}
+	if len(answer.GetFirstKeepers()) > 0 {
+		c.Opened(answer.GetFirstKeepers())
+	}
+	if c.mode == voting {
+		return
+	}
 	if !c.live && answer.GetHeldEpoch() > 0 && now < c.since+ClaimBound {
 		return // a claim that counts a vote of the earlier start may be undecided
 	}
 	c.recalls[from] = answer
 	c.merge(now, answer.GetRecords())
-	if len(answer.GetFirstKeepers()) > 0 {
-		c.Opened(answer.GetFirstKeepers())
-	}
 	c.settle()
 }
 
@@ -325,10 +328,10 @@
 }
 
 // Opened takes the grant of the replicated log to the first keepers of the
-// failure domain.
+// failure domain. It is for the epoch in which they started.
 func (c *Core) Opened(incarnations []string) {
 	c.opened = incarnations
-	if c.mode == recovering && slices.Contains(incarnations, c.incarnation) {
+	if c.mode == recovering && !c.live && slices.Contains(incarnations, c.incarnation) {
 		c.vote()
 	}
 }
--- a/internal/keeper/schedule_test.go
+++ b/internal/keeper/schedule_test.go
@@ -329,6 +329,27 @@
 	}
 }
 
+// TestLateFirstKeeper: the grant to the first keepers is for their epoch only. One
+// that learns of it after the keepers changed has to recall like any other.
+func TestLateFirstKeeper(t *testing.T) {
+	g := newGroup(rand.New(rand.NewPCG(1, 5)).IntN, sound)
+	granted := []string{"a1", "b1", "c1"}
+	g.cores["a"].Opened(granted)
+	g.cores["b"].Opened(granted)
+	first := g.claim("1")
+	first("a")
+	first("b")
+	g.epoch = keeper.Epoch{Number: 2, Members: []string{"c", "d", "e"}, Previous: g.epoch.Members, Lifetime: lifetime}
+	for _, name := range g.epoch.Members {
+		g.configure(name)
+	}
+	g.recallFrom("c", "a")
+	require.False(t, g.cores["c"].Voting(), "one of three earlier keepers is not a majority")
+	g.recallFrom("c", "b")
+	require.True(t, g.cores["c"].Voting())
+	require.NotNil(t, g.cores["c"].Lookup(g.now, "k"))
+}
+
 // claim begins an attempt at one key and returns how to ask one keeper for it.
 func (g *group) claim(attempt string) func(name string) {
 	rule := keeper.NewClaim(g.epoch, attempt, []byte("same"))
--- a/internal/orders/issuer.go
+++ b/internal/orders/issuer.go
@@ -14,6 +14,7 @@
 	"github.com/vanillaward/vanillaward"
 	"github.com/vanillaward/vanillaward/internal/control"
 	"github.com/vanillaward/vanillaward/internal/declaration"
+	"github.com/vanillaward/vanillaward/internal/engineapi"
 	"github.com/vanillaward/vanillaward/internal/replog"
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
@@ -88,7 +89,7 @@
 	states := i.readAll(ctx, set)
 	loading := 0
 	for _, s := range states {
-		if s != nil && Loading(*s) {
+		if s != nil && s.Loading() {
 			loading++
 		}
 	}
@@ -96,7 +97,7 @@
 		if states[n] == nil {
 			continue
 		}
-		order := Next(t, *states[n], loading < set.Fleet().LoadsAtOnce())
+		order := Next(t, states[n], loading < set.Fleet().LoadsAtOnce())
 		if order.Kind == None || order.Kind == Wait {
 			continue
 		}
@@ -114,9 +115,9 @@
 
 // readAll returns the state of each target, nil for those that are not engines
 // or do not answer.
-func (i *Issuer) readAll(ctx context.Context, set *declaration.Set) []*State {
+func (i *Issuer) readAll(ctx context.Context, set *declaration.Set) []*engineapi.Load {
 	targets := set.Targets()
-	out := make([]*State, len(targets))
+	out := make([]*engineapi.Load, len(targets))
 	slots := make(chan struct{}, comparisons)
 	var reading sync.WaitGroup
 	for n, t := range targets {
@@ -135,36 +136,10 @@
 	return out
 }
 
-// stateReport is what engines answer to GET /load.
-type stateReport struct {
-	Model        string   `json:"model"`
-	ModelVersion string   `json:"model-version"`
-	Adapters     []string `json:"adapters"`
-	Role         string   `json:"role"`
-	Running      int      `json:"running"`
-	Waiting      int      `json:"waiting"`
-}
-
-func (i *Issuer) read(ctx context.Context, t *declaration.Target) (*State, error) {
+func (i *Issuer) read(ctx context.Context, t *declaration.Target) (*engineapi.Load, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Address().String()+"/load", nil)
-	if err != nil {
-		return nil, err
-	}
-	response, err := i.client.Do(r)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = response.Body.Close() }() // it was read
-	var report stateReport
-	if err := json.NewDecoder(http.MaxBytesReader(nil, response.Body, 1<<16)).Decode(&report); err != nil {
-		return nil, err
-	}
-	return &State{
-		Model: report.Model, ModelVersion: report.ModelVersion, Adapters: report.Adapters,
-		Role: report.Role, Running: report.Running, Waiting: report.Waiting,
-	}, nil
+	return engineapi.ReadLoad(ctx, i.client, t.Address().String())
 }
 
 // issue records an order and sends it.
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/vanillaward/vanillaward/internal/declaration"
+	"github.com/vanillaward/vanillaward/internal/engineapi"
 	"github.com/vanillaward/vanillaward/internal/orders"
 )
 
@@ -40,26 +41,26 @@
 // depends on the target's report alone, so an issuer that starts at any step goes
 // on from there.
 func TestNext(t *testing.T) {
-	old := orders.State{Model: "old", ModelVersion: "1", Role: "serve", Running: 3}
+	old := engineapi.Load{Model: "old", ModelVersion: "1", Role: "serve", Running: 3}
 	cases := []struct {
 		name  string
-		state orders.State
+		state engineapi.Load
 		load  bool
 		want  orders.Kind
 		role  string
 	}{
 		{"serving the old model: takes no new requests first", old, true, orders.SetRole, "standby"},
-		{"requests still run: nothing is cut", orders.State{Model: "old", ModelVersion: "1", Role: "standby", Running: 1}, true, orders.Wait, ""},
-		{"requests still wait in it", orders.State{Model: "old", ModelVersion: "1", Role: "standby", Waiting: 1}, true, orders.Wait, ""},
-		{"empty, but another load runs", orders.State{Model: "old", ModelVersion: "1", Role: "standby"}, false, orders.Wait, ""},
-		{"empty: loads", orders.State{Model: "old", ModelVersion: "1", Role: "standby"}, true, orders.Load, ""},
-		{"loading", orders.State{Role: "standby"}, true, orders.Wait, ""},
-		{"loaded: serves again", orders.State{Model: "new", ModelVersion: "2", Role: "standby"}, true, orders.SetRole, "serve"},
-		{"as declared", orders.State{Model: "new", ModelVersion: "2", Role: "serve", Running: 9}, true, orders.None, ""},
+		{"requests still run: nothing is cut", engineapi.Load{Model: "old", ModelVersion: "1", Role: "standby", Running: 1}, true, orders.Wait, ""},
+		{"requests still wait in it", engineapi.Load{Model: "old", ModelVersion: "1", Role: "standby", Waiting: 1}, true, orders.Wait, ""},
+		{"empty, but another load runs", engineapi.Load{Model: "old", ModelVersion: "1", Role: "standby"}, false, orders.Wait, ""},
+		{"empty: loads", engineapi.Load{Model: "old", ModelVersion: "1", Role: "standby"}, true, orders.Load, ""},
+		{"loading", engineapi.Load{Role: "standby"}, true, orders.Wait, ""},
+		{"loaded: serves again", engineapi.Load{Model: "new", ModelVersion: "2", Role: "standby"}, true, orders.SetRole, "serve"},
+		{"as declared", engineapi.Load{Model: "new", ModelVersion: "2", Role: "serve", Running: 9}, true, orders.None, ""},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			order := orders.Next(target(t), c.state, c.load)
+			order := orders.Next(target(t), &c.state, c.load)
 			require.Equal(t, c.want, order.Kind)
 			require.Equal(t, c.role, order.Role)
 		})
--- a/internal/orders/plan.go
+++ b/internal/orders/plan.go
@@ -8,21 +8,10 @@
 package orders
 
 import (
-	"slices"
-
 	"github.com/vanillaward/vanillaward/internal/declaration"
+	"github.com/vanillaward/vanillaward/internal/engineapi"
 )
 
-// State is what a target reports.
-type State struct {
-	Model        string
-	ModelVersion string
-	Adapters     []string
-	Role         string
-	Running      int
-	Waiting      int
-}
-
 // Kind is what an order asks for.
 type Kind string
 
@@ -55,8 +44,8 @@
 // any issuer continues where the last one ended. A target is set to stand by and
 // emptied before a load, so that no request is cut. Loading is the report of an
 // engine between two models.
-func Next(t *declaration.Target, s State, mayLoad bool) Order {
-	loaded := s.Model == t.Model() && s.ModelVersion == t.ModelVersion() && slices.Equal(s.Adapters, t.Adapters())
+func Next(t *declaration.Target, s *engineapi.Load, mayLoad bool) Order {
+	loaded := s.Loaded(t)
 	switch {
 	case loaded && s.Role == t.Role():
 		return Order{Kind: None}
@@ -64,11 +53,8 @@
 		return Order{Kind: SetRole, Role: t.Role()}
 	case s.Role != roleStandby:
 		return Order{Kind: SetRole, Role: roleStandby}
-	case s.Running+s.Waiting > 0 || Loading(s) || !mayLoad:
+	case s.Running+s.Waiting > 0 || s.Loading() || !mayLoad:
 		return Order{Kind: Wait}
 	}
 	return Order{Kind: Load, Model: t.Model(), ModelVersion: t.ModelVersion(), Adapters: t.Adapters()}
 }
-
-// Loading reports whether a target is between two models.
-func Loading(s State) bool { return s.Model == "" }
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,162 @@
+package peer_test
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"io"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillaward/vanillaward/internal/peer"
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+// echo answers with the name of its caller.
+type echo struct{ caller peer.Caller }
+
+// Name returns who calls.
+func (e *echo) Name(_ *wire.Empty, out *wire.ReplicaIdentity) error {
+	out.Name = e.caller.Name() + "/" + string(e.caller.Role())
+	return nil
+}
+
+// Large returns a message over the bound.
+func (e *echo) Large(_ *wire.Empty, out *wire.ReplicaIdentity) error {
+	out.Name = strings.Repeat("x", peer.MaxMessageBytes+1)
+	return nil
+}
+
+type setup struct {
+	folder  string
+	address netip.AddrPort
+}
+
+func start(t *testing.T) *setup {
+	t.Helper()
+	s := &setup{folder: t.TempDir()}
+	require.NoError(t, peer.WriteAuthority(filepath.Join(s.folder, "authority")))
+	creds := s.member(t, "server", "authority", peer.RoleInstance)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s.address = netip.MustParseAddrPort(listener.Addr().String())
+	server := peer.NewServer(logr.Discard(), creds, &peer.Traffic{})
+	server.Register("Echo", func(c peer.Caller) any { return &echo{c} })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := server.Serve(ctx, listener)
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+	return s
+}
+
+func (s *setup) member(t *testing.T, name, authority string, role peer.Role) *peer.Credentials {
+	t.Helper()
+	folder := filepath.Join(s.folder, name)
+	require.NoError(t, peer.WriteMember(folder, filepath.Join(s.folder, authority), name, role))
+	creds, err := peer.LoadCredentials(folder)
+	require.NoError(t, err)
+	return creds
+}
+
+func (s *setup) call(creds *peer.Credentials, method string) (string, error) {
+	client := peer.NewClient(s.address, creds, &peer.Traffic{})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	out := &wire.ReplicaIdentity{}
+	err := client.Call(ctx, method, &wire.Empty{}, out)
+	return out.GetName(), err
+}
+
+// TestCallers: each call knows its caller by the certificate; nobody without a
+// certificate of the authority gets as far as a call.
+func TestCallers(t *testing.T) {
+	s := start(t)
+	name, err := s.call(s.member(t, "ana", "authority", peer.RoleOperator), "Echo.Name")
+	require.NoError(t, err)
+	require.Equal(t, "ana/operator", name)
+	name, err = s.call(s.member(t, "i1", "authority", peer.RoleInstance), "Echo.Name")
+	require.NoError(t, err)
+	require.Equal(t, "i1/instance", name)
+
+	require.NoError(t, peer.WriteAuthority(filepath.Join(s.folder, "foreign")))
+	_, err = s.call(s.member(t, "stranger", "foreign", peer.RoleInstance), "Echo.Name")
+	require.Error(t, err)
+}
+
+// TestForeignPeers sends what no own process sends; the server serves on.
+func TestForeignPeers(t *testing.T) {
+	s := start(t)
+	creds := s.member(t, "i1", "authority", peer.RoleInstance)
+	pair, err := tls.LoadX509KeyPair(filepath.Join(s.folder, "i1", "instance.crt"), filepath.Join(s.folder, "i1", "instance.key"))
+	require.NoError(t, err)
+	oversized := binary.BigEndian.AppendUint32(nil, 1<<31)
+	cases := []struct {
+		name   string
+		secure bool
+		send   []byte
+	}{
+		{"plain text", false, []byte("GET / HTTP/1.1\r\n\r\n")},
+		{"nothing", false, nil},
+		{"an oversized message", true, oversized},
+		{"a malformed message", true, append(binary.BigEndian.AppendUint32(nil, 3), 0xff, 0xff, 0xff)},
+		{"half a message", true, []byte{0, 0, 0, 9, 1}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", s.address.String()) //nolint:noctx // loopback
+			require.NoError(t, err)
+			if c.secure {
+				conn = tls.Client(conn, &tls.Config{Certificates: []tls.Certificate{pair}, InsecureSkipVerify: true}) //nolint:gosec // the test is the peer
+			}
+			_, err = conn.Write(c.send)
+			require.NoError(t, err)
+			if c.secure && len(c.send) > 5 || len(c.send) == len(oversized) {
+				require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+				_, err = io.ReadAll(conn) // the server ends the connection
+				require.NotErrorIs(t, err, context.DeadlineExceeded)
+			}
+			require.NoError(t, conn.Close())
+			name, err := s.call(creds, "Echo.Name")
+			require.NoError(t, err)
+			require.Equal(t, "i1/instance", name)
+		})
+	}
+	_, err = s.call(creds, "Echo.None")
+	require.ErrorContains(t, err, "can't find method")
+	_, err = s.call(creds, "Echo.Large")
+	require.Error(t, err)
+	name, err := s.call(creds, "Echo.Name")
+	require.NoError(t, err)
+	require.Equal(t, "i1/instance", name)
+}
+
+// TestKeysChange replaces the authority while the server runs.
+func TestKeysChange(t *testing.T) {
+	s := start(t)
+	require.NoError(t, peer.WriteAuthority(filepath.Join(s.folder, "next")))
+	fresh := s.member(t, "i2", "next", peer.RoleInstance)
+	_, err := s.call(fresh, "Echo.Name")
+	require.Error(t, err)
+	require.NoError(t, peer.WriteMember(filepath.Join(s.folder, "server"), filepath.Join(s.folder, "next"), "server", peer.RoleInstance))
+	name, err := s.call(fresh, "Echo.Name")
+	require.NoError(t, err)
+	require.Equal(t, "i2/instance", name)
+}
+
+// TestUnreachable tells that a call certainly did not arrive.
+func TestUnreachable(t *testing.T) {
+	s := start(t)
+	s.address = netip.MustParseAddrPort("127.0.0.1:1")
+	_, err := s.call(s.member(t, "i1", "authority", peer.RoleInstance), "Echo.Name")
+	require.ErrorIs(t, err, peer.ErrUnreachable)
+}
--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -14,9 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/vanillaward/vanillaward/internal/declaration"
-	"github.com/vanillaward/vanillaward/internal/inifile"
 	"github.com/vanillaward/vanillaward/internal/standin"
-	"github.com/vanillaward/vanillaward/pkg/finding"
 )
 
 // Run executes the command line and returns its exit code.
@@ -46,7 +43,7 @@
 	lag := c.Flag("list-lag", "How late the platform's list shows a change.").Default("5s").Duration()
 	files := c.Arg("file", "Files of the declarations.").Required().Strings()
 	c.Action(func(*kingpin.ParseContext) error {
-		set, err := read(*files)
+		set, err := declaration.Load(*files)
 		if err != nil {
 			return err
 		}
@@ -60,23 +57,6 @@
 	})
 }
 
-func read(files []string) (*declaration.Set, error) {
-	var found finding.List
-	var sections []*inifile.Section
-	for _, name := range files {
-		data, err := os.ReadFile(name) //nolint:gosec // the operator names it
-		if err != nil {
-			return nil, errors.Wrap(err, "declarations")
-		}
-		parsed, faults := declaration.Parse(name, data)
-		found.Merge(faults)
-		sections = append(sections, parsed...)
-	}
-	set, faults := declaration.Build(1, sections, nil)
-	found.Merge(faults)
-	return set, found.Err()
-}
-
 func addCall(app *kingpin.Application, out io.Writer) {
 	c := app.Command("call", "Send the requests of a small demonstration and show the answers.")
 	base := c.Flag("url", "URL of an entry instance.").Required().String()
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/vanillaward/vanillaward/internal/engine"
+	"github.com/vanillaward/vanillaward/internal/engineapi"
 )
 
 const (
@@ -64,27 +65,13 @@
 	core        *engine.Engine
 	generations map[string]*generation
 	faults      Faults
-	report      LoadReport
+	report      engineapi.Load
 	cacheLog    []CacheEvent
 	state       EngineState
 	started     int
 	asked       int
 }
 
-// LoadReport is the engine's answer to GET /load.
-type LoadReport struct {
-	Model          string   `json:"model"`
-	ModelVersion   string   `json:"model-version"`
-	Adapters       []string `json:"adapters"`
-	Role           string   `json:"role"`
-	Leaving        bool     `json:"leaving"`
-	Running        int      `json:"running"`
-	Waiting        int      `json:"waiting"`
-	UsedTokens     int      `json:"used-tokens"`
-	CapacityTokens int      `json:"capacity-tokens"`
-	Preemptions    int      `json:"preemptions"`
-}
-
 // CacheEvent is one line of the engine's answer to GET /cache-events.
 type CacheEvent struct {
 	Number int    `json:"number"`
@@ -158,7 +145,7 @@
 	}
 	e.state.reported = now
 	load := e.core.Load()
-	e.report = LoadReport{
+	e.report = engineapi.Load{
 		Model: e.state.Model, ModelVersion: e.state.ModelVersion, Adapters: e.state.Adapters,
 		Role: e.state.Role, Leaving: e.state.Leaving,
 		Running: load.Running, Waiting: load.Waiting, UsedTokens: load.UsedTokens,
--- /dev/null
+++ b/internal/storage/fuzz_test.go
@@ -0,0 +1,33 @@
+package storage_test
+
+import (
+	"testing"
+
+	"github.com/vanillaward/vanillaward/internal/storage"
+)
+
+// FuzzOpen: no content of the files makes a replica start with a log that has
+// gaps; it starts or is refused.
+func FuzzOpen(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 0, 0, 0, 0, 0}, []byte{})
+	f.Add([]byte("garbage of some length"), []byte("more"))
+	f.Fuzz(func(t *testing.T, log, snapshot []byte) {
+		d := newMemoryDisk()
+		d.live["replica-id"], d.live["log"] = []byte("id"), log
+		if len(snapshot) > 0 {
+			d.live["snapshot"] = snapshot
+		}
+		s, err := storage.Open(d, "new")
+		if err != nil {
+			return
+		}
+		durable := s.Durable()
+		next := durable.Snapshot.GetIndex() + 1
+		for _, e := range durable.Entries {
+			if e.GetIndex() != next {
+				t.Fatalf("record %d in place of %d", e.GetIndex(), next)
+			}
+			next++
+		}
+	})
+}
