--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -162,6 +162,14 @@
 	return parsed, sections, nil
 }
 
+// Answer answers a watch request.
+func (s *Store) Answer(ctx context.Context, r *wire.WatchRequest) *wire.WatchResponse {
+	if r.GetVersionOnly() {
+		return &wire.WatchResponse{Version: s.Version()}
+	}
+	return s.Watch(ctx, r.GetVersion(), min(MaxWait, time.Duration(r.GetWaitMs())*time.Millisecond))
+}
+
 // Watch answers with what takes a follower from its version to the held one,
 // waiting for a higher one at most the given time.
 func (s *Store) Watch(ctx context.Context, version uint64, wait time.Duration) *wire.WatchResponse {
--- a/internal/config/subscriber.go
+++ b/internal/config/subscriber.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"hash/fnv"
+	"slices"
 	"sync"
 	"time"
 
@@ -62,12 +64,26 @@
 	for _, p := range replicas {
 		s.sources = append(s.sources, source{p.Name, MethodControlWatch, peer.NewClient(p.Address, creds, traffic)})
 	}
-	for _, p := range peers {
+	for _, p := range somePeers(peers, self.Name) {
 		s.sources = append(s.sources, source{p.Name, MethodPeerWatch, peer.NewClient(p.Address, creds, traffic)})
 	}
 	return s
 }
 
+// maxPeers bounds the peers of the failure domain that an instance asks.
+const maxPeers = 3
+
+// somePeers returns a few peers, other ones for other instances.
+func somePeers(peers []inifile.Peer, self string) []inifile.Peer {
+	if len(peers) <= maxPeers {
+		return peers
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(self)) // a hash does not fail
+	start := int(h.Sum32() % uint32(len(peers)))
+	return append(slices.Clone(peers[start:]), peers[:start]...)[:maxPeers]
+}
+
 // Surveyed returns a channel that is closed once every source was asked after
 // the start, so that the version held is the highest one within reach. Only
 // then may the instance serve: before, it could be behind what it served
@@ -93,24 +109,27 @@
 	return done
 }
 
-// survey asks all sources at once for what they hold.
+// survey asks all sources at once for their versions, and takes the highest.
 func (s *Subscriber) survey(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
 	defer cancel()
-	answers := make([]*wire.WatchResponse, len(s.sources))
+	versions := make([]uint64, len(s.sources))
 	var asking sync.WaitGroup
 	for i, src := range s.sources {
 		asking.Go(func() {
-			answer, err := s.ask(ctx, src, 0)
-			if err == nil {
-				answers[i] = answer
+			answer := &wire.WatchResponse{}
+			if src.client.Call(ctx, src.method, &wire.WatchRequest{VersionOnly: true}, answer) == nil {
+				versions[i] = answer.GetVersion()
 			}
 		})
 	}
 	asking.Wait()
-	for i, answer := range answers {
-		if answer != nil {
-			s.take(s.sources[i], answer)
+	for s.store.Version() < slices.Max(append(versions, 0)) {
+		best := slices.Index(versions, slices.Max(versions))
+		answer, err := s.ask(ctx, s.sources[best], 0)
+		versions[best] = 0 // if it failed, the next best is asked
+		if err == nil {
+			s.take(s.sources[best], answer)
 		}
 	}
 }
@@ -199,8 +218,7 @@
 
 // Watch answers at once with what the asking instance lacks.
 func (p *PeerService) Watch(request *wire.WatchRequest, answer *wire.WatchResponse) error {
-	got := p.store.Watch(context.Background(), request.GetVersion(), min(MaxWait, time.Duration(request.GetWaitMs())*time.Millisecond))
-	Copy(answer, got)
+	Copy(answer, p.store.Answer(context.Background(), request))
 	return nil
 }
 
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -112,11 +112,10 @@
 
 // Watch answers with the versions that follow the asked one.
 func (c *controlCalls) Watch(request *wire.WatchRequest, answer *wire.WatchResponse) error {
-	if c.caller.Role() == peer.RoleInstance {
+	if c.caller.Role() == peer.RoleInstance && !request.GetVersionOnly() {
 		c.service.sawInstance(request)
 	}
-	wait := min(config.MaxWait, time.Duration(request.GetWaitMs())*time.Millisecond)
-	config.Copy(answer, c.service.store.Watch(c.service.ctx, request.GetVersion(), wait))
+	config.Copy(answer, c.service.store.Answer(c.service.ctx, request))
 	return nil
 }
 
