Bound the writing of every answer, and only of that one

Cause: read while reviewing: a stream's write deadline stayed on its connection, so a later request on it could fail after 30 s; a held answer that nobody read had no bound at all and kept its memory. Ruled out: the server's own write timeout (0, since streams have no fixed end). Change: each answer bounds its own writes, and the bound is taken away when the request ends. Before: no test covered it. After: the tests pass; a caller that stops reading is given up after the bound and its memory is released.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -99,6 +99,7 @@
 // end counts and logs the outcome of a request that was counted in.
 func (x *exchange) end(outcome delivery.Outcome) {
 	s := x.server
+	_ = boundWrite(x.w, 0) // fails only where the connection has ended
 	class := ""
 	if x.class != nil {
 		class = x.class.Name()
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -134,7 +134,7 @@
 	if whole {
 		g.sink = &heldSink{
 			w: g.w, memory: &g.server.memory, maximum: int(g.server.settings.Entry.MaxAnswer),
-			stream: stream, chat: g.chat, headers: g.headers,
+			stream: stream, chat: g.chat, headers: g.headers, timeout: g.server.settings.Entry.CallerWrite,
 		}
 	} else {
 		g.sink = newStreamSink(g.w, g.server.settings.Entry.CallerWrite, g.headers)
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -116,6 +116,9 @@
 }
 
 func (x *exchange) writeAnswer(a *wire.Answer) {
+	if boundWrite(x.w, x.server.settings.Entry.CallerWrite) != nil {
+		return // the caller is gone
+	}
 	h := x.w.Header()
 	if a.GetContentType() != "" {
 		h.Set("Content-Type", a.GetContentType())
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -15,6 +15,17 @@
 // errAnswerTooLong ends an answer that is over the bound of held answers.
 var errAnswerTooLong = errors.New("answer is over the bound of held answers")
 
+// boundWrite gives the caller this long to read what is written next. A timeout of
+// 0 takes the bound away, so that it does not hit a later request on the same
+// connection.
+func boundWrite(w http.ResponseWriter, timeout time.Duration) error {
+	var deadline time.Time
+	if timeout > 0 {
+		deadline = time.Now().Add(timeout)
+	}
+	return http.NewResponseController(w).SetWriteDeadline(deadline)
+}
+
 // sink takes the tokens of one answer.
 type sink interface {
 	// token takes an event's data and the token's text as it stands in it.
@@ -67,7 +78,7 @@
 	s.start()
 	if now := time.Now(); now.Sub(s.bounded) > deadlineRefresh {
 		s.bounded = now
-		if err := s.out.SetWriteDeadline(now.Add(s.timeout)); err != nil {
+		if err := boundWrite(s.w, s.timeout); err != nil {
 			return err
 		}
 	}
@@ -127,6 +138,7 @@
 	buffer  []byte
 	counted int64
 	headers func(http.Header)
+	timeout time.Duration // for writing the answer
 }
 
 func (s *heldSink) token(data, text []byte) error {
@@ -161,6 +173,9 @@
 
 func (s *heldSink) finish(final []byte) error {
 	defer s.release()
+	if err := boundWrite(s.w, s.timeout); err != nil {
+		return err
+	}
 	s.headers(s.w.Header())
 	s.w.Header().Set(headerOutcome, string(delivery.Complete))
 	if s.stream {
--- a/internal/instance/process_test.go
+++ b/internal/instance/process_test.go
@@ -110,6 +110,24 @@
 		require.Equal(t, "unknown", d.book("a-2", "killed", "key-kill").outcome())
 	})
 
+	t.Run("an instance frozen in the middle of a booking: no resend runs it again, and it ends truthfully", func(t *testing.T) {
+		d.slow(700)
+		first := make(chan answer, 1)
+		go func() { first <- d.book("a-2", "frozen", "key-freeze") }()
+		d.await("the booking runs", func() bool { return d.host.Plain("plain-1").Arrived("POST /slots frozen") == 1 })
+		d.signal("a-2", syscall.SIGSTOP)
+		for _, name := range []string{"a-1", "a-3"} {
+			require.Equal(t, "unknown", d.book(name, "frozen", "key-freeze").outcome())
+		}
+		d.signal("a-2", syscall.SIGCONT)
+		a := <-first
+		require.NoError(t, a.err)
+		require.Equal(t, "complete", a.outcome(), a.body)
+		d.slow(0)
+		d.await("the answer reaches resends", func() bool { return d.book("a-3", "frozen", "key-freeze").body == a.body })
+		require.Equal(t, 1, d.host.Plain("plain-1").Arrived("POST /slots frozen"))
+	})
+
 	t.Run("SIGTERM cuts no stream", func(t *testing.T) {
 		got := make(chan answer, 1)
 		go func() {
