--- /dev/null
+++ b/internal/admission/running.go
@@ -0,0 +1,100 @@
+package admission
+
+import "time"
+
+// Progress records how many tokens a running request has written.
+func (c *Core) Progress(now time.Duration, id uint64, written int) {
+	r := c.requests[id]
+	if r == nil || r.target == nil {
+		return
+	}
+	if r.target.pool != nil {
+		r.target.pool.rate.add(now, written-r.written)
+	}
+	r.written = written
+	c.estimate(r)
+	if r.target.pool != nil {
+		r.target.pool.typical.observe(r)
+	}
+	r.target.refresh(now)
+}
+
+// Result is how a request left its target.
+type Result int
+
+// Results.
+const (
+	// Finished means that the whole output was received.
+	Finished Result = iota
+	// Cancelled means that the caller left or the request ended elsewhere.
+	Cancelled
+	// Failed means that the target or its link failed.
+	Failed
+	// Rejected means that the target refused the request without running it.
+	Rejected
+)
+
+// Done records that a request left its target or its queue, and starts others in
+// its place.
+func (c *Core) Done(now time.Duration, id uint64, written int, result Result) []Decision {
+	r := c.requests[id]
+	if r == nil {
+		return nil
+	}
+	delete(c.requests, id)
+	p := c.pool(r.Pool)
+	if r.target == nil {
+		p.queue.remove(r)
+		return c.take()
+	}
+	t := r.target
+	t.drop(r)
+	p.rate.add(now, written-r.written)
+	p.queue.charge(r, float64(r.Prompt+written)-r.cost())
+	if result == Finished {
+		c.estimator.Learn(r.Class, r.Organisation, r.Prompt, written)
+		p.meanLength += (float64(written) - p.meanLength) / 64
+		c.budget = min(maxBudget, c.budget+c.settings.Budget)
+	}
+	c.judge(now, t, result)
+	t.refresh(now)
+	c.pump(now, p)
+	return c.take()
+}
+
+func (t *target) drop(r *request) {
+	for i, own := range t.own {
+		if own == r {
+			t.own = append(t.own[:i], t.own[i+1:]...)
+			return
+		}
+	}
+}
+
+// judge ejects a target after failures in a row and forgives it after a success.
+func (c *Core) judge(now time.Duration, t *target, result Result) {
+	t.trial = false
+	switch result {
+	case Finished:
+		t.failures, t.ejections = 0, 0
+	case Failed:
+		t.failures++
+		if t.failures >= c.settings.EjectAfter || t.ejections > 0 {
+			t.failures = 0
+			t.ejected = now + c.settings.EjectFor<<min(t.ejections, maxEjections-1)
+			t.ejections++
+		}
+	case Rejected:
+		// A refusing target is full or on its way out: rest it briefly.
+		t.ejected = max(t.ejected, now+reportAge)
+	}
+}
+
+// MayRetry takes one retry from the budget.
+func (c *Core) MayRetry() bool {
+	if c.budget < 1 {
+		return false
+	}
+	c.budget--
+	return true
+}
--- /dev/null
+++ b/internal/entry/relay_bench_test.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"github.com/vanillaward/vanillaward/internal/config"
+	"github.com/vanillaward/vanillaward/internal/declaration"
+	"github.com/vanillaward/vanillaward/internal/settings"
+	"github.com/vanillaward/vanillaward/internal/telemetry"
+	"github.com/vanillaward/vanillaward/internal/timer"
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+// benchEngine streams as many tokens as the prompt's last word says, each with a
+// flush of its own, and reports an idle load.
+func benchEngine(tokens int) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprint(w, `{"model":"m","model-version":"1","role":"serve"}`)
+	})
+	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("X-Request-Id")
+		out := http.NewResponseController(w)
+		for i := range tokens {
+			_, _ = fmt.Fprintf(w, "id: %s:%d\ndata: {\"id\":\"x\",\"choices\":[{\"index\":0,\"text\":\"word \",\"finish_reason\":null}]}\n\n", id, i)
+			_ = out.Flush()
+		}
+		_, _ = fmt.Fprintf(w, "id: %s:%d\ndata: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n", id, tokens)
+	})
+	return mux
+}
+
+// BenchmarkRelay relays one stream over loopback; an operation is a token. Engine,
+// entry and caller share the process, so the figure is the cost of all three;
+// scripts/capacity.sh measures the entry alone.
+func BenchmarkRelay(b *testing.B) {
+	engine := httptest.NewServer(benchEngine(b.N))
+	defer engine.Close()
+	store := config.NewStore()
+	texts := []*wire.SectionEdit{
+		{Id: "failure-domain d", Text: "[failure-domain d]\nkeepers = k@127.0.0.1:1\n"},
+		{Id: "class c", Text: "[class c]\nidempotent = true\n"},
+		{Id: "service s", Text: "[service s]\nkind = generation\nmodel = m\ndefault-class = c\n"},
+		{Id: "organisation o", Text: "[organisation o]\nkey-hashes = " + declaration.HashKey("k") + "\n"},
+		{Id: "target t", Text: "[target t]\nkind = engine\nfailure-domain = d\nmodel = m\naddress = " + engine.Listener.Addr().String() + "\n"},
+	}
+	if err := store.Reset(1, texts); err != nil {
+		b.Fatal(err)
+	}
+	s, _ := settings.Parse("bench", []byte("[instance]\nname = i\n[entry]\nload-interval = 10ms\nreadiness-delay = 0s\n"))
+	server := New(logr.Discard(), s, timer.New(), store, nil, telemetry.NewMetrics(), nil, 1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := server.Run(ctx, listener)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+listener.Addr().String()+"/v1/completions",
+		strings.NewReader(`{"model":"m","prompt":"p","stream":true}`))
+	if err != nil {
+		b.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer k")
+	b.ReportAllocs()
+	b.ResetTimer()
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		b.Fatal(err)
+	}
+	lines, tokens := bufio.NewScanner(response.Body), 0
+	for lines.Scan() {
+		if strings.Contains(lines.Text(), `"word "`) {
+			tokens++
+		}
+	}
+	b.StopTimer()
+	if err := response.Body.Close(); err != nil || tokens != b.N {
+		b.Fatalf("%d of %d tokens: %v", tokens, b.N, err)
+	}
+	cancel()
+	_ = server.http.Close() // the benchmark is over
+	if err := <-done; err != nil {
+		b.Fatal(err)
+	}
+}
