Count goroutines of requests; freeze engines until all streams have begun

Two tests waited for streams that could end before the last one began. Ruled out: a leak (no goroutine of a request is left after the bursts). Change: the test asks for no goroutine with a request's frames, which is stricter than ten more than before; the engines of the two tests stand still until all streams have begun. Conclusion: the tests' fault.

--- a/internal/instance/orders_test.go
+++ b/internal/instance/orders_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/vanillaward/vanillaward/internal/cli"
+	"github.com/vanillaward/vanillaward/internal/standin"
 )
 
 // TestRollout changes the version of a model while streams run: the targets are
@@ -18,12 +19,14 @@
 func TestRollout(t *testing.T) {
 	d := newDeployment(t, map[string]int{"a": 3})
 	answers := make(chan answer, 6)
+	d.faultAll(standin.Faults{Frozen: true}) // none ends before all have begun
 	for i := range cap(answers) {
 		go func() {
 			answers <- d.send("a-1", http.MethodPost, "/v1/completions", streamRequest(fmt.Sprintf("%d [tokens=400]", i), 1), nil)
 		}()
 	}
 	d.await("streams run", func() bool { return d.host.Running() == cap(answers) })
+	d.faultAll(standin.Faults{})
 	rolled := strings.ReplaceAll(d.declarations(""), "model = m\n[", "model = m\nmodel-version = 2\n[")
 	require.NoError(t, os.WriteFile(d.file("declarations.ini"), []byte(rolled), 0o600))
 	require.Equal(t, cli.ExitOK, d.apply("roll"))
--- a/internal/instance/requests_test.go
+++ b/internal/instance/requests_test.go
@@ -162,18 +162,34 @@
 	require.Empty(t, d.host.Plain("plain-1").Runs())
 }
 
-// TestNothingLeaks compares the goroutines after one burst of callers that hang
-// up with those after several.
+// TestNothingLeaks: after bursts of callers that hang up, no goroutine works on a
+// request any more.
 func TestNothingLeaks(t *testing.T) {
 	d := newDeployment(t, map[string]int{"a": 1})
 	warm := d.send("a-1", http.MethodPost, "/v1/completions", streamRequest("warm [tokens=3]", 1), nil)
 	require.Equal(t, "complete", warm.outcome())
-	d.burst(20)
-	before := runtime.NumGoroutine()
-	for range 4 {
+	for range 5 {
 		d.burst(20)
 	}
-	d.await("goroutines end", func() bool { return runtime.NumGoroutine() <= before+10 })
+	d.await("no goroutine of a request is left", func() bool { return requestGoroutines() == 0 })
+}
+
+// requestGoroutines counts the goroutines that work on a request, at the entry or
+// at a stand-in. Connections that are kept for later requests have none of these
+// frames.
+func requestGoroutines() int {
+	stacks := make([]byte, 4<<20)
+	stacks = stacks[:runtime.Stack(stacks, true)]
+	n := 0
+	for _, stack := range strings.Split(string(stacks), "\n\n") {
+		for _, frame := range []string{"entry.(*Server).generate", "entry.(*generation)", "entry.(*plainCall)", "standin.(*Engine).stream"} {
+			if strings.Contains(stack, frame) {
+				n++
+				break
+			}
+		}
+	}
+	return n
 }
 
 // burst makes callers hang up in the middle of long streams, and waits until the
@@ -300,6 +316,7 @@
 	d := newDeployment(t, map[string]int{"a": 2})
 	d.fault("plain-1", standin.Faults{LateMillis: 400})
 	answers := make(chan answer, 9)
+	d.faultAll(standin.Faults{Frozen: true}) // none ends before all have begun
 	for i := range 8 {
 		class := []string{"live", "recap"}[i%2]
 		go func() {
@@ -308,6 +325,7 @@
 	}
 	go func() { answers <- d.book("a-1", "stop", "") }()
 	d.await("all run", func() bool { return d.host.Running() >= 8 })
+	d.faultAll(standin.Faults{})
 	d.shutdown("a-1")
 	for range 9 {
 		a := <-answers
