Show the instances' logs when a process test fails

Cause: TestProcesses failed once, and the logs of the processes were gone. Ruled out: nothing yet. Change: the end of each log is part of the failure. Conclusion: open; the next failure will tell.

--- a/internal/instance/deployment_test.go
+++ b/internal/instance/deployment_test.go
@@ -268,6 +268,12 @@
 	}
 	d.stopHost()
 	require.NoError(d.t, <-d.hostEnd)
+	if d.t.Failed() && d.binary != "" {
+		for _, name := range d.order {
+			log, err := os.ReadFile(d.file(name + ".log"))
+			d.t.Logf("log of %s (%v):\n%s", name, err, log[max(0, len(log)-2000):])
+		}
+	}
 }
 
 // operate runs an operator's command and returns its exit code.
