Pass the common base to constructors; take a claim's start before it is sent

Cause: constructors took up to eight parameters that the common base holds. Read on the way: a claim's start was noted after its intents had gone out, so a freeze between the two would not have counted. Ruled out: no test failed; the schedules over the cores count from the intent. Change: base.Base is passed; the start is noted first. Before: 9 parameters at most. Behaviour is otherwise unchanged.

--- a/internal/entry/relay_bench_test.go
+++ b/internal/entry/relay_bench_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/vanillaward/vanillaward/internal/base"
 	"github.com/vanillaward/vanillaward/internal/config"
 	"github.com/vanillaward/vanillaward/internal/declaration"
 	"github.com/vanillaward/vanillaward/internal/settings"
@@ -57,7 +58,8 @@
 		b.Fatal(err)
 	}
 	s, _ := settings.Parse("bench", []byte("[instance]\nname = i\n[entry]\nload-interval = 10ms\nreadiness-delay = 0s\n"))
-	server := New(logr.Discard(), s, timer.New(), store, nil, telemetry.NewMetrics(), nil, 1)
+	shared := base.Base{Log: logr.Discard(), Settings: s, Timers: timer.New(), Metrics: telemetry.NewMetrics()}
+	server := New(shared, store, nil, nil, 1)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/vanillaward/vanillaward"
+	"github.com/vanillaward/vanillaward/internal/base"
 	"github.com/vanillaward/vanillaward/internal/config"
 	"github.com/vanillaward/vanillaward/internal/declaration"
 	"github.com/vanillaward/vanillaward/internal/once"
@@ -65,14 +66,15 @@
 	openByOrg map[string]int
 }
 
-// New returns the role entry of an instance. Recorder may be nil.
-func New(log logr.Logger, s *settings.Settings, timers vanillaward.Timers, store *config.Store,
-	guard *once.Guard, metrics *telemetry.Metrics, recorder *trace.Recorder, seed uint64,
-) *Server {
+// New returns the role entry of an instance. Recorder may be nil; the seed feeds
+// the choice of targets.
+func New(b base.Base, store *config.Store, guard *once.Guard, recorder *trace.Recorder, seed uint64) *Server {
+	s, metrics := b.Settings, b.Metrics
 	v := &Server{
-		log: log, settings: s, timers: timers, store: store, guard: guard, metrics: metrics, recorder: recorder,
-		dispatch: newDispatcher(timers, s.Entry.MaxQueue, seed),
-		watch:    newWatchdog(timers), openByOrg: map[string]int{},
+		log: b.Log.WithValues("role", "entry"), settings: s, timers: b.Timers, store: store, guard: guard,
+		metrics: metrics, recorder: recorder,
+		dispatch: newDispatcher(b.Timers, s.Entry.MaxQueue, seed),
+		watch:    newWatchdog(b.Timers), openByOrg: map[string]int{},
 	}
 	v.memory.limit = int64(s.Entry.WholeMemory)
 	v.engines = &http.Client{Transport: &http.Transport{
@@ -85,7 +87,7 @@
 		// A redirect would be a second request.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	v.loads = newLoadReader(log, v.dispatch, metrics, s.Entry.LoadInterval, s.Platform)
+	v.loads = newLoadReader(v.log, v.dispatch, metrics, s.Entry.LoadInterval, s.Platform)
 	v.http = &http.Server{
 		Handler: v.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -217,13 +217,10 @@
 
 // prepareEntry sets up the keeper, the guard and the role entry.
 func (i *Instance) prepareEntry(ctx context.Context) []<-chan error {
-	s := i.base.Settings
-	i.keeper = once.NewLocalKeeper(i.base.Log, i.base.Timers, i.store, s.Instance.Name, s.Instance.FailureDomain,
-		s.Entry.KeeperRecords, s.Control.Replicas, i.base.Credentials, i.base.Traffic)
-	i.guard = once.NewGuard(i.base.Log, i.base.Timers, i.store, i.self(), s.Instance.FailureDomain,
-		s.Entry.KeeperTimeout, i.keeper, i.base.Credentials, i.base.Traffic)
+	i.keeper = once.NewLocalKeeper(i.base, i.store)
+	i.guard = once.NewGuard(i.base, i.store, i.keeper)
 	once.Register(i.server, i.keeper, i.guard)
-	i.entry = entry.New(i.base.Log.WithValues("role", "entry"), s, i.base.Timers, i.store, i.guard, i.base.Metrics, i.recorder, seed())
+	i.entry = entry.New(i.base, i.store, i.guard, i.recorder, seed())
 	return []<-chan error{i.keeper.Run(ctx)}
 }
 
--- a/internal/once/claim.go
+++ b/internal/once/claim.go
@@ -64,6 +64,7 @@
 		Epoch: a.epoch.Number, Key: a.key, Attempt: a.id, Owner: a.guard.self.Name,
 		OwnerAddress: a.guard.self.Address.String(), Digest: a.digest,
 	}
+	start := a.guard.timers.Now()
 	answers := make(chan *wire.IntentResponse, len(a.members))
 	for _, m := range a.members {
 		a.guard.ended.Go(func() {
@@ -77,7 +78,6 @@
 			answers <- answer
 		})
 	}
-	start := a.guard.timers.Now()
 	ruling := claim.Ruling()
 	for ruling == keeper.Undecided {
 		select {
--- a/internal/once/guard.go
+++ b/internal/once/guard.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/vanillaward/vanillaward"
+	"github.com/vanillaward/vanillaward/internal/base"
 	"github.com/vanillaward/vanillaward/internal/config"
 	"github.com/vanillaward/vanillaward/internal/declaration"
 	"github.com/vanillaward/vanillaward/internal/inifile"
@@ -53,14 +54,13 @@
 	ended   sync.WaitGroup
 }
 
-// NewGuard returns a guard of the instance self in a failure domain. Timeout
-// bounds one round of calls to keepers.
-func NewGuard(log logr.Logger, timers vanillaward.Timers, store *config.Store, self inifile.Peer, domain string,
-	timeout time.Duration, local *LocalKeeper, creds *peer.Credentials, traffic *peer.Traffic,
-) *Guard {
+// NewGuard returns the guard of an instance, whose own keeper is local.
+func NewGuard(b base.Base, store *config.Store, local *LocalKeeper) *Guard {
+	s := b.Settings
 	return &Guard{
-		log: log, timers: timers, store: store, self: self, domain: domain, timeout: timeout,
-		local: local, creds: creds, traffic: traffic,
+		log: b.Log, timers: b.Timers, store: store, creds: b.Credentials, traffic: b.Traffic, local: local,
+		self:   inifile.Peer{Name: s.Instance.Name, Address: s.Listen.Peers},
+		domain: s.Instance.FailureDomain, timeout: s.Entry.KeeperTimeout,
 		attempts: newAttempts(), clients: map[string]*peer.Client{},
 	}
 }
--- a/internal/once/local.go
+++ b/internal/once/local.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/vanillaward/vanillaward"
+	"github.com/vanillaward/vanillaward/internal/base"
 	"github.com/vanillaward/vanillaward/internal/config"
 	"github.com/vanillaward/vanillaward/internal/inifile"
 	"github.com/vanillaward/vanillaward/internal/keeper"
@@ -34,14 +35,13 @@
 	core *keeper.Core
 }
 
-// NewLocalKeeper returns the keeper of the named instance under a new
-// incarnation.
-func NewLocalKeeper(log logr.Logger, timers vanillaward.Timers, store *config.Store, name, domain string, capacity int,
-	control []inifile.Peer, creds *peer.Credentials, traffic *peer.Traffic,
-) *LocalKeeper {
+// NewLocalKeeper returns the keeper of an instance under a new incarnation.
+func NewLocalKeeper(b base.Base, store *config.Store) *LocalKeeper {
+	s := b.Settings
 	return &LocalKeeper{
-		log: log, timers: timers, store: store, domain: domain, control: control, creds: creds, traffic: traffic,
-		core: keeper.New(name, NewIdentity(), capacity, timers.Now()),
+		log: b.Log, timers: b.Timers, store: store, domain: s.Instance.FailureDomain,
+		control: s.Control.Replicas, creds: b.Credentials, traffic: b.Traffic,
+		core: keeper.New(s.Instance.Name, NewIdentity(), s.Entry.KeeperRecords, b.Timers.Now()),
 	}
 }
 
