Compute a report's candidate once; drop code that nothing calls

Cause: reading the whole change again. A target's report computed its candidate twice to set one number. The delivery core kept a clock and a bound on silence that nothing read, since the entry's watchdog decides about silence. Change: the allowance alone is set after a report; unreachable functions, a field of RoutingRequest that no policy reads and the delivery core's time are gone.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -237,7 +237,7 @@
 		}{"two": {admission.DefaultPolicy(), false}, "all": {all, false}, "full": {admission.DefaultPolicy(), true}} {
 			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
 				c := candidates(n, run.full)
-				request := vanillaward.RoutingRequest{PromptTokens: 200, ExpectedTokens: 300, PrefixTarget: -1}
+				request := vanillaward.RoutingRequest{PromptTokens: 200, PrefixTarget: -1}
 				for i := range request.Forecast {
 					request.Forecast[i] = vanillaward.Moments{Mean: 500, Variance: 1000}
 				}
--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -146,9 +146,6 @@
 	}
 }
 
-// Estimator returns the estimator of output lengths.
-func (c *Core) Estimator() *Estimator { return c.estimator }
-
 // SetSettings changes the bounds.
 func (c *Core) SetSettings(s Settings) { c.settings = s }
 
@@ -289,7 +286,7 @@
 
 func (c *Core) choose(now time.Duration, p *pool, r *request) *target {
 	routing := vanillaward.RoutingRequest{
-		PromptTokens: r.Prompt, ExpectedTokens: r.expected, LongestTokens: r.longest(),
+		PromptTokens: r.Prompt, LongestTokens: r.longest(),
 		Urgency: r.Urgency, PrefixTarget: -1, Forecast: r.forecast,
 	}
 	if t := c.targets[c.prefixes[r.Prefix]]; t != nil && t.pool == p && r.Prefix != 0 {
@@ -334,7 +331,7 @@
 	t.refresh(now)
 	t.pool.observeShare(t)
 	t.allow(now, 1-c.random.Float64())
-	t.refresh(now)
+	t.pool.candidates[t.index].Allowance = t.allowanceAt(now)
 	c.pump(now, t.pool)
 	return c.take()
 }
@@ -387,14 +384,6 @@
 	return n
 }
 
-// Running returns the number of requests that this instance runs on a target.
-func (c *Core) Running(name string) int {
-	if t := c.targets[name]; t != nil {
-		return len(t.own)
-	}
-	return 0
-}
-
 func (c *Core) take() []Decision {
 	out := c.decisions
 	c.decisions = nil
--- a/internal/capacity/measure/control.go
+++ b/internal/capacity/measure/control.go
@@ -32,7 +32,6 @@
 	folder  string
 	creds   *peer.Credentials
 	nodes   []*control.Node
-	stores  []*config.Store
 	peers   []inifile.Peer
 	ends    []<-chan error
 	traffic *peer.Traffic // of the replicas, their answers to subscribers included
@@ -90,7 +89,7 @@
 	node := control.NewNode(logr.Discard(), disk, timer.New(), transport, store, fmt.Sprint("id-", i), uint64(i))
 	server := peer.NewServer(logr.Discard(), r.creds, r.traffic)
 	control.NewService(r.ctx, node, store, timer.New(), r.creds, r.traffic).Register(server)
-	r.nodes, r.stores = append(r.nodes, node), append(r.stores, store)
+	r.nodes = append(r.nodes, node)
 	r.peers = append(r.peers, inifile.Peer{Name: fmt.Sprint("replica-", i), Address: address})
 	r.ends = append(r.ends, node.Run(r.ctx), server.Serve(r.ctx, listener))
 	return nil
--- a/internal/capacity/measure/cores.go
+++ b/internal/capacity/measure/cores.go
@@ -75,7 +75,7 @@
 		const rounds = 20
 		start := time.Now()
 		for i := range rounds {
-			d := &wire.Delta{Version: uint64(2 + i), Edits: []*wire.SectionEdit{{Id: "class c", Text: fmt.Sprintf("[class c]\nidempotent = true\nurgency = %d\n", i)}}}
+			d := &wire.Delta{Version: uint64(2 + i), Edits: oneEdit(i)}
 			if err := store.Advance(d); err != nil {
 				return nil, err
 			}
--- a/internal/cli/changes.go
+++ b/internal/cli/changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -141,11 +142,7 @@
 func without(lines, others []string) []string {
 	var out []string
 	for _, l := range lines {
-		found := false
-		for _, o := range others {
-			found = found || l == o
-		}
-		if !found {
+		if !slices.Contains(others, l) {
 			out = append(out, l)
 		}
 	}
--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -1,8 +1,8 @@
 package cli
 
 import (
+	"slices"
 	"strconv"
-	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/pkg/errors"
@@ -41,7 +41,7 @@
 			o.Faults = append(o.Faults, experiment.Fault(name))
 		}
 		for _, way := range experiment.Ways(chosen) {
-			if len(*ways) == 0 || strings.Contains(","+strings.Join(*ways, ",")+",", ","+way.Name()+",") {
+			if len(*ways) == 0 || slices.Contains(*ways, way.Name()) {
 				o.Ways = append(o.Ways, way)
 			}
 		}
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -9,10 +9,7 @@
 // generations are never spliced.
 package delivery
 
-import (
-	"hash/maphash"
-	"time"
-)
+import "hash/maphash"
 
 // Outcome is the final answer to a request. A request has exactly one.
 type Outcome string
@@ -87,8 +84,6 @@
 	MaxAttempts int
 	// MaxResumes bounds the resumptions of one generation without progress.
 	MaxResumes int
-	// StallBound is the silence after which a link counts as lost.
-	StallBound time.Duration
 }
 
 // hashSeed is shared by the hashes of a process, so that they can be compared.
@@ -103,7 +98,6 @@
 	passedHash uint64
 	hash       maphash.Hash
 	resumes    int
-	heard      time.Duration
 	sent       bool // the current run may have reached its target
 	sentBefore bool // an earlier run may have
 	accepted   bool // the target has the current run
@@ -119,7 +113,7 @@
 }
 
 // Begin starts the next run and returns its number.
-func (c *Core) Begin(now time.Duration) int {
+func (c *Core) Begin() int {
 	c.generation++
 	c.next = 0
 	c.resumes = 0
@@ -127,7 +121,6 @@
 	c.sentBefore = c.MayHaveRun()
 	c.sent = false
 	c.hash.Reset()
-	c.heard = now
 	if c.policy.Whole {
 		c.passed, c.passedHash = 0, 0 // what was held is discarded
 	}
@@ -160,14 +153,13 @@
 }
 
 // Token judges a token. The caller of Token acts on the verdict at once.
-func (c *Core) Token(now time.Duration, generation, index int, text []byte) Verdict {
+func (c *Core) Token(generation, index int, text []byte) Verdict {
 	switch {
 	case generation != c.generation || c.outcome != "" || index < c.next:
 		return Drop
 	case index > c.next:
 		return Gap
 	}
-	c.heard = now
 	c.resumes = 0
 	c.next++
 	if c.policy.Whole {
@@ -203,9 +195,6 @@
 	return Pass
 }
 
-// Stalled reports whether the current run has been silent for too long.
-func (c *Core) Stalled(now time.Duration) bool { return now-c.heard >= c.policy.StallBound }
-
 // Resumable reports whether the current run's stream can be asked for again.
 func (c *Core) Resumable() bool { return c.accepted && c.resumes < c.policy.MaxResumes }
 
@@ -221,8 +210,7 @@
 // Lost decides what follows the loss of the current run. MayRetry tells whether
 // the budget and the deadline allow another run; it is asked only when one would
 // follow, since asking takes from the budget.
-func (c *Core) Lost(now time.Duration, loss Loss, mayRetry func() bool) (Step, Outcome) {
-	c.heard = now
+func (c *Core) Lost(loss Loss, mayRetry func() bool) (Step, Outcome) {
 	switch {
 	case c.diverged:
 		return End, Incomplete
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -52,9 +52,6 @@
 	order   int
 }
 
-// Written returns the number of tokens generated so far.
-func (s *Sequence) Written() int { return s.written }
-
 func (s *Sequence) held() int { return s.Prompt + s.written }
 
 // EventKind is what happened to a sequence.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -103,7 +103,6 @@
 func (x *exchange) policy(whole bool) delivery.Policy {
 	return delivery.Policy{
 		Idempotent: x.class.Idempotent(), Whole: whole, MaxAttempts: maxAttempts, MaxResumes: maxResumes,
-		StallBound: x.class.StallBound(),
 	}
 }
 
@@ -169,7 +168,7 @@
 // lose decides what follows the loss of a run, and traces it.
 func (x *exchange) lose(loss delivery.Loss) (delivery.Step, delivery.Outcome) {
 	granted := false
-	step, outcome := x.core.Lost(x.server.timers.Now(), loss, func() bool {
+	step, outcome := x.core.Lost(loss, func() bool {
 		granted = x.mayRetry()
 		return granted
 	})
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -77,7 +77,7 @@
 			}
 			return c.answer(p), nil
 		}
-		c.core.Begin(c.server.timers.Now())
+		c.core.Begin()
 		c.server.recorder.Record(trace.Event{Kind: trace.Begin, Request: c.id, Target: targetOf(c.target), Generation: c.core.Generation(), Key: c.key})
 		answer, err := c.forward(ctx)
 		var l *lossError
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -47,7 +47,7 @@
 		return delivery.Unsent, errors.Errorf("target %s is not declared", g.target)
 	}
 	g.address = t.Address().String()
-	g.core.Begin(g.server.timers.Now())
+	g.core.Begin()
 	g.sink.restart()
 	g.server.recorder.Record(trace.Event{Kind: trace.Begin, Request: g.id, Target: g.target, Generation: g.core.Generation()})
 	bound := g.class.StallBound()
@@ -193,7 +193,7 @@
 		return g.takeFinal(event)
 	}
 	text := rawText(event.data, g.chat)
-	verdict := g.core.Token(now, g.core.Generation(), event.index, text)
+	verdict := g.core.Token(g.core.Generation(), event.index, text)
 	if g.server.recorder != nil {
 		g.recordToken(event.index, text, verdict)
 	}
--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -34,9 +34,6 @@
 	batchCap      int
 }
 
-// Name returns the mix's name.
-func (m *Mix) Name() string { return m.name }
-
 // Correa resembles recaps of any length and short tags.
 func Correa() *Mix {
 	return &Mix{
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -110,31 +110,49 @@
 	var rows []*Row
 	var running sync.WaitGroup
 	slots := make(chan struct{}, o.Workers)
+	for _, setup := range o.combinations() {
+		row := &Row{
+			Mix: setup.Mix.name, Load: setup.load, Fault: setup.Fault, Instances: setup.Instances,
+			Way: setup.Way.Name(), Results: make([]*Result, o.Seeds),
+		}
+		rows = append(rows, row)
+		for seed := range o.Seeds {
+			running.Go(func() {
+				slots <- struct{}{}
+				defer func() { <-slots }()
+				one := setup.Setup
+				one.Seed = uint64(seed + 1)
+				row.Results[seed] = Run(one)
+			})
+		}
+	}
+	running.Wait()
+	return rows
+}
+
+// combination is a run without a seed, with its load as a part of the capacity.
+type combination struct {
+	Setup
+	load float64
+}
+
+func (o *Options) combinations() []combination {
+	var out []combination
 	for _, m := range o.Mixes {
 		capacity := Capacity(m, o.Length)
 		for _, fault := range o.Faults {
 			for _, load := range o.Loads {
 				for _, instances := range o.Instances {
 					for _, way := range o.Ways {
-						row := &Row{Mix: m.name, Load: load, Fault: fault, Instances: instances, Way: way.Name(), Results: make([]*Result, o.Seeds)}
-						rows = append(rows, row)
-						for seed := range o.Seeds {
-							running.Go(func() {
-								slots <- struct{}{}
-								defer func() { <-slots }()
-								row.Results[seed] = Run(Setup{
-									Mix: m, Way: way, Rate: load * capacity, Length: o.Length,
-									Instances: instances, Fault: fault, Seed: uint64(seed + 1),
-								})
-							})
-						}
+						out = append(out, combination{load: load, Setup: Setup{
+							Mix: m, Way: way, Rate: load * capacity, Length: o.Length, Instances: instances, Fault: fault,
+						}})
 					}
 				}
 			}
 		}
 	}
-	running.Wait()
-	return rows
+	return out
 }
 
 // figures are the columns of a report.
--- a/internal/inifile/decode.go
+++ b/internal/inifile/decode.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -93,7 +94,7 @@
 	if key.value == "" && !ok {
 		return
 	}
-	if words := tag.Get("oneof"); words != "" && !contains(strings.Split(words, "|"), key.value) {
+	if words := tag.Get("oneof"); words != "" && !slices.Contains(strings.Split(words, "|"), key.value) {
 		found.Add(s.file, key.line, name, "%q is not one of %s", key.value, strings.ReplaceAll(words, "|", ", "))
 		return
 	}
@@ -106,15 +107,6 @@
 	}
 }
 
-func contains(words []string, word string) bool {
-	for _, w := range words {
-		if w == word {
-			return true
-		}
-	}
-	return false
-}
-
 func setValue(field reflect.Value, text string) error {
 	switch field.Interface().(type) {
 	case time.Duration:
--- a/internal/once/claim.go
+++ b/internal/once/claim.go
@@ -20,9 +20,6 @@
 	digest  []byte
 }
 
-// ID returns the attempt's identity.
-func (a *Attempt) ID() string { return a.id }
-
 // Result is the result of a claim.
 type Result struct {
 	// Ruling tells whether the request may run.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -21,9 +21,6 @@
 	role Role
 }
 
-// NewCaller returns a caller, for calls within a process and for tests.
-func NewCaller(name string, role Role) Caller { return Caller{name: name, role: role} }
-
 // Name returns the common name of the caller's certificate.
 func (c Caller) Name() string { return c.name }
 
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -51,13 +51,6 @@
 	}
 }
 
-// Started returns how many generations the engine accepted.
-func (e *Engine) Started() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.started
-}
-
 // Asked returns how many requests for a generation arrived.
 func (e *Engine) Asked() int {
 	e.mu.Lock()
--- a/internal/trace/replay.go
+++ b/internal/trace/replay.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"time"
 
 	"github.com/vanillaward/vanillaward/internal/delivery"
 )
@@ -11,7 +10,6 @@
 const (
 	replayAttempts = 4
 	replayResumes  = 6
-	replayStall    = 3 * time.Second
 )
 
 // Violation is a broken promise, or a decision that differs from the recorded
@@ -50,7 +48,7 @@
 	if e.Kind == Arrive {
 		r.cores[e.Request] = delivery.New(delivery.Policy{
 			Idempotent: e.Idempotent, Whole: e.Whole, MaxAttempts: replayAttempts,
-			MaxResumes: replayResumes, StallBound: replayStall,
+			MaxResumes: replayResumes,
 		})
 		return
 	}
@@ -58,16 +56,15 @@
 	if core == nil {
 		return
 	}
-	now := time.Duration(e.AtMillis) * time.Millisecond
 	switch e.Kind {
 	case Begin:
-		if generation := core.Begin(now); generation != e.Generation {
+		if generation := core.Begin(); generation != e.Generation {
 			r.differ(e, "run %d begins, recorded is %d", generation, e.Generation)
 		}
 		core.Sent()
 	case Token:
 		core.Accepted()
-		verdict := VerdictName(core.Token(now, e.Generation, e.Index, []byte(e.Text)))
+		verdict := VerdictName(core.Token(e.Generation, e.Index, []byte(e.Text)))
 		if verdict != e.Verdict {
 			r.differ(e, "token %d: verdict %s, recorded is %s", e.Index, verdict, e.Verdict)
 		}
@@ -75,7 +72,7 @@
 		core.Accepted()
 		core.Finished(e.Generation, e.Total)
 	case Lost:
-		r.lost(e, core, now)
+		r.lost(e, core)
 	case Outcome:
 		if !core.End(delivery.Outcome(e.Outcome)) {
 			r.differ(e, "the request had outcome %s already", core.Outcome())
@@ -83,7 +80,7 @@
 	}
 }
 
-func (r *replayer) lost(e *Event, core *delivery.Core, now time.Duration) {
+func (r *replayer) lost(e *Event, core *delivery.Core) {
 	loss, ok := lossOf(e.Loss)
 	if !ok {
 		r.differ(e, "unknown loss %q", e.Loss)
@@ -94,7 +91,7 @@
 		core.Resumed()
 		return
 	}
-	step, _ := core.Lost(now, loss, func() bool { return e.MayRetry })
+	step, _ := core.Lost(loss, func() bool { return e.MayRetry })
 	if StepName(step) != e.Step && step != delivery.Resume {
 		r.differ(e, "step %s, recorded is %s", StepName(step), e.Step)
 	}
--- a/vanillaward.go
+++ b/vanillaward.go
@@ -81,8 +81,6 @@
 type RoutingRequest struct {
 	// PromptTokens is the length of the prompt in tokens.
 	PromptTokens int
-	// ExpectedTokens is the estimated length of the output in tokens.
-	ExpectedTokens float64
 	// LongestTokens is the upper bound on the output in tokens.
 	LongestTokens int
 	// Urgency ranks classes; a higher value goes first.
