--- a/internal/capacity/measure/control.go
+++ b/internal/capacity/measure/control.go
@@ -88,9 +88,10 @@
 	transport := control.NewPeerTransport(r.ctx, logr.Discard(), address.String(), r.creds, r.traffic)
 	node := control.NewNode(logr.Discard(), disk, timer.New(), transport, store, fmt.Sprint("id-", i), uint64(i))
 	server := peer.NewServer(logr.Discard(), r.creds, r.traffic)
-	control.NewService(r.ctx, node, store, timer.New(), r.creds, r.traffic).Register(server)
+	self := inifile.Peer{Name: fmt.Sprint("replica-", i), Address: address}
+	control.NewService(r.ctx, node, store, timer.New(), peer.NewPool(r.creds, r.traffic), self).Register(server)
 	r.nodes = append(r.nodes, node)
-	r.peers = append(r.peers, inifile.Peer{Name: fmt.Sprint("replica-", i), Address: address})
+	r.peers = append(r.peers, self)
 	r.ends = append(r.ends, node.Run(r.ctx), server.Serve(r.ctx, listener))
 	return nil
 }
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -11,11 +11,12 @@
 	"github.com/vanillaward/vanillaward/internal/instance"
 	"github.com/vanillaward/vanillaward/internal/settings"
 	"github.com/vanillaward/vanillaward/pkg/finding"
+	"github.com/vanillaward/vanillaward/platform"
 )
 
 func (t *tool) addRun(app *kingpin.Application) {
 	c := app.Command("run", "Run an instance until SIGTERM or SIGINT, then stop it without cutting a request. A second signal stops it at once.")
-	file := c.Flag("settings", "Settings file of the instance.").Required().String()
+	file := c.Flag("settings", "Settings file of the instance.").Envar(platform.SettingsVariable).Required().String()
 	c.Action(func(*kingpin.ParseContext) error {
 		s, err := settings.Load(*file)
 		if err != nil {
--- /dev/null
+++ b/internal/control/board.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+// Board holds what a replica hands to the instances that follow it: the document
+// in force and the platform's list of targets. It is safe for concurrent use.
+type Board struct {
+	epoch uint64
+
+	mu       sync.Mutex // guards the rest; never held while another lock is taken
+	document *wire.Document
+	targets  []*wire.Target
+	version  uint64        // of the list, raised when it changes
+	readAt   time.Duration // when the list was last read whole
+	changed  chan struct{} // closed at the next change
+}
+
+// NewBoard returns an empty board. The epoch tells its lists from those of an
+// earlier process.
+func NewBoard(epoch uint64) *Board {
+	return &Board{epoch: epoch, changed: make(chan struct{})}
+}
+
+// Post takes a document unless a higher one is held.
+func (b *Board) Post(d *wire.Document) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if d.GetNumber() <= b.document.GetNumber() {
+		return
+	}
+	b.document = d
+	b.wake()
+}
+
+// PostList takes a whole reading of the list. Changed tells whether it differs
+// from the one before.
+func (b *Board) PostList(targets []*wire.Target, changed bool, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.readAt = now
+	if !changed && b.version > 0 {
+		return
+	}
+	b.targets = targets
+	b.version++
+	b.wake()
+}
+
+// wake is called with the lock held.
+func (b *Board) wake() {
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// Await returns what a follower lacks, waiting for it at most the given time.
+// Now is read again after the wait.
+func (b *Board) Await(ctx context.Context, r *wire.FollowRequest, wait time.Duration, now func() time.Duration) *wire.FollowResponse {
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		answer, changed := b.missing(r, now())
+		if answer.GetDocument() != nil || answer.GetListChanged() {
+			return answer
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			answer, _ = b.missing(r, now())
+			return answer
+		case <-ctx.Done():
+			return answer
+		}
+	}
+}
+
+func (b *Board) missing(r *wire.FollowRequest, now time.Duration) (*wire.FollowResponse, <-chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	answer := &wire.FollowResponse{ListEpoch: b.epoch, ListVersion: b.version}
+	if b.document.GetNumber() > r.GetDocument() {
+		answer.Document = b.document
+	}
+	if b.version > 0 {
+		answer.ListAgeMs = uint64((now - b.readAt).Milliseconds())
+		if r.GetListEpoch() != b.epoch || r.GetListVersion() != b.version {
+			answer.ListChanged, answer.Targets = true, b.targets
+		}
+	}
+	return answer, b.changed
+}
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -153,13 +153,7 @@
 			}
 			return
 		}
-		first := &wire.Snapshot{Index: 1, Term: 1, Membership: m}
-		message := &wire.Message{Kind: wire.Kind_KIND_SNAPSHOT, To: n.core.ID(), Term: 1, Snapshot: first}
-		for _, a := range n.core.Receive(n.timers.Now(), message) {
-			if _, reply := a.(replog.Send); !reply {
-				n.pending = append(n.pending, a)
-			}
-		}
+		n.pending = append(n.pending, n.install(m)...)
 	})
 	if err != nil {
 		return err
@@ -167,6 +161,19 @@
 	return refused
 }
 
+// install makes a membership the first record of an empty log.
+func (n *Node) install(m *wire.Membership) []replog.Action {
+	first := &wire.Snapshot{Index: 1, Term: 1, Membership: m}
+	message := &wire.Message{Kind: wire.Kind_KIND_SNAPSHOT, To: n.core.ID(), Term: 1, Snapshot: first}
+	var out []replog.Action
+	for _, a := range n.core.Receive(n.timers.Now(), message) {
+		if _, reply := a.(replog.Send); !reply {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // ChangeReplicas adds or removes one replica.
 func (n *Node) ChangeReplicas(ctx context.Context, change *wire.ReplicaChange) error {
 	_, _, err := n.await(ctx, func() (uint64, []replog.Action, error) {
@@ -235,5 +242,77 @@
 	return refused
 }
 
+// Offer commits a document. Its result tells which one is in force then.
+func (n *Node) Offer(ctx context.Context, d *wire.Document) (*wire.DocumentResult, error) {
+	outcome, _, err := n.propose(ctx, &wire.Command{Document: d})
+	return outcome.Document, err
+}
+
+// Document returns the document in force, nil before the first. It fails unless
+// this replica leads with a valid lease.
+func (n *Node) Document(ctx context.Context) (*wire.Document, error) {
+	var out *wire.Document
+	err := n.Read(ctx, true, func(_ *replog.Core, s *State) { out = s.Document() })
+	return out, err
+}
+
+// Join makes a replica a learner; the leader makes it a voter once it has the
+// log. It returns replog.ErrNotLeader elsewhere.
+func (n *Node) Join(ctx context.Context, r *wire.Replica) error {
+	member := false
+	_, _, err := n.await(ctx, func() (uint64, []replog.Action, error) {
+		if n.core.Role() != replog.Leader {
+			return 0, nil, replog.ErrNotLeader
+		}
+		next := replog.Join(n.core.Membership(), r)
+		if next == nil {
+			member = true
+			return 0, nil, errAlreadyMember
+		}
+		n.log.Info("replica joins", "replica", r.GetId(), "address", r.GetAddress())
+		return n.core.ProposeMembership(n.timers.Now(), next)
+	})
+	if member {
+		return nil
+	}
+	return err
+}
+
+// errAlreadyMember ends a proposal that is not needed.
+var errAlreadyMember = errors.New("the replica is a member already")
+
+// Standing is what a replica knows of its place in the log.
+type Standing struct {
+	fresh     bool
+	member    bool
+	leader    string
+	addresses []string
+}
+
+// Fresh reports whether the replica leads or has heard its leader lately.
+func (s Standing) Fresh() bool { return s.fresh }
+
+// Leader returns the leader's peer address, or the empty string.
+func (s Standing) Leader() string { return s.leader }
+
+// Addresses returns the peer addresses of the replicas.
+func (s Standing) Addresses() []string { return s.addresses }
+
+// Standing returns the replica's place in the log.
+func (n *Node) Standing(ctx context.Context) (Standing, error) {
+	var out Standing
+	err := n.do(ctx, func() {
+		out.fresh = n.core.HearsLeader(n.timers.Now(), 2*n.timing.Election)
+		out.member = n.core.Member()
+		for _, r := range n.core.Membership().GetReplicas() {
+			out.addresses = append(out.addresses, r.GetAddress())
+			if r.GetId() == n.core.LeaderID() {
+				out.leader = r.GetAddress()
+			}
+		}
+	})
+	return out, err
+}
+
 // Declarations returns the declarations in force at this replica, or nil.
 func (n *Node) Declarations() *declaration.Set { return n.published.Current() }
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -17,11 +18,10 @@
 )
 
 const (
-	inboxSize     = 1024
-	drainAtOnce   = 64
-	reopenPause   = time.Second
-	tickFraction  = 4 // ticks per heartbeat
-	promoteBehind = 16
+	inboxSize    = 1024
+	drainAtOnce  = 64
+	reopenPause  = time.Second
+	tickFraction = 4 // ticks per heartbeat
 )
 
 // Errors of calls to a node.
@@ -55,6 +55,8 @@
 	seed          uint64
 	snapshotEvery uint64
 	published     *config.Store
+	board         *Board
+	founders      *wire.Membership
 
 	inbox   chan func()
 	failed  chan struct{} // closed when the replica stops
@@ -91,6 +93,13 @@
 	return func(n *Node) { n.snapshotEvery = uint64(records) }
 }
 
+// WithBoard sets where documents in force are posted.
+func WithBoard(b *Board) Option { return func(n *Node) { n.board = b } }
+
+// WithFounders makes the given replicas the first ones of the log when this one
+// starts without any records. All founders must be given the same membership.
+func WithFounders(m *wire.Membership) Option { return func(n *Node) { n.founders = m } }
+
 // NewNode returns a replica on a disk. NewID is its identity if the disk is
 // empty; seed feeds its random timeouts. Applied versions go to published.
 func NewNode(log logr.Logger, disk vanillaward.Disk, timers vanillaward.Timers, transport Transport,
@@ -100,7 +109,7 @@
 		log: log, disk: disk, timers: timers, transport: transport, published: published,
 		newID: newID, seed: seed, timing: replog.DefaultTiming(), snapshotEvery: 1000,
 		inbox: make(chan func(), inboxSize), failed: make(chan struct{}), waiters: map[uint64]waiter{},
-		addresses: map[string]string{},
+		addresses: map[string]string{}, board: NewBoard(0),
 	}
 	for _, o := range options {
 		o(n)
@@ -148,6 +157,9 @@
 	defer func() {
 		_ = n.store.Close() // everything that counts was synced
 	}()
+	if err := n.found(); err != nil {
+		return err
+	}
 	tickContext, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ticks := n.timers.Subscribe(tickContext, n.timing.Heartbeat/tickFraction)
@@ -187,9 +199,27 @@
 	return nil
 }
 
+// found starts the log with its founders, if this replica is one and has no
+// records yet.
+func (n *Node) found() error {
+	if n.core.LastIndex() > 0 || !slices.Contains(replicaIDs(n.founders), n.core.ID()) {
+		return nil
+	}
+	n.log.Info("log is founded", "replicas", describe(n.founders))
+	return n.perform(n.install(n.founders))
+}
+
+func replicaIDs(m *wire.Membership) []string {
+	var out []string
+	for _, r := range m.GetReplicas() {
+		out = append(out, r.GetId())
+	}
+	return out
+}
+
 func (n *Node) tick() error {
 	actions := n.core.Tick(n.timers.Now())
-	actions = append(actions, n.promote()...)
+	actions = append(actions, n.steward()...)
 	return n.perform(actions)
 }
 
@@ -266,6 +296,9 @@
 		if outcome.Delta != nil {
 			n.publish(outcome.Delta)
 		}
+		if outcome.Document != nil {
+			n.board.Post(n.state.Document())
+		}
 		n.settle(e, outcome)
 	}
 	return nil
@@ -313,6 +346,7 @@
 	}
 	n.state = state
 	n.applied = s.GetIndex()
+	n.board.Post(state.Document())
 	if state.Version() > n.published.Version() {
 		if err := n.published.Reset(state.Version(), config.TextSections(state.Texts())); err != nil {
 			n.log.Error(err, "restored configuration cannot be read", "version", state.Version())
@@ -337,24 +371,32 @@
 	return nil
 }
 
-// promote makes a learner a voter once it has nearly all records.
-func (n *Node) promote() []replog.Action {
-	if n.core.Role() != replog.Leader {
+// steward proposes the next step of the membership, if there is one.
+func (n *Node) steward() []replog.Action {
+	next := n.core.Steward(n.timers.Now())
+	if next == nil {
 		return nil
 	}
-	membership := n.core.Membership()
-	for i, r := range membership.GetReplicas() {
-		if !r.GetLearner() || n.core.MatchIndex(r.GetId())+promoteBehind < n.core.Commit() || n.core.MatchIndex(r.GetId()) == 0 {
-			continue
-		}
-		next := cloneMembership(membership)
-		next.Replicas[i].Learner = false
-		if _, actions, err := n.core.ProposeMembership(n.timers.Now(), next); err == nil {
-			n.log.Info("learner becomes a voter", "replica", r.GetName())
-			return actions
+	_, actions, err := n.core.ProposeMembership(n.timers.Now(), next)
+	if err != nil {
+		n.log.Error(err, "membership step cannot be proposed")
+		return nil
+	}
+	n.log.Info("membership changes", "replicas", describe(next), "term", n.core.Term())
+	return actions
+}
+
+// describe lists the replicas of a membership for logs.
+func describe(m *wire.Membership) []string {
+	var out []string
+	for _, r := range m.GetReplicas() {
+		part := "voter"
+		if r.GetLearner() {
+			part = "learner"
 		}
+		out = append(out, r.GetId()+"@"+r.GetAddress()+" "+part)
 	}
-	return nil
+	return out
 }
 
 func cloneMembership(m *wire.Membership) *wire.Membership {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -2,16 +2,17 @@
 
 import (
 	"context"
-	"net/netip"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
 	"github.com/vanillaward/vanillaward"
 	"github.com/vanillaward/vanillaward/internal/config"
+	"github.com/vanillaward/vanillaward/internal/inifile"
 	"github.com/vanillaward/vanillaward/internal/peer"
 	"github.com/vanillaward/vanillaward/internal/replog"
 	"github.com/vanillaward/vanillaward/internal/wire"
@@ -30,12 +31,15 @@
 
 // Service answers the calls of instances and operators.
 type Service struct {
-	ctx     context.Context //nolint:containedctx // net/rpc methods take none
-	node    *Node
-	store   *config.Store
-	timers  vanillaward.Timers
-	creds   *peer.Credentials
-	traffic *peer.Traffic
+	ctx    context.Context //nolint:containedctx // net/rpc methods take none
+	node   *Node
+	store  *config.Store
+	timers vanillaward.Timers
+	peers  *peer.Pool
+	board  *Board
+	log    logr.Logger
+	name   string
+	self   string // peer address of this replica
 
 	mu       sync.Mutex // guards watchers; never held while another lock is taken
 	watchers map[string]watcher
@@ -49,12 +53,12 @@
 	behind  time.Duration // since when it lacks the version held here; 0 when it does not
 }
 
-// NewService returns the receiver of calls to the node. Store holds the versions
-// that the node publishes.
-func NewService(ctx context.Context, node *Node, store *config.Store, timers vanillaward.Timers, creds *peer.Credentials, traffic *peer.Traffic) *Service {
+// NewService returns the receiver of calls to the node, which is the replica self.
+// Store holds the versions that the node publishes.
+func NewService(ctx context.Context, node *Node, store *config.Store, timers vanillaward.Timers, peers *peer.Pool, self inifile.Peer) *Service {
 	return &Service{
-		ctx: ctx, node: node, store: store, timers: timers, creds: creds, traffic: traffic,
-		watchers: map[string]watcher{},
+		ctx: ctx, node: node, store: store, timers: timers, peers: peers, board: node.board, log: node.log,
+		name: self.Name, self: self.Address.String(), watchers: map[string]watcher{},
 	}
 }
 
@@ -238,12 +242,10 @@
 }
 
 func (s *Service) askWatchers(ctx context.Context, address string) []*wire.InstanceStatus {
-	at, err := netip.ParseAddrPort(address)
+	client, err := s.peers.Client(address)
 	if err != nil {
 		return nil
 	}
-	client := peer.NewClient(at, s.creds, s.traffic)
-	defer client.Close()
 	answer := &wire.WatchersResponse{}
 	if err := client.Call(ctx, "Control.Watchers", &wire.Empty{}, answer); err != nil {
 		return nil
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -31,6 +31,8 @@
 	byID    map[string]*wire.KnownChange
 	domains map[string]*wire.OpenDomain
 	orders  map[string]*wire.OrderStep
+	// document is the configuration with the highest number, or nil
+	document *wire.Document
 }
 
 // NewState returns the state before the first change.
@@ -81,6 +83,8 @@
 	Delta *wire.Delta
 	// Domain is the answer to the opening of a failure domain.
 	Domain *wire.OpenDomainResult
+	// Document is the answer to an offered document.
+	Document *wire.DocumentResult
 }
 
 // Apply executes the command of the record at the given index.
@@ -96,6 +100,8 @@
 		return s.openDomain(command.GetOpenDomain()), nil
 	case command.GetOrderStep() != nil:
 		s.recordOrder(index, command.GetOrderStep())
+	case command.GetDocument() != nil:
+		return s.offerDocument(command.GetDocument()), nil
 	}
 	return Outcome{}, nil
 }
@@ -181,6 +187,18 @@
 	s.orders[o.GetTarget()] = step
 }
 
+// Document returns the document in force, or nil before the first.
+func (s *State) Document() *wire.Document { return s.document }
+
+// offerDocument puts a document in force if its number is the highest so far.
+func (s *State) offerDocument(d *wire.Document) Outcome {
+	if d.GetNumber() > s.document.GetNumber() {
+		s.document = d
+	}
+	installed := proto.Equal(s.document, d)
+	return Outcome{Document: &wire.DocumentResult{Number: s.document.GetNumber(), Installed: installed}}
+}
+
 // ChangeDigest identifies the content of a change, so that a resend is told from
 // a reused identity. The time of the proposal is not part of the content.
 func ChangeDigest(c *wire.Change) []byte {
@@ -199,7 +217,7 @@
 func (s *State) Snapshot() ([]byte, error) {
 	out := &wire.ControlState{
 		Version: s.version, Sections: config.TextSections(s.texts),
-		History: s.history, Known: s.known, Orders: s.Orders(),
+		History: s.history, Known: s.known, Orders: s.Orders(), Document: s.document,
 	}
 	names := make([]string, 0, len(s.domains))
 	for name := range s.domains {
@@ -220,6 +238,7 @@
 	}
 	s := NewState()
 	s.version, s.history, s.known = in.GetVersion(), in.GetHistory(), in.GetKnown()
+	s.document = in.GetDocument()
 	config.EditTexts(s.texts, in.GetSections())
 	for _, k := range s.known {
 		s.byID[k.GetIdentity()] = k
--- /dev/null
+++ b/internal/follow/follower.go
@@ -0,0 +1,275 @@
+// Package follow keeps an instance up to date with what the control replicas
+// have: the configuration document in force and the list of targets.
+package follow
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/vanillaward/vanillaward"
+	"github.com/vanillaward/vanillaward/internal/control"
+	"github.com/vanillaward/vanillaward/internal/peer"
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+const (
+	// sources is how many replicas an instance follows at once, so that one that
+	// is cut off does not leave it behind.
+	sources = 2
+	// holdQuestion is how long a replica may hold a question.
+	holdQuestion = 900 * time.Millisecond
+	// answerMargin is how much later than that an answer may come.
+	answerMargin = 300 * time.Millisecond
+	// failurePause is the pause after a replica failed.
+	failurePause = 100 * time.Millisecond
+	// listValid is how old a list may be to count beside a newer one.
+	listValid = 5 * time.Second
+)
+
+// Sink takes what the follower learns.
+type Sink interface {
+	// Number returns the number of the document held, 0 for none.
+	Number() uint64
+	// Install takes a document. It is not called concurrently.
+	Install(d *wire.Document) error
+	// UpdateTargets takes a list of targets.
+	UpdateTargets(list []*wire.Target)
+}
+
+// Follower follows replicas, starting from seeds.
+type Follower struct {
+	log    logr.Logger
+	timers vanillaward.Timers
+	peers  *peer.Pool
+	name   string
+	domain string
+	seeds  func() []string
+	sink   Sink
+
+	mu       sync.Mutex // guards the rest; held while the sink is called
+	replicas []string
+	taken    map[string]bool // replicas that are followed now
+	lists    map[string]*list
+	lost     bool
+}
+
+// list is what one replica told of the targets.
+type list struct {
+	epoch   uint64
+	version uint64
+	readAt  time.Duration
+	targets []*wire.Target
+}
+
+// New returns a follower for the named instance in a failure domain. Seeds
+// returns peer addresses of some replicas.
+func New(log logr.Logger, timers vanillaward.Timers, peers *peer.Pool, name, domain string, seeds func() []string, sink Sink) *Follower {
+	return &Follower{
+		log: log, timers: timers, peers: peers, name: name, domain: domain, seeds: seeds, sink: sink,
+		taken: map[string]bool{}, lists: map[string]*list{},
+	}
+}
+
+// Run follows replicas until the context ends and reports its end on the returned
+// channel.
+func (f *Follower) Run(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		var following sync.WaitGroup
+		for i := range sources {
+			following.Go(func() { f.followSome(ctx, i) })
+		}
+		following.Wait()
+		done <- nil
+	}()
+	return done
+}
+
+// followSome follows one replica after another. Start spreads the followers.
+func (f *Follower) followSome(ctx context.Context, start int) {
+	for next := start; ctx.Err() == nil; next++ {
+		address := f.take(next)
+		if address != "" {
+			f.follow(ctx, address)
+			f.release(address)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(failurePause):
+		}
+	}
+}
+
+// take returns a replica that is not followed yet, or the empty string.
+func (f *Follower) take(next int) string {
+	seeds := f.seeds()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := slices.Clone(f.replicas)
+	for _, s := range seeds {
+		if !slices.Contains(known, s) {
+			known = append(known, s)
+		}
+	}
+	for i := range known {
+		address := known[(next+i)%len(known)]
+		if !f.taken[address] {
+			f.taken[address] = true
+			return address
+		}
+	}
+	return ""
+}
+
+func (f *Follower) release(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.taken, address)
+}
+
+// follow follows a replica until it fails or is behind its leader.
+func (f *Follower) follow(ctx context.Context, address string) {
+	client, err := f.peers.Client(address)
+	if err != nil {
+		f.log.Error(err, "replica has no usable address", "address", address)
+		return
+	}
+	for first := true; ctx.Err() == nil; first = false {
+		answer, err := f.ask(ctx, client, address, first)
+		if err != nil {
+			f.noteLost(address, err)
+			return
+		}
+		f.learn(address, answer, first)
+		if !answer.GetFresh() {
+			f.log.V(1).Info("replica is behind its leader", "replica", address)
+			return
+		}
+	}
+}
+
+func (f *Follower) ask(ctx context.Context, client *peer.Client, address string, first bool) (*wire.FollowResponse, error) {
+	request := &wire.FollowRequest{
+		Instance: f.name, FailureDomain: f.domain, Document: f.sink.Number(), WaitMs: uint64(holdQuestion.Milliseconds()),
+	}
+	if first {
+		request.WaitMs = 0
+	}
+	f.mu.Lock()
+	if l := f.lists[address]; l != nil {
+		request.ListEpoch, request.ListVersion = l.epoch, l.version
+	}
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, holdQuestion+answerMargin)
+	defer cancel()
+	answer := &wire.FollowResponse{}
+	return answer, client.Call(ctx, control.MethodFollow, request, answer)
+}
+
+func (f *Follower) noteLost(address string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.taken) <= 1 && !f.lost {
+		f.lost = true
+		f.log.Info("control replicas lost", "replica", address, "reason", err.Error(), "number", f.sink.Number())
+	}
+}
+
+// learn takes an answer.
+func (f *Follower) learn(address string, answer *wire.FollowResponse, first bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lost {
+		f.lost = false
+		f.log.Info("control replicas regained", "replica", address)
+	} else if first {
+		f.log.Info("following replica", "replica", address, "fresh", answer.GetFresh())
+	}
+	if len(answer.GetReplicas()) > 0 {
+		f.replicas = usable(answer.GetReplicas())
+	}
+	if d := answer.GetDocument(); d != nil {
+		if err := f.sink.Install(d); err != nil {
+			f.log.Error(err, "document cannot be put in force", "number", d.GetNumber())
+		}
+	}
+	f.learnList(address, answer)
+}
+
+func usable(addresses []string) []string {
+	var out []string
+	for _, a := range addresses {
+		if _, err := netip.ParseAddrPort(a); err == nil {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// learnList is called with the lock held.
+func (f *Follower) learnList(address string, answer *wire.FollowResponse) {
+	if answer.GetListVersion() == 0 {
+		return
+	}
+	l := f.lists[address]
+	if l == nil {
+		l = &list{}
+		f.lists[address] = l
+	}
+	l.readAt = f.timers.Now() - time.Duration(answer.GetListAgeMs())*time.Millisecond
+	if !answer.GetListChanged() {
+		return
+	}
+	l.epoch, l.version, l.targets = answer.GetListEpoch(), answer.GetListVersion(), answer.GetTargets()
+	merged := merge(f.lists)
+	f.log.Info("targets", "replica", address, "age-ms", answer.GetListAgeMs(), "ready", ready(merged), "listed", len(merged))
+	f.sink.UpdateTargets(merged)
+}
+
+// merge returns the newest list, in which a target is leaving when any list of
+// about the same age says so.
+func merge(lists map[string]*list) []*wire.Target {
+	var newest *list
+	for _, l := range lists {
+		if newest == nil || l.readAt > newest.readAt {
+			newest = l
+		}
+	}
+	leaving := map[string]bool{}
+	for _, l := range lists {
+		if newest.readAt-l.readAt > listValid {
+			continue
+		}
+		for _, t := range l.targets {
+			if t.GetState() == wire.TargetState_TARGET_STATE_LEAVING {
+				leaving[t.GetId()] = true
+			}
+		}
+	}
+	out := make([]*wire.Target, 0, len(newest.targets))
+	for _, t := range newest.targets {
+		if leaving[t.GetId()] && t.GetState() == wire.TargetState_TARGET_STATE_READY {
+			t = &wire.Target{
+				Id: t.GetId(), Service: t.GetService(), Address: t.GetAddress(), FailureDomain: t.GetFailureDomain(),
+				Slots: t.GetSlots(), State: wire.TargetState_TARGET_STATE_LEAVING, ColdMs: t.GetColdMs(),
+			}
+		}
+		out = append(out, t)
+	}
+	return out
+}
+
+func ready(list []*wire.Target) int {
+	n := 0
+	for _, t := range list {
+		if t.GetState() == wire.TargetState_TARGET_STATE_READY {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/gateway/server.go
@@ -0,0 +1,249 @@
+// Package gateway serves callers' requests by a routing table: it finds the
+// target of each request, passes it on unchanged and gives the caller the
+// target's whole answer or a truthful refusal.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/vanillaward/vanillaward"
+	"github.com/vanillaward/vanillaward/internal/balance"
+	"github.com/vanillaward/vanillaward/internal/base"
+	"github.com/vanillaward/vanillaward/internal/retry"
+	"github.com/vanillaward/vanillaward/internal/route"
+	"github.com/vanillaward/vanillaward/internal/settings"
+	"github.com/vanillaward/vanillaward/internal/upstream"
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+const (
+	// expireInterval is how often idle connections to targets are looked at.
+	expireInterval = time.Second
+	// maxIdleConns bounds the idle connections to one target.
+	maxIdleConns = 4
+	// defaultHeaderBytes bounds a request's head before a configuration is known,
+	// and headerSlack is what net/http allows beyond its bound.
+	defaultHeaderBytes = 64 << 10
+	// slowestHeader and longestIdle bound callers' connections before a
+	// configuration is known.
+	slowestHeader = 10 * time.Second
+	longestIdle   = 60 * time.Second
+)
+
+// Decoder turns the body of a document into a configuration.
+type Decoder func(body []byte) (*route.Spec, error)
+
+// Server is the gateway of one instance.
+type Server struct {
+	base     base.Base
+	settings settings.Gateway
+	dialect  vanillaward.Dialect
+	decode   Decoder
+	pool     *upstream.Pool
+
+	table    atomic.Pointer[route.Table]
+	open     atomic.Int64 // requests that are being served
+	admitted atomic.Bool  // whether the instance may be ready
+	stopping atomic.Bool
+
+	mu       sync.Mutex // guards the rest; never held while another lock is taken
+	balancer *balance.Balancer
+	budgets  map[string]*retry.Budget
+	random   *rand.Rand
+}
+
+// New returns a gateway that does not know any configuration yet.
+func New(b base.Base, dialect vanillaward.Dialect, decode Decoder, seed uint64) *Server {
+	s := b.Settings.Gateway
+	random := rand.New(rand.NewPCG(seed, 0))
+	g := &Server{
+		base: b, settings: s, dialect: dialect, decode: decode,
+		pool:     upstream.NewPool(s.DialTimeout, maxIdleConns),
+		balancer: balance.New(b.Settings.Instance.FailureDomain, random),
+		budgets:  map[string]*retry.Budget{}, random: random,
+	}
+	b.Metrics.Gauge("vanillaward_gateway_open_requests", func() float64 { return float64(g.open.Load()) })
+	b.Metrics.Gauge("vanillaward_gateway_configuration_number", func() float64 { return float64(g.Number()) })
+	return g
+}
+
+// Number returns the number of the configuration in force here, 0 for none.
+func (g *Server) Number() uint64 {
+	if t := g.table.Load(); t != nil {
+		return t.Number()
+	}
+	return 0
+}
+
+// Install puts a document in force if its number is higher than that of the one
+// in force. It must not be called concurrently.
+func (g *Server) Install(d *wire.Document) error {
+	if d.GetNumber() <= g.Number() {
+		return nil
+	}
+	spec, err := g.decode(d.GetBody())
+	if err != nil {
+		return err
+	}
+	table, found := route.Build(spec)
+	if err := found.Err(); err != nil {
+		return err
+	}
+	if table.Number() != d.GetNumber() {
+		return errors.Errorf("document %d holds configuration %d", d.GetNumber(), table.Number())
+	}
+	g.table.Store(table)
+	g.base.Log.Info("configuration in force", "number", table.Number(), "bytes", len(d.GetBody()))
+	return nil
+}
+
+// UpdateTargets takes a list of targets.
+func (g *Server) UpdateTargets(list []*wire.Target) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.Update(list, g.base.Timers.Now())
+}
+
+// Ready reports whether the instance should be sent new connections: it knows a
+// configuration and the targets and does not stop.
+func (g *Server) Ready() bool {
+	if g.table.Load() == nil || g.stopping.Load() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.balancer.Listed()
+}
+
+// Run serves callers until Stop has ended and reports the end on the returned
+// channel.
+func (g *Server) Run(ctx context.Context, listener net.Listener, stop <-chan struct{}) <-chan error {
+	server := &http.Server{
+		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: slowestHeader, IdleTimeout: longestIdle,
+		MaxHeaderBytes: defaultHeaderBytes, ErrorLog: nil, ConnContext: withConn,
+	}
+	done := make(chan error, 1)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		g.await(ctx, stop)
+		_ = server.Close() // what is still open is given up
+	}()
+	go func() {
+		err := server.Serve(listener)
+		<-ended
+		if errors.Is(err, http.ErrServerClosed) {
+			err = nil
+		}
+		done <- err
+	}()
+	go g.expire(ctx, ended)
+	return done
+}
+
+// await returns when the gateway has stopped: after stop is closed it goes on
+// serving until the balancer has seen that it is not ready and no request is
+// open, or until the bound on stopping.
+func (g *Server) await(ctx context.Context, stop <-chan struct{}) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-stop:
+	}
+	g.stopping.Store(true)
+	start := g.base.Timers.Now()
+	g.base.Log.Info("stopping", "open-requests", g.open.Load())
+	for range g.base.Timers.Subscribe(ctx, stopCheck) {
+		waited := g.base.Timers.Now() - start
+		if waited >= g.settings.StopBound || waited >= g.settings.StopDelay && g.open.Load() == 0 {
+			break
+		}
+	}
+	g.base.Log.Info("stopped serving", "open-requests", g.open.Load())
+}
+
+// stopCheck is how often a stopping gateway looks whether it is done.
+const stopCheck = 50 * time.Millisecond
+
+func (g *Server) expire(ctx context.Context, ended <-chan struct{}) {
+	ticks := g.base.Timers.Subscribe(ctx, expireInterval)
+	for {
+		select {
+		case <-ended:
+			return
+		case _, ok := <-ticks:
+			if !ok {
+				return
+			}
+			g.pool.Expire()
+		}
+	}
+}
+
+// mayRepeat asks the retry budget of a service.
+func (g *Server) mayRepeat(service string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget(service).Allow(g.base.Timers.Now())
+}
+
+// countRequest counts a request for the retry budget of its service.
+func (g *Server) countRequest(service string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget(service).Request(g.base.Timers.Now())
+}
+
+// budget is called with the lock held.
+func (g *Server) budget(service string) *retry.Budget {
+	b := g.budgets[service]
+	if b == nil {
+		b = retry.New(g.settings.RetryWindow, g.settings.RetryRatio, g.settings.RetrySpare)
+		g.budgets[service] = b
+	}
+	return b
+}
+
+// begin chooses a target and counts the request there.
+func (g *Server) begin(service string, avoid []string) *balance.Target {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := g.balancer.Choose(service, avoid, g.base.Timers.Now())
+	if t != nil {
+		g.balancer.Begin(t)
+	}
+	return t
+}
+
+func (g *Server) end(t *balance.Target, result balance.Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.End(t, result, g.base.Timers.Now())
+}
+
+func (g *Server) leave(t *balance.Target) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.Leave(t)
+}
+
+func (g *Server) draw() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.random.Float64()
+}
+
+type connKey struct{}
+
+// withConn keeps the caller's connection for the bounds on it.
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -38,6 +38,7 @@
 // Instance is one process of the system.
 type Instance struct {
 	base     base.Base
+	logs     *telemetry.Writer
 	store    *config.Store
 	server   *peer.Server
 	node     *control.Node
@@ -50,20 +51,26 @@
 
 // New prepares an instance with the given settings.
 func New(s *settings.Settings) (*Instance, error) {
-	creds, err := peer.LoadCredentials(s.Instance.Credentials)
-	if err != nil {
-		return nil, err
+	creds := peer.PlainCredentials()
+	if s.Instance.Credentials != "" {
+		var err error
+		if creds, err = peer.LoadCredentials(s.Instance.Credentials); err != nil {
+			return nil, err
+		}
 	}
 	debug.SetMemoryLimit(int64(s.Instance.MemoryTarget))
 	traffic := &peer.Traffic{}
-	log := telemetry.NewLog(os.Stderr, s.Log.Level).WithValues("instance", s.Instance.Name)
+	logs := telemetry.NewWriter(os.Stdout)
+	log := telemetry.NewLog(logs, s.Log.Level).WithValues("instance", s.Instance.Name)
 	i := &Instance{
 		base: base.Base{
 			Log: log, Settings: s, Timers: timer.New(), Credentials: creds, Traffic: traffic, Metrics: telemetry.NewMetrics(),
 		},
+		logs:   logs,
 		store:  config.NewStore(),
 		server: peer.NewServer(log, creds, traffic),
 	}
+	i.base.Metrics.Gauge("vanillaward_log_lines_dropped", func() float64 { return float64(logs.Dropped()) })
 	i.base.Metrics.Gauge("vanillaward_peer_sent_bytes", func() float64 { return float64(traffic.Sent()) })
 	i.base.Metrics.Gauge("vanillaward_peer_received_bytes", func() float64 { return float64(traffic.Received()) })
 	return i, i.openTrace()
@@ -85,6 +92,15 @@
 // Run runs the instance until stop is closed, then stops it gracefully. Ending
 // the context stops it at once.
 func (i *Instance) Run(ctx context.Context, stop <-chan struct{}) error {
+	defer i.logs.Close()
+	if len(i.base.Settings.Control.Seeds) > 0 {
+		return i.runSeeded(ctx, stop)
+	}
+	return i.runListed(ctx, stop)
+}
+
+// runListed runs an instance whose settings list the replicas.
+func (i *Instance) runListed(ctx context.Context, stop <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	listeners, err := i.listen()
@@ -202,7 +218,7 @@
 	timing := replog.Timing{Heartbeat: s.Control.Heartbeat, Election: s.Control.Election, Margin: s.Control.ClockMargin}
 	i.node = control.NewNode(log, disk, i.base.Timers, transport, published, once.NewIdentity()[:replicaIDLength], seed(),
 		control.WithTiming(timing), control.WithSnapshotEvery(s.Control.SnapshotEvery))
-	service := control.NewService(ctx, i.node, published, i.base.Timers, i.base.Credentials, i.base.Traffic)
+	service := control.NewService(ctx, i.node, published, i.base.Timers, peer.NewPool(i.base.Credentials, i.base.Traffic), i.self())
 	service.Register(i.server)
 	issuer := orders.NewIssuer(log, i.node, i.base.Timers, timing, s.Instance.Name)
 	sent := make(chan error, 1)
@@ -252,17 +268,7 @@
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: healthHeaderTimeout}
-	done := make(chan error, 1)
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	go func() {
-		defer stop()
-		err := server.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			err = nil
-		}
-		done <- err
-	}()
-	return done
+	return serveHTTP(ctx, listener, server)
 }
 
 // readiness fails while the instance should not be sent requests. With
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"net"
 	"net/netip"
 	"net/rpc"
 	"sync"
@@ -82,8 +80,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	dialer := &tls.Dialer{NetDialer: &net.Dialer{}, Config: c.creds.client()}
-	conn, err := dialer.DialContext(ctx, "tcp", c.address.String())
+	conn, err := c.creds.dial(ctx, c.address.String())
 	if err != nil {
 		return nil, errors.Wrapf(ErrUnreachable, "%s: %v", c.address, err)
 	}
--- a/internal/peer/credentials.go
+++ b/internal/peer/credentials.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -9,6 +10,7 @@
 	"crypto/x509/pkix"
 	"encoding/pem"
 	"math/big"
+	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -26,6 +28,7 @@
 // without a restart.
 type Credentials struct {
 	folder string
+	plain  bool
 
 	mu     sync.Mutex // guards the rest; never held while another lock is taken
 	stamp  time.Time
@@ -63,6 +66,31 @@
 	return c, nil
 }
 
+// PlainCredentials are those of a deployment whose network nobody else reaches:
+// connections between its processes are neither encrypted nor authenticated, and
+// every peer is taken for an instance.
+func PlainCredentials() *Credentials { return &Credentials{plain: true} }
+
+// dial connects to a peer.
+func (c *Credentials) dial(ctx context.Context, address string) (net.Conn, error) {
+	if c.plain {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}
+	return (&tls.Dialer{NetDialer: &net.Dialer{}, Config: c.client()}).DialContext(ctx, "tcp", address)
+}
+
+// accepted makes sure who is at the other side of an incoming connection.
+func (c *Credentials) accepted(ctx context.Context, conn net.Conn) (net.Conn, Caller, error) {
+	if c.plain {
+		return conn, Caller{name: conn.RemoteAddr().String(), role: RoleInstance}, nil
+	}
+	secure := tls.Server(conn, c.server())
+	if err := secure.HandshakeContext(ctx); err != nil {
+		return nil, Caller{}, err
+	}
+	return secure, callerOf(secure.ConnectionState()), nil
+}
+
 // current returns the certificate and the trusted authorities. When changed
 // files cannot be read, the previous ones stay in use.
 func (c *Credentials) current() (*tls.Certificate, *x509.CertPool, error) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -86,15 +86,15 @@
 		return
 	}
 	defer s.untrack(conn)
-	secure := tls.Server(conn, s.creds.server())
 	handshake, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	if err := secure.HandshakeContext(handshake); err != nil {
+	secure, caller, err := s.creds.accepted(handshake, conn)
+	if err != nil {
 		s.log.Info("peer refused", "address", conn.RemoteAddr().String(), "reason", err.Error())
 		_ = conn.Close()
 		return
 	}
-	calls, err := s.receivers(callerOf(secure.ConnectionState()))
+	calls, err := s.receivers(caller)
 	if err != nil {
 		s.log.Error(err, "receiver cannot be registered")
 		_ = conn.Close()
--- /dev/null
+++ b/internal/route/spec.go
@@ -0,0 +1,169 @@
+// Package route holds the routing table of a gateway: which requests go to which
+// service, whose keys are valid, and what bounds apply.
+package route
+
+import (
+	"time"
+
+	"github.com/vanillaward/vanillaward/pkg/finding"
+)
+
+// Kind tells what may be repeated.
+type Kind int
+
+// Kinds of requests.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = iota
+	// Once requests run at most once for each attempt of a caller.
+	Once
+	// Stream requests run at most once and are answered as a series of events.
+	Stream
+)
+
+// String returns the kind's name in logs.
+func (k Kind) String() string { return [...]string{"idempotent", "once", "stream"}[k] }
+
+// Spec is a whole configuration as it is decoded. Its fields are exported since
+// decoders fill them; Build checks them and makes a Table.
+type Spec struct {
+	Number        uint64
+	Routes        []RouteSpec
+	Services      []ServiceSpec
+	Organisations []OrganisationSpec
+	Limits        Limits
+}
+
+// RouteSpec is one route.
+type RouteSpec struct {
+	Name      string
+	Host      string
+	Prefix    string
+	Kind      Kind
+	KindKnown bool
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration
+	// Objective is the time to the answer, or to a stream's first event, that
+	// callers expect.
+	Objective time.Duration
+	// Rank orders routes; 0 goes first.
+	Rank int
+	// Attempts is the number of targets that one request may be sent to.
+	Attempts int
+	// Public routes need no key.
+	Public bool
+	// Generation marks requests that an engine runs in its batch.
+	Generation bool
+	Shares     []Share
+}
+
+// Share is the part of a route's requests that a service gets, relative to the
+// other shares.
+type Share struct {
+	Service string
+	Weight  float64
+}
+
+// ServiceSpec is one service.
+type ServiceSpec struct {
+	Name string
+	// Connections is the number of connections that one target accepts from all
+	// instances together.
+	Connections int
+	// Slots is the number of generations that an engine runs at once; 0 for
+	// plain services.
+	Slots int
+	// MemoryTokens is the size of an engine's key-value cache.
+	MemoryTokens int
+}
+
+// OrganisationSpec is one organisation with its keys.
+type OrganisationSpec struct {
+	Name string
+	Keys []string
+	// Rank orders organisations; 0 goes first.
+	Rank int
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	// HeaderBytes bounds the size of a request's head.
+	HeaderBytes int
+	// BodyBytes bounds the size of a request's body.
+	BodyBytes int64
+	// HeaderTime bounds how long a request's head may take.
+	HeaderTime time.Duration
+	// IdleTime is how long a caller's connection may be idle.
+	IdleTime time.Duration
+}
+
+// source names the configuration in findings, which have no line there.
+const source = "configuration"
+
+// check returns everything that makes a configuration unusable.
+func (s *Spec) check() finding.List {
+	var found finding.List
+	if s.Number == 0 {
+		found.Add(source, 0, "number", "missing or 0")
+	}
+	services := map[string]bool{}
+	for _, v := range s.Services {
+		if v.Name == "" || services[v.Name] {
+			found.Add(source, 0, "services", "%q stands twice or has no name", v.Name)
+		}
+		services[v.Name] = true
+	}
+	s.checkRoutes(services, &found)
+	s.checkKeys(&found)
+	return found
+}
+
+func (s *Spec) checkRoutes(services map[string]bool, found *finding.List) {
+	places := map[[2]string]string{}
+	for i := range s.Routes {
+		r := &s.Routes[i]
+		place := [2]string{r.Host, r.Prefix}
+		if other, taken := places[place]; taken {
+			found.Add(source, 0, r.Name, "same host and prefix as %s", other)
+		}
+		places[place] = r.Name
+		if r.Timeout <= 0 {
+			found.Add(source, 0, r.Name, "no timeout")
+		}
+		if !r.KindKnown {
+			found.Add(source, 0, r.Name, "unknown kind")
+		}
+		if len(r.Prefix) == 0 || r.Prefix[0] != '/' || r.Prefix[len(r.Prefix)-1] != '/' {
+			found.Add(source, 0, r.Name, "prefix %q does not begin and end with a slash", r.Prefix)
+		}
+		checkShares(r, services, found)
+	}
+}
+
+func checkShares(r *RouteSpec, services map[string]bool, found *finding.List) {
+	sum := 0.0
+	for _, share := range r.Shares {
+		if !services[share.Service] {
+			found.Add(source, 0, r.Name, "unknown service %q", share.Service)
+		}
+		if share.Weight < 0 {
+			found.Add(source, 0, r.Name, "negative weight")
+		}
+		sum += share.Weight
+	}
+	if sum <= 0 {
+		found.Add(source, 0, r.Name, "the weights of its services add up to 0")
+	}
+}
+
+func (s *Spec) checkKeys(found *finding.List) {
+	owners := map[string]string{}
+	for _, o := range s.Organisations {
+		for _, key := range o.Keys {
+			if other, taken := owners[key]; taken && other != o.Name {
+				found.Add(source, 0, o.Name, "has a key of %s", other)
+			}
+			owners[key] = o.Name
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,7 +16,9 @@
 
 // Roles that an instance can carry.
 const (
-	RoleEntry   = "entry"
+	RoleEntry = "entry"
+	// RoleGateway serves callers by a routing table.
+	RoleGateway = "gateway"
 	RoleControl = "control"
 )
 
@@ -31,6 +33,7 @@
 	Listen   Listen
 	Control  Control
 	Entry    Entry
+	Gateway  Gateway
 	Platform Platform
 	Log      Log
 
@@ -42,28 +45,32 @@
 type Instance struct {
 	Name          string        `ini:"name" required:"true" doc:"Name of the instance, unique in the deployment."`
 	FailureDomain string        `ini:"failure-domain" required:"true" doc:"Failure domain that the instance runs in."`
-	Roles         []string      `ini:"roles" required:"true" doc:"Roles of the instance: entry, control or both."`
+	Roles         []string      `ini:"roles" required:"true" doc:"Roles of the instance: entry or gateway, control or both."`
 	DataFolder    string        `ini:"data-folder" doc:"Folder for durable state. Required for the role control; its disk must honour syncs."`
-	Credentials   string        `ini:"credentials" required:"true" doc:"Folder with instance.crt, instance.key and authority.crt. Changed files are used for the next connection."`
+	Credentials   string        `ini:"credentials" doc:"Folder with instance.crt, instance.key and authority.crt. Changed files are used for the next connection. Empty: connections between the system's own processes are neither encrypted nor authenticated, for a network that nobody else reaches; the role entry needs credentials."`
 	MemoryTarget  inifile.Bytes `ini:"memory-target" default:"112MiB" min:"16777216" doc:"Memory that the garbage collector tries to stay below. It is no bound: open requests are bounded by max-open and whole-memory."`
 }
 
 // Listen holds the instance's own addresses.
 type Listen struct {
-	Callers netip.AddrPort `ini:"callers" doc:"Address for callers' requests. Required for the role entry."`
-	Peers   netip.AddrPort `ini:"peers" required:"true" doc:"Address for the system's own processes and for operators."`
-	Health  netip.AddrPort `ini:"health" required:"true" doc:"Address for /healthz, /readyz and /metrics."`
+	Callers   netip.AddrPort `ini:"callers" doc:"Address for callers' requests. Required for the roles entry and gateway."`
+	Readiness netip.AddrPort `ini:"readiness" doc:"Address at which the platform's balancer asks whether the instance is ready. Required for the role gateway."`
+	Operators netip.AddrPort `ini:"operators" doc:"Address for the platform's operator. Without it the role control takes changes from the command line only."`
+	Peers     netip.AddrPort `ini:"peers" required:"true" doc:"Address for the system's own processes and for operators."`
+	Health    netip.AddrPort `ini:"health" required:"true" doc:"Address for /healthz, /readyz and /metrics."`
 }
 
 // Control names the replicas of the configuration and its timing.
 type Control struct {
-	Replicas      []inifile.Peer `ini:"replicas" required:"true" doc:"Instances that replicate the configuration."`
-	DomainPeers   []inifile.Peer `ini:"domain-peers" doc:"Other instances of the failure domain, which hand on the configuration while no replica can be reached."`
-	Heartbeat     time.Duration  `ini:"heartbeat" default:"250ms" min:"1000000" doc:"Interval between a leader's heartbeats."`
-	Election      time.Duration  `ini:"election-timeout" default:"750ms" min:"10000000" doc:"Shortest silence of the leader after which a replica campaigns."`
-	ClockMargin   time.Duration  `ini:"clock-margin" default:"100ms" doc:"Part of the leader's lease that covers clocks of different rates."`
-	SnapshotEvery int            `ini:"snapshot-every" default:"1000" min:"10" doc:"Number of log records after which a snapshot is taken."`
-	WatchWait     time.Duration  `ini:"watch-wait" default:"4s" min:"100000000" doc:"Longest wait of an instance for a new version before it asks again; also the interval at which it is seen to be alive."`
+	Replicas      []inifile.Peer   `ini:"replicas" doc:"Instances that replicate the configuration. Either these or seeds are required."`
+	Seeds         []netip.AddrPort `ini:"seeds" doc:"Addresses of some replicas, from which the others are learned. Only the IP numbers count: all instances listen for peers at the same port. Replicas then join and leave the log by themselves. Read again when the file changes."`
+	FoundLog      bool             `ini:"found-log" default:"false" doc:"Whether the seeds are the first replicas of a new log. Only for the first start of a deployment, with empty data folders."`
+	DomainPeers   []inifile.Peer   `ini:"domain-peers" doc:"Other instances of the failure domain, which hand on the configuration while no replica can be reached."`
+	Heartbeat     time.Duration    `ini:"heartbeat" default:"250ms" min:"1000000" doc:"Interval between a leader's heartbeats."`
+	Election      time.Duration    `ini:"election-timeout" default:"750ms" min:"10000000" doc:"Shortest silence of the leader after which a replica campaigns."`
+	ClockMargin   time.Duration    `ini:"clock-margin" default:"100ms" doc:"Part of the leader's lease that covers clocks of different rates."`
+	SnapshotEvery int              `ini:"snapshot-every" default:"1000" min:"10" doc:"Number of log records after which a snapshot is taken."`
+	WatchWait     time.Duration    `ini:"watch-wait" default:"4s" min:"100000000" doc:"Longest wait of an instance for a new version before it asks again; also the interval at which it is seen to be alive."`
 }
 
 // Entry bounds the work of the role entry.
@@ -83,9 +90,20 @@
 	TraceFile         string        `ini:"trace-file" doc:"File to which request events are written as JSON lines for replay. Empty writes none."`
 }
 
+// Gateway bounds the work of the role gateway.
+type Gateway struct {
+	MaxOpen     int           `ini:"max-open" default:"1500" min:"1" doc:"Requests that may be open at once; more are refused."`
+	DialTimeout time.Duration `ini:"dial-timeout" default:"250ms" min:"1000000" doc:"Bound on connecting to a target."`
+	RetryWindow time.Duration `ini:"retry-window" default:"10s" min:"1000000" doc:"Window in which repeated requests are counted."`
+	RetryRatio  float64       `ini:"retry-ratio" default:"0.18" min:"0" doc:"Part of a service's requests that may be sent once more within a window."`
+	RetrySpare  float64       `ini:"retry-spare" default:"2" min:"0" doc:"Requests that may be sent once more beside that part."`
+	StopDelay   time.Duration `ini:"stop-delay" default:"2500ms" doc:"How long a stopping instance still serves at least, so that the balancer sees that it is not ready."`
+	StopBound   time.Duration `ini:"stop-bound" default:"7500ms" min:"1000000" doc:"How long a stopping instance serves at most."`
+}
+
 // Platform names the platform's list of live and leaving instances.
 type Platform struct {
-	List         string        `ini:"list-url" doc:"URL of the platform's list of targets. Empty uses the declared targets only."`
+	List         string        `ini:"list-url" doc:"URL of the platform's list of targets. Empty uses the declared targets only. With seeds, the replicas read it and hand it on."`
 	PollInterval time.Duration `ini:"poll-interval" default:"500ms" min:"10000000" doc:"Interval between readings of the list."`
 }
 
@@ -108,8 +126,9 @@
 		{"listen", "Addresses of this process. Only IP numbers are accepted.", inifile.Fields(Listen{})},
 		{"control", "The replicated configuration.", inifile.Fields(Control{})},
 		{"entry", "Bounds on the work of the role entry.", inifile.Fields(Entry{})},
+		{"gateway", "Bounds on the work of the role gateway.", inifile.Fields(Gateway{})},
 		{"platform", "The platform's list of targets.", inifile.Fields(Platform{})},
-		{"log", "Logs, written to standard error as JSON lines.", inifile.Fields(Log{})},
+		{"log", "Logs, written to standard output as JSON lines.", inifile.Fields(Log{})},
 	}
 }
 
@@ -129,7 +148,7 @@
 	s := &Settings{file: file, sections: map[string]*inifile.Section{}}
 	targets := map[string]any{
 		"instance": &s.Instance, "listen": &s.Listen, "control": &s.Control,
-		"entry": &s.Entry, "platform": &s.Platform, "log": &s.Log,
+		"entry": &s.Entry, "gateway": &s.Gateway, "platform": &s.Platform, "log": &s.Log,
 	}
 	for _, section := range sections {
 		if _, ok := targets[section.ID()]; !ok {
@@ -150,22 +169,26 @@
 	return s, found
 }
 
+// File returns the path that the settings were read from.
+func (s *Settings) File() string { return s.file }
+
 // Has reports whether the instance carries the role.
 func (s *Settings) Has(role string) bool { return slices.Contains(s.Instance.Roles, role) }
 
 func (s *Settings) check(found *finding.List) {
 	for _, role := range s.Instance.Roles {
-		if role != RoleEntry && role != RoleControl {
-			s.add(found, "instance", "roles", "%q is neither entry nor control", role)
+		if role != RoleEntry && role != RoleControl && role != RoleGateway {
+			s.add(found, "instance", "roles", "%q is neither entry, gateway nor control", role)
 		}
 	}
+	s.checkGateway(found)
 	if s.Has(RoleControl) && s.Instance.DataFolder == "" {
 		s.add(found, "instance", "data-folder", "the role control needs a data folder")
 	}
 	if s.Has(RoleEntry) && !s.Listen.Callers.IsValid() {
 		s.add(found, "listen", "callers", "the role entry needs an address for callers")
 	}
-	if s.Has(RoleControl) && !s.listsSelf() {
+	if s.Has(RoleControl) && len(s.Control.Seeds) == 0 && !s.listsSelf() {
 		s.add(found, "control", "replicas", "the role control needs this instance, %q at its peers address, among the replicas", s.Instance.Name)
 	}
 	if s.Control.Election < 3*s.Control.Heartbeat {
@@ -180,6 +203,37 @@
 	s.checkAddresses(found)
 }
 
+// checkGateway checks what deployments with seeds and gateways need.
+func (s *Settings) checkGateway(found *finding.List) {
+	if s.Has(RoleGateway) && s.Has(RoleEntry) {
+		s.add(found, "instance", "roles", "entry and gateway serve the same address")
+	}
+	if s.Has(RoleGateway) && (!s.Listen.Callers.IsValid() || !s.Listen.Readiness.IsValid()) {
+		s.add(found, "listen", "callers", "the role gateway needs addresses for callers and readiness")
+	}
+	if s.Has(RoleGateway) && len(s.Control.Seeds) == 0 {
+		s.add(found, "control", "seeds", "the role gateway needs seeds")
+	}
+	if s.Instance.Credentials == "" && s.Has(RoleEntry) {
+		s.add(found, "instance", "credentials", "the role entry needs credentials")
+	}
+	if len(s.Control.Replicas) == 0 && len(s.Control.Seeds) == 0 {
+		s.add(found, "control", "replicas", "neither replicas nor seeds")
+	}
+	if s.Listen.Operators.IsValid() && len(s.Control.Seeds) == 0 {
+		s.add(found, "listen", "operators", "the platform's operator is served with seeds only")
+	}
+}
+
+// SeedPeers returns the peer addresses of the seeds.
+func (s *Settings) SeedPeers() []string {
+	var out []string
+	for _, seed := range s.Control.Seeds {
+		out = append(out, netip.AddrPortFrom(seed.Addr(), s.Listen.Peers.Port()).String())
+	}
+	return out
+}
+
 func (s *Settings) listsSelf() bool {
 	for _, p := range s.Control.Replicas {
 		if p.Name == s.Instance.Name && p.Address == s.Listen.Peers {
@@ -194,7 +248,13 @@
 	for _, own := range []struct {
 		key     string
 		address netip.AddrPort
-	}{{"callers", s.Listen.Callers}, {"peers", s.Listen.Peers}, {"health", s.Listen.Health}} {
+	}{
+		{"callers", s.Listen.Callers},
+		{"readiness", s.Listen.Readiness},
+		{"operators", s.Listen.Operators},
+		{"peers", s.Listen.Peers},
+		{"health", s.Listen.Health},
+	} {
 		if !own.address.IsValid() {
 			continue
 		}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -46,6 +46,8 @@
 	Stall *metrics.Histogram
 	// Queue measures the time that requests waited for a target.
 	Queue *metrics.Histogram
+	// Whole measures the time from arrival to the end of the answer.
+	Whole *metrics.Histogram
 }
 
 // NewMetrics returns an empty set of series.
@@ -88,7 +90,7 @@
 
 var histogramNames = []string{
 	"vanillaward_first_token_seconds", "vanillaward_between_tokens_seconds",
-	"vanillaward_stall_seconds", "vanillaward_queue_seconds",
+	"vanillaward_stall_seconds", "vanillaward_queue_seconds", "vanillaward_answer_seconds",
 }
 
 func seriesName(name string, key labelKey) string {
@@ -97,7 +99,13 @@
 
 func (m *Metrics) create(key labelKey) *Labels {
 	h := func(i int) *metrics.Histogram { return m.set.GetOrCreateHistogram(seriesName(histogramNames[i], key)) }
-	return &Labels{key: key, FirstToken: h(0), BetweenTokens: h(1), Stall: h(2), Queue: h(3)}
+	return &Labels{key: key, FirstToken: h(0), BetweenTokens: h(1), Stall: h(2), Queue: h(3), Whole: h(4)}
+}
+
+// Class returns the histogram of the time to the whole answer for a class of
+// requests and an organisation.
+func (m *Metrics) Class(class, organisation string) *metrics.Histogram {
+	return m.For(organisation, class).Whole
 }
 
 // Outcome counts a request's outcome.
--- /dev/null
+++ b/internal/telemetry/writer.go
@@ -0,0 +1,92 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Bounds of a Writer.
+const (
+	// waitingLines is how many lines may wait to be written.
+	waitingLines = 1024
+	// linesPerSecond and burstLines bound the volume of the log.
+	linesPerSecond = 400
+	burstLines     = 1200
+	// closeTime bounds the writing of the last lines.
+	closeTime = 300 * time.Millisecond
+)
+
+// Writer writes lines without ever blocking its caller. Lines beyond its bounds
+// are dropped and counted; the count is written with the next line.
+type Writer struct {
+	out     io.Writer
+	limit   *rate.Limiter
+	lines   chan []byte
+	dropped atomic.Int64
+	total   atomic.Int64
+	ended   chan struct{}
+
+	mu     sync.RWMutex // guards closed and the sending to lines
+	closed bool
+}
+
+// NewWriter returns a writer of lines to out.
+func NewWriter(out io.Writer) *Writer {
+	w := &Writer{
+		out: out, limit: rate.NewLimiter(linesPerSecond, burstLines),
+		lines: make(chan []byte, waitingLines), ended: make(chan struct{}),
+	}
+	go w.run()
+	return w
+}
+
+// Write implements io.Writer. It never fails.
+func (w *Writer) Write(line []byte) (int, error) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed || !w.limit.Allow() {
+		w.drop()
+		return len(line), nil
+	}
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.drop()
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that were dropped since the start.
+func (w *Writer) Dropped() int64 { return w.total.Load() }
+
+func (w *Writer) drop() {
+	w.dropped.Add(1)
+	w.total.Add(1)
+}
+
+func (w *Writer) run() {
+	defer close(w.ended)
+	for line := range w.lines {
+		if n := w.dropped.Swap(0); n > 0 {
+			_, _ = fmt.Fprintf(w.out, "{\"level\":0,\"msg\":\"log lines dropped\",\"lines\":%d}\n", n) // there is nowhere to report it
+		}
+		_, _ = w.out.Write(line) // there is nowhere to report it
+	}
+}
+
+// Close writes what waits, within a bound. Later lines are dropped.
+func (w *Writer) Close() {
+	w.mu.Lock()
+	w.closed = true
+	close(w.lines)
+	w.mu.Unlock()
+	select {
+	case <-w.ended:
+	case <-time.After(closeTime):
+	}
+}
--- a/vanillaward.go
+++ b/vanillaward.go
@@ -6,7 +6,10 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"time"
+
+	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
 // Timers is the time service of a process.
@@ -114,3 +117,70 @@
 	// Available is false for a target that is leaving, ejected or full of refusals.
 	Available bool
 }
+
+// Directory is the platform's list of targets.
+type Directory interface {
+	// Targets reads the whole list. It fails unless every page was read; entries
+	// that cannot be understood are left out.
+	Targets(ctx context.Context) ([]*wire.Target, error)
+}
+
+// Dialect translates between the headers of a platform and what the gateway
+// needs to know. Implementations decide nothing.
+type Dialect interface {
+	// ReadRequest reads the headers of a caller's request.
+	ReadRequest(h http.Header) CallerRequest
+	// Forward turns the headers of a caller's request into those for a target.
+	// Headers that the caller may not set are removed.
+	Forward(h http.Header, f Forwarding)
+	// ReadAnswer reads the status and headers of a target's answer.
+	ReadAnswer(status int, h http.Header) TargetAnswer
+	// SetRetryAfter tells the caller of a refused request when to come back.
+	SetRetryAfter(h http.Header, after time.Duration)
+}
+
+// CallerRequest is what the headers of a caller's request say.
+type CallerRequest struct {
+	// ID is unique to this attempt of the caller.
+	ID string
+	// Budget is how long the caller waits from now on; 0 when it does not say.
+	Budget time.Duration
+	// Key is the caller's API key, or empty.
+	Key string
+	// PromptTokens and LongestTokens are the sizes of a generation's prompt and
+	// of its longest output; 0 for other requests.
+	PromptTokens  int
+	LongestTokens int
+}
+
+// Forwarding is what a target is told beside the caller's own headers.
+type Forwarding struct {
+	// Left is how long the caller will still wait; 0 when that is not known.
+	Left time.Duration
+	// Target is the identity of the target that the request is meant for.
+	Target string
+	// Organisation is the owner of the caller's key; empty for public routes.
+	Organisation string
+	// Urgency ranks generations at an engine: 0 goes first, at most 9.
+	Urgency int
+	// Generation is true for requests that an engine runs.
+	Generation bool
+}
+
+// TargetAnswer is what the status and headers of a target's answer say.
+type TargetAnswer struct {
+	// RequestID is the request that the answer belongs to; empty when it does
+	// not say.
+	RequestID string
+	// NotRun is true when the target states that it did not run the request.
+	NotRun bool
+	// OtherTarget is true when another target than the expected one answered.
+	OtherTarget bool
+	// Stamped is true for answers that the target's service made.
+	Stamped bool
+	// Closing is true when the target takes no further request on the connection.
+	Closing bool
+	// KeepFor is how long the target keeps an idle connection; 0 when it does
+	// not say.
+	KeepFor time.Duration
+}
