--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -195,6 +195,3 @@
 		t.ejected = now + wrongIdentity
 	}
 }
-
-// Leave marks a target as leaving on its own word, ahead of the list.
-func (b *Balancer) Leave(t *Target) { t.leaving = true }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -116,7 +116,7 @@
 		conn.Close()
 		return x.broke(ctx, "request not sent whole", t, err)
 	}
-	response, err := conn.Answer(x.r.Method, x.belongs)
+	response, err := conn.Answer(x.r.Method, x.belongs) //nolint:bodyclose // closing the connection or reading to the end releases it
 	if err != nil {
 		conn.Close()
 		return x.broke(ctx, "no answer", t, err)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -39,7 +39,7 @@
 )
 
 // Decoder turns the body of a document into a configuration.
-type Decoder func(body []byte) (*route.Spec, error)
+type Decoder func(body []byte) (*route.Configuration, error)
 
 // Server is the gateway of one instance.
 type Server struct {
@@ -51,7 +51,6 @@
 
 	table    atomic.Pointer[route.Table]
 	open     atomic.Int64 // requests that are being served
-	admitted atomic.Bool  // whether the instance may be ready
 	stopping atomic.Bool
 
 	mu       sync.Mutex // guards the rest; never held while another lock is taken
@@ -229,12 +228,6 @@
 	g.balancer.End(t, result, g.base.Timers.Now())
 }
 
-func (g *Server) leave(t *balance.Target) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.balancer.Leave(t)
-}
-
 func (g *Server) draw() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/route/spec.go
+++ b/internal/route/spec.go
@@ -24,18 +24,18 @@
 // String returns the kind's name in logs.
 func (k Kind) String() string { return [...]string{"idempotent", "once", "stream"}[k] }
 
-// Spec is a whole configuration as it is decoded. Its fields are exported since
+// Configuration is a whole configuration as it is decoded. Its fields are exported since
 // decoders fill them; Build checks them and makes a Table.
-type Spec struct {
+type Configuration struct {
 	Number        uint64
-	Routes        []RouteSpec
+	Routes        []Spec
 	Services      []ServiceSpec
 	Organisations []OrganisationSpec
 	Limits        Limits
 }
 
-// RouteSpec is one route.
-type RouteSpec struct {
+// Spec is one route.
+type Spec struct {
 	Name      string
 	Host      string
 	Prefix    string
@@ -101,7 +101,7 @@
 const source = "configuration"
 
 // check returns everything that makes a configuration unusable.
-func (s *Spec) check() finding.List {
+func (s *Configuration) check() finding.List {
 	var found finding.List
 	if s.Number == 0 {
 		found.Add(source, 0, "number", "missing or 0")
@@ -118,7 +118,7 @@
 	return found
 }
 
-func (s *Spec) checkRoutes(services map[string]bool, found *finding.List) {
+func (s *Configuration) checkRoutes(services map[string]bool, found *finding.List) {
 	places := map[[2]string]string{}
 	for i := range s.Routes {
 		r := &s.Routes[i]
@@ -140,7 +140,7 @@
 	}
 }
 
-func checkShares(r *RouteSpec, services map[string]bool, found *finding.List) {
+func checkShares(r *Spec, services map[string]bool, found *finding.List) {
 	sum := 0.0
 	for _, share := range r.Shares {
 		if !services[share.Service] {
@@ -156,7 +156,7 @@
 	}
 }
 
-func (s *Spec) checkKeys(found *finding.List) {
+func (s *Configuration) checkKeys(found *finding.List) {
 	owners := map[string]string{}
 	for _, o := range s.Organisations {
 		for _, key := range o.Keys {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -20,7 +20,7 @@
 
 // Route is one route of a table.
 type Route struct {
-	spec  RouteSpec
+	spec  Spec
 	total float64 // of the weights
 }
 
@@ -37,7 +37,7 @@
 
 // Build checks a configuration and returns its table, or everything that is
 // wrong with it.
-func Build(s *Spec) (*Table, finding.List) {
+func Build(s *Configuration) (*Table, finding.List) {
 	if found := s.check(); !found.Empty() {
 		return nil, found
 	}
