Let generations outlive their engines: copies, moves, shared loads

Change: an engine copies the memory of a long run to another one as it grows, and the run goes on there from the event after the caller's last one. Replicas read the engines' reports (one reader an engine) and hand them on; instances tell the leader what they have at engines and get the others' sums. Runs without a usable copy are moved in two steps when their engine says that it leaves.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -21,6 +21,22 @@
 	coldCost = 0.25
 	// failureWeight is the weight of the newest request in the failure rate.
 	failureWeight = 0.2
+	// prefillUnit is the number of tokens of prompts at an engine, sent and not
+	// answered, that counts as much as all of its places.
+	prefillUnit = 8000
+	// batchWeight is the weight of an engine's batch: more requests slow its steps a
+	// little.
+	batchWeight = 0.3
+	// roomy is the part of an engine's memory up to which memory does not matter, and
+	// memoryCost what counts beyond it.
+	roomy      = 0.6
+	memoryCost = 3.0
+	// copyRoom is the part of an engine's memory that copies may fill up to: the
+	// rest is for the growth of the runs there.
+	copyRoom = 0.75
+	// leavingGrace is how long an engine that leaves may still be sent requests
+	// that only it can go on with.
+	leavingGrace = 1500 * time.Millisecond
 	// plainSlots stands for the places of a target that does not tell.
 	plainSlots = 4
 	// ejectAfter is the number of failures in a row that eject a target.
@@ -61,12 +77,18 @@
 	domain  string
 	slots   int
 	leaving bool
+	left    time.Duration // since when it is known to leave
 	cold    time.Duration // until when it is slow
 
-	open     int // own requests
-	failures int // in a row
-	rate     float64
-	ejected  time.Duration // until when
+	open       int // own requests
+	copies     int // copies of own requests' memory
+	failures   int // in a row
+	rate       float64
+	prefilling int // tokens of own prompts that were sent and not answered yet
+	load       load
+	others     others
+	tokens     int           // memory that own requests and copies will need
+	ejected    time.Duration // until when
 }
 
 // ID returns the target's identity.
@@ -111,7 +133,11 @@
 		}
 		t.domain = l.GetFailureDomain()
 		t.slots = int(l.GetSlots())
-		t.leaving = l.GetState() != wire.TargetState_TARGET_STATE_READY
+		leaving := l.GetState() != wire.TargetState_TARGET_STATE_READY
+		if leaving && !t.leaving {
+			t.left = now
+		}
+		t.leaving = leaving
 		t.cold = now + time.Duration(l.GetColdMs())*time.Millisecond
 		next[t.id] = t
 		b.byName[t.service] = append(b.byName[t.service], t)
@@ -123,15 +149,15 @@
 func (b *Balancer) Target(id string) *Target { return b.targets[id] }
 
 // Choose returns the best target of a service that is not among the avoided ones,
-// or nil.
-func (b *Balancer) Choose(service string, avoid []string, now time.Duration) *Target {
+// or nil. Tokens is the memory that a generation needs; 0 for other requests.
+func (b *Balancer) Choose(service string, tokens int, avoid []string, now time.Duration) *Target {
 	var best *Target
 	bestScore, ties := 0.0, 0
 	for _, t := range b.byName[service] {
 		if t.leaving || contains(avoid, t.id) {
 			continue
 		}
-		score := b.score(t, now)
+		score := b.score(t, tokens, now)
 		switch {
 		case best == nil || score < bestScore:
 			best, bestScore, ties = t, score, 1
@@ -144,6 +170,55 @@
 	return best
 }
 
+// ChooseBackup returns the engine that should hold the copy of a run's memory, or
+// nil when none has room. An engine in the run's own failure domain gets it sooner,
+// since a partition between domains would stop the copying.
+func (b *Balancer) ChooseBackup(run *Target, tokens int, avoid []string, now time.Duration) *Target {
+	var best *Target
+	bestScore := 0.0
+	for _, t := range b.byName[run.service] {
+		if t.leaving || t == run || now < t.ejected || t.load.waiting > 0 || contains(avoid, t.id) {
+			continue
+		}
+		score, known := t.memory(tokens, now)
+		if !known {
+			score = unreported + float64(t.open+t.copies)/float64(max(t.slots, plainSlots))
+		}
+		if score > copyRoom {
+			continue
+		}
+		if t.domain != run.domain {
+			score += abroadCost
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = t, score
+		}
+	}
+	return best
+}
+
+// Leaving reports whether a target is about to end, or gone.
+func (b *Balancer) Leaving(t *Target) bool { return t.leaving || b.targets[t.id] != t }
+
+// Resumable reports whether a request may still be sent to the holder of its copy:
+// an engine gets no more requests some time after it is known to leave.
+func (b *Balancer) Resumable(t *Target, now time.Duration) bool {
+	return b.targets[t.id] == t && (!t.leaving || now < t.left+leavingGrace)
+}
+
+// HoldCopy counts a copy at a target, DropCopy ends that.
+func (b *Balancer) HoldCopy(t *Target, tokens int, now time.Duration) {
+	t.copies++
+	t.tokens += tokens
+	t.load.place(now, tokens, 0)
+}
+
+// DropCopy ends what HoldCopy counted.
+func (b *Balancer) DropCopy(t *Target, tokens int) {
+	t.copies--
+	t.tokens -= tokens
+}
+
 func contains(ids []string, id string) bool {
 	for _, other := range ids {
 		if other == id {
@@ -155,12 +230,8 @@
 
 // score ranks a target; an ejected one comes after all others, so that it is used
 // when there is nothing else.
-func (b *Balancer) score(t *Target, now time.Duration) float64 {
-	slots := t.slots
-	if slots == 0 {
-		slots = plainSlots
-	}
-	score := float64(t.open)/float64(slots) + failureCost*t.rate
+func (b *Balancer) score(t *Target, tokens int, now time.Duration) float64 {
+	score := t.busy(tokens, now) + failureCost*t.rate
 	if t.domain != b.domain {
 		score += abroadCost
 	}
@@ -173,12 +244,41 @@
 	return score
 }
 
-// Begin counts a request to a target.
-func (b *Balancer) Begin(t *Target) { t.open++ }
+// busy returns the part of a target's places, or of its memory where that is more,
+// that would be taken with another request.
+func (t *Target) busy(tokens int, now time.Duration) float64 {
+	slots := t.slots
+	if slots == 0 {
+		slots = plainSlots
+	}
+	if tokens == 0 {
+		return float64(t.open) / float64(slots)
+	}
+	score := float64(t.prefilling+t.others.prefilling)/prefillUnit + batchWeight*float64(t.batch())/float64(slots) + waitingCost*float64(t.load.waiting)
+	if memory, known := t.memory(tokens, now); known && memory > roomy {
+		score += memoryCost * (memory - roomy)
+	}
+	return score
+}
+
+// Prefilled counts tokens of a prompt that a target is about to read, and with a
+// negative number ends that. Prompts are read one after another, and delay the
+// tokens of all other requests there.
+func (b *Balancer) Prefilled(t *Target, tokens int) { t.prefilling += tokens }
+
+// Begin counts a request to a target that needs some tokens of memory.
+func (b *Balancer) Begin(t *Target, tokens int, now time.Duration) {
+	t.open++
+	if tokens > 0 {
+		t.tokens += tokens
+		t.load.place(now, tokens, 1)
+	}
+}
 
-// End takes the result of a request that was begun.
-func (b *Balancer) End(t *Target, result Result, now time.Duration) {
+// End takes the result of a request that was begun with the same tokens.
+func (b *Balancer) End(t *Target, tokens int, result Result, now time.Duration) {
 	t.open--
+	t.tokens -= tokens
 	switch result {
 	case Served:
 		t.failures = 0
--- /dev/null
+++ b/internal/balance/load.go
@@ -0,0 +1,131 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+const (
+	// reportLag is how much older than its reading a report is.
+	reportLag = 500 * time.Millisecond
+	// reportValid is how long a report is used.
+	reportValid = 4 * time.Second
+	// unreported stands for the memory of an engine without a valid report.
+	unreported = 0.3
+	// waitingCost is added for each request that waits at an engine: it has no
+	// room for what it has already.
+	waitingCost = 0.2
+)
+
+// load is what an engine reported, and what this instance sent it since.
+type load struct {
+	known    bool
+	at       time.Duration // the time that the report describes
+	running  int
+	waiting  int
+	used     int // tokens
+	capacity int // tokens
+	since    []placed
+}
+
+// placed is a request or a copy that was sent to an engine.
+type placed struct {
+	at     time.Duration
+	tokens int
+	slot   int // 1 for a request, 0 for a copy
+}
+
+// UpdateLoads takes reports of engines. A report replaces what was sent before
+// the time that it describes.
+func (b *Balancer) UpdateLoads(loads []*wire.Load, now time.Duration) {
+	for _, l := range loads {
+		t := b.targets[l.GetTarget()]
+		if t == nil {
+			continue
+		}
+		at := now - time.Duration(l.GetAgeMs())*time.Millisecond - reportLag
+		if t.load.known && at < t.load.at {
+			continue
+		}
+		t.load.known, t.load.at = true, at
+		t.load.running, t.load.waiting = int(l.GetRunning()), int(l.GetWaiting())
+		t.load.used, t.load.capacity = int(l.GetUsedTokens()), int(l.GetCapacityTokens())
+		t.load.forget(at)
+		if l.GetLeaving() && !t.leaving {
+			t.leaving, t.left = true, now
+		}
+	}
+}
+
+// place remembers what was sent.
+func (l *load) place(now time.Duration, tokens, slot int) {
+	l.since = append(l.since, placed{at: now, tokens: tokens, slot: slot})
+}
+
+// forget drops what was sent before a time.
+func (l *load) forget(before time.Duration) {
+	kept := l.since[:0]
+	for _, p := range l.since {
+		if p.at >= before {
+			kept = append(kept, p)
+		}
+	}
+	l.since = kept
+}
+
+// memory returns the part of the engine's memory that would be used with further
+// tokens, and whether a report says so.
+func (t *Target) memory(tokens int, now time.Duration) (float64, bool) {
+	l := &t.load
+	if !l.known || l.capacity == 0 || now-l.at > reportValid {
+		return 0, false
+	}
+	used := l.used
+	for _, p := range l.since {
+		used += p.tokens
+	}
+	used = max(used, t.tokens+t.others.tokens)
+	return float64(used+tokens) / float64(l.capacity), true
+}
+
+// batch returns the number of requests at the engine, as far as it is known.
+func (t *Target) batch() int {
+	n := t.load.running + t.load.waiting
+	for _, p := range t.load.since {
+		n += p.slot
+	}
+	return max(n, t.open+t.others.requests)
+}
+
+// UpdateOthers takes the sums of what other instances have at targets.
+func (b *Balancer) UpdateOthers(uses []*wire.Use) {
+	for _, t := range b.targets {
+		t.others = others{}
+	}
+	for _, u := range uses {
+		if t := b.targets[u.GetTarget()]; t != nil {
+			t.others = others{requests: int(u.GetRequests()), tokens: int(u.GetTokens()), prefilling: int(u.GetPrefilling())}
+		}
+	}
+}
+
+// Uses returns what this instance has at targets.
+func (b *Balancer) Uses() []*wire.Use {
+	var out []*wire.Use
+	for _, t := range b.targets {
+		if t.open > 0 || t.tokens > 0 || t.prefilling > 0 {
+			out = append(out, &wire.Use{
+				Target: t.id, Requests: uint32(max(0, t.open)), Tokens: uint32(max(0, t.tokens)), Prefilling: uint32(max(0, t.prefilling)),
+			})
+		}
+	}
+	return out
+}
+
+// others is what the other instances have at a target.
+type others struct {
+	requests   int
+	tokens     int
+	prefilling int
+}
--- a/internal/control/board.go
+++ b/internal/control/board.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
@@ -18,6 +20,9 @@
 	targets  []*wire.Target
 	version  uint64        // of the list, raised when it changes
 	readAt   time.Duration // when the list was last read whole
+	loads    []*wire.Load
+	loadsAt  time.Duration // when the loads were read
+	readings uint64        // how often the loads were read
 	changed  chan struct{} // closed at the next change
 }
 
@@ -52,6 +57,22 @@
 	b.wake()
 }
 
+// PostLoads takes the loads of the engines that this replica reads.
+func (b *Board) PostLoads(loads []*wire.Load, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.loads, b.loadsAt = loads, now
+	b.readings++
+	b.wake()
+}
+
+// Targets returns the list that was posted last.
+func (b *Board) Targets() []*wire.Target {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.targets
+}
+
 // wake is called with the lock held.
 func (b *Board) wake() {
 	close(b.changed)
@@ -65,7 +86,7 @@
 	defer timeout.Stop()
 	for {
 		answer, changed := b.missing(r, now())
-		if answer.GetDocument() != nil || answer.GetListChanged() {
+		if answer.GetDocument() != nil || answer.GetListChanged() || len(answer.GetLoads()) > 0 {
 			return answer
 		}
 		select {
@@ -92,5 +113,19 @@
 			answer.ListChanged, answer.Targets = true, b.targets
 		}
 	}
+	answer.LoadsVersion = b.readings
+	if r.GetListEpoch() != b.epoch || r.GetLoadsVersion() != b.readings {
+		answer.Loads = aged(b.loads, now-b.loadsAt)
+	}
 	return answer, b.changed
 }
+
+// aged returns the loads with their age.
+func aged(loads []*wire.Load, age time.Duration) []*wire.Load {
+	out := make([]*wire.Load, len(loads))
+	for i, l := range loads {
+		out[i] = proto.CloneOf(l)
+		out[i].AgeMs += uint32(max(0, age).Milliseconds())
+	}
+	return out
+}
--- a/internal/control/documents.go
+++ b/internal/control/documents.go
@@ -114,6 +114,7 @@
 	}
 	s := c.service
 	s.sawFollower(request)
+	s.uses.take(request.GetInstance(), request.GetUses(), s.timers.Now())
 	wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, maxFollowWait)
 	got := s.board.Await(s.ctx, request, wait, s.timers.Now)
 	ctx, cancel := context.WithTimeout(s.ctx, documentTimeout)
@@ -122,10 +123,13 @@
 	if err != nil {
 		return err
 	}
+	answer.Leader, answer.LeaderAddress = standing.Leader() == s.self, standing.Leader()
+	answer.Others = s.uses.others(request.GetInstance(), s.timers.Now())
 	answer.Fresh, answer.Replicas = standing.Fresh(), standing.Addresses()
 	answer.Document, answer.Targets = got.GetDocument(), got.GetTargets()
 	answer.ListEpoch, answer.ListVersion = got.GetListEpoch(), got.GetListVersion()
 	answer.ListChanged, answer.ListAgeMs = got.GetListChanged(), got.GetListAgeMs()
+	answer.Loads, answer.LoadsVersion = got.GetLoads(), got.GetLoadsVersion()
 	answer.Followers = uint32(len(s.listWatchers()))
 	return nil
 }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -37,6 +37,7 @@
 	timers vanillaward.Timers
 	peers  *peer.Pool
 	board  *Board
+	uses   *uses
 	log    logr.Logger
 	name   string
 	self   string // peer address of this replica
@@ -57,7 +58,7 @@
 // Store holds the versions that the node publishes.
 func NewService(ctx context.Context, node *Node, store *config.Store, timers vanillaward.Timers, peers *peer.Pool, self inifile.Peer) *Service {
 	return &Service{
-		ctx: ctx, node: node, store: store, timers: timers, peers: peers, board: node.board, log: node.log,
+		ctx: ctx, node: node, store: store, timers: timers, peers: peers, board: node.board, uses: newUses(), log: node.log,
 		name: self.Name, self: self.Address.String(), watchers: map[string]watcher{},
 	}
 }
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -20,9 +20,14 @@
 const (
 	// sources is how many replicas an instance follows at once, so that one that
 	// is cut off does not leave it behind.
-	sources = 2
+	sources = 3
 	// holdQuestion is how long a replica may hold a question.
 	holdQuestion = 900 * time.Millisecond
+	// shareInterval is how often the leader is told what this instance has at
+	// targets, and sharePerFollower bounds the leader's work when it has many
+	// followers: the interval is at least this time for each of them.
+	shareInterval    = 80 * time.Millisecond
+	sharePerFollower = 2500 * time.Microsecond
 	// answerMargin is how much later than that an answer may come.
 	answerMargin = 300 * time.Millisecond
 	// failurePause is the pause after a replica failed.
@@ -39,6 +44,12 @@
 	Install(d *wire.Document) error
 	// UpdateTargets takes a list of targets.
 	UpdateTargets(list []*wire.Target)
+	// UpdateLoads takes reports of some engines.
+	UpdateLoads(loads []*wire.Load)
+	// Uses returns what this instance has at targets.
+	Uses() []*wire.Use
+	// UpdateOthers takes the sums of what the other instances have at targets.
+	UpdateOthers(uses []*wire.Use)
 }
 
 // Follower follows replicas, starting from seeds.
@@ -54,6 +65,8 @@
 	mu       sync.Mutex // guards the rest; held while the sink is called
 	replicas []string
 	taken    map[string]bool // replicas that are followed now
+	leader   string          // its address, where it is known
+	share    time.Duration   // how long the leader may hold a question
 	lists    map[string]*list
 	lost     bool
 }
@@ -64,6 +77,7 @@
 	version uint64
 	readAt  time.Duration
 	targets []*wire.Target
+	loads   uint64
 }
 
 // New returns a follower for the named instance in a failure domain. Seeds
@@ -71,7 +85,7 @@
 func New(log logr.Logger, timers vanillaward.Timers, peers *peer.Pool, name, domain string, seeds func() []string, sink Sink) *Follower {
 	return &Follower{
 		log: log, timers: timers, peers: peers, name: name, domain: domain, seeds: seeds, sink: sink,
-		taken: map[string]bool{}, lists: map[string]*list{},
+		share: shareInterval, taken: map[string]bool{}, lists: map[string]*list{},
 	}
 }
 
@@ -111,6 +125,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known := slices.Clone(f.replicas)
+	if f.leader != "" && !f.taken[f.leader] {
+		f.taken[f.leader] = true
+		return f.leader
+	}
 	for _, s := range seeds {
 		if !slices.Contains(known, s) {
 			known = append(known, s)
@@ -157,12 +175,16 @@
 	request := &wire.FollowRequest{
 		Instance: f.name, FailureDomain: f.domain, Document: f.sink.Number(), WaitMs: uint64(holdQuestion.Milliseconds()),
 	}
+	f.mu.Lock()
+	if address == f.leader {
+		request.WaitMs = uint64(f.share.Milliseconds())
+		request.Uses = f.sink.Uses()
+	}
 	if first {
 		request.WaitMs = 0
 	}
-	f.mu.Lock()
 	if l := f.lists[address]; l != nil {
-		request.ListEpoch, request.ListVersion = l.epoch, l.version
+		request.ListEpoch, request.ListVersion, request.LoadsVersion = l.epoch, l.version, l.loads
 	}
 	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, holdQuestion+answerMargin)
@@ -193,12 +215,22 @@
 	if len(answer.GetReplicas()) > 0 {
 		f.replicas = usable(answer.GetReplicas())
 	}
+	if answer.GetLeaderAddress() != "" {
+		f.leader = answer.GetLeaderAddress()
+	}
+	if answer.GetLeader() {
+		f.share = max(shareInterval, time.Duration(answer.GetFollowers())*sharePerFollower)
+		f.sink.UpdateOthers(answer.GetOthers())
+	}
 	if d := answer.GetDocument(); d != nil {
 		if err := f.sink.Install(d); err != nil {
 			f.log.Error(err, "document cannot be put in force", "number", d.GetNumber())
 		}
 	}
 	f.learnList(address, answer)
+	if len(answer.GetLoads()) > 0 {
+		f.sink.UpdateLoads(answer.GetLoads())
+	}
 }
 
 func usable(addresses []string) []string {
@@ -221,6 +253,7 @@
 		l = &list{}
 		f.lists[address] = l
 	}
+	l.loads = answer.GetLoadsVersion()
 	l.readAt = f.timers.Now() - time.Duration(answer.GetListAgeMs())*time.Millisecond
 	if !answer.GetListChanged() {
 		return
@@ -256,7 +289,7 @@
 		if leaving[t.GetId()] && t.GetState() == wire.TargetState_TARGET_STATE_READY {
 			t = &wire.Target{
 				Id: t.GetId(), Service: t.GetService(), Address: t.GetAddress(), FailureDomain: t.GetFailureDomain(),
-				Slots: t.GetSlots(), State: wire.TargetState_TARGET_STATE_LEAVING, ColdMs: t.GetColdMs(),
+				Slots: t.GetSlots(), State: wire.TargetState_TARGET_STATE_LEAVING, ColdMs: t.GetColdMs(), Engine: t.GetEngine(),
 			}
 		}
 		out = append(out, t)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -46,6 +46,11 @@
 	failed
 )
 
+// String returns the outcome's name in logs.
+func (o outcome) String() string {
+	return [...]string{"delivered", "no-target", "not-sent", "not-run", "failed"}[o]
+}
+
 // attemptResult is the result of one attempt.
 type attemptResult struct {
 	outcome outcome
@@ -57,6 +62,14 @@
 	kept *answer
 }
 
+// status returns the status of a whole answer of failure, or 0.
+func (a *attemptResult) status() int {
+	if a.kept == nil {
+		return 0
+	}
+	return a.kept.status
+}
+
 // answer is a whole answer of a target.
 type answer struct {
 	status int
@@ -66,7 +79,7 @@
 
 // attempt sends the request to one target.
 func (x *request) attempt(ctx context.Context, avoid []string) attemptResult {
-	t := x.server.begin(x.service, avoid)
+	t := x.server.begin(x.service, x.tokens(), avoid)
 	if t == nil {
 		return attemptResult{outcome: noTarget}
 	}
@@ -82,8 +95,10 @@
 	attemptContext, cancel := x.boundAttempt(ctx)
 	defer cancel()
 	defer conn.CloseWith(attemptContext)()
+	x.startRun(ctx, t)
+	defer x.endRun()
 	got := x.exchange(attemptContext, t, conn, &result)
-	x.server.end(t, got)
+	x.server.end(t, x.tokens(), got)
 	if result.outcome == failed {
 		x.maybeRun = true
 	}
@@ -97,7 +112,7 @@
 	if x.r.Context().Err() != nil {
 		got = balance.Abandoned
 	}
-	x.server.end(t, got)
+	x.server.end(t, x.tokens(), got)
 	x.note("target not reached", t, err)
 }
 
@@ -112,14 +127,20 @@
 // exchange sends the request and handles the answer.
 func (x *request) exchange(ctx context.Context, t *balance.Target, conn *upstream.Conn, result *attemptResult) balance.Result {
 	result.outcome, result.reason = failed, reasonBroken
-	if err := conn.Send(x.outgoing(t)); err != nil {
+	if err := conn.Send(x.outgoing(t, nil)); err != nil {
 		conn.Close()
 		return x.broke(ctx, "request not sent whole", t, err)
 	}
+	x.server.prefill(t, x.caller.PromptTokens)
 	response, err := conn.Answer(x.r.Method, x.belongs) //nolint:bodyclose // closing the connection or reading to the end releases it
+	x.server.prefill(t, -x.caller.PromptTokens)
 	if err != nil {
 		conn.Close()
-		return x.broke(ctx, "no answer", t, err)
+		got := x.broke(ctx, "no answer", t, err)
+		if x.goOn(ctx, nil) {
+			result.outcome = delivered
+		}
+		return got
 	}
 	said := x.server.dialect.ReadAnswer(response.StatusCode, response.Header)
 	if said.Closing && response.StatusCode < http.StatusInternalServerError {
@@ -129,7 +150,8 @@
 		return x.turnedAway(t, conn, response, said, result)
 	}
 	if x.route.Kind() == route.Stream && response.StatusCode == http.StatusOK {
-		return x.relay(ctx, t, conn, response, said, result)
+		result.outcome = delivered
+		return x.relay(ctx, t, conn, response, said)
 	}
 	return x.hold(ctx, t, conn, response, said, result)
 }
@@ -309,13 +331,13 @@
 }
 
 // outgoing returns the request as the target gets it.
-func (x *request) outgoing(t *balance.Target) *upstream.Request {
+func (x *request) outgoing(t *balance.Target, resume *vanillaward.Resume) *upstream.Request {
 	h := x.r.Header.Clone()
 	dropConnectionHeaders(h)
 	h.Del("Expect")
 	x.server.dialect.Forward(h, vanillaward.Forwarding{
 		Left: max(time.Millisecond, x.left()), Target: t.ID(), Organisation: x.org,
-		Urgency: x.urgency(), Generation: x.route.Generation(),
+		Urgency: x.urgency(), Generation: x.route.Generation(), Backup: x.server.backupAddress(x.stream.run), Resume: resume,
 	})
 	return &upstream.Request{
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
--- /dev/null
+++ b/internal/gateway/event.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// maxEvent bounds one event of a stream in bytes.
+const maxEvent = 1 << 20
+
+// errLongEvent ends a stream whose event is over the bound.
+var errLongEvent = errors.New("event is over the size bound")
+
+// readEvent reads up to and including the empty line that ends an event. At the
+// end of the stream it returns io.EOF with what is left.
+func readEvent(r *bufio.Reader) ([]byte, error) {
+	var event []byte
+	for {
+		line, err := r.ReadSlice('\n')
+		event = append(event, line...)
+		switch {
+		case len(event) > maxEvent:
+			return nil, errLongEvent
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case err != nil:
+			return event, err
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return event, nil
+		}
+	}
+}
+
+// eventNumber returns the number in the field id of an event.
+func eventNumber(event []byte) (uint64, bool) {
+	for line := range bytes.Lines(event) {
+		value, ok := bytes.CutPrefix(line, []byte("id:"))
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
+		return n, err == nil
+	}
+	return 0, false
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -39,7 +39,7 @@
 	target   string // identity of the last target
 	sent     int    // number of targets that it was sent to
 	maybeRun bool   // a target may have run it
-	events   int    // events of a stream that were passed on
+	stream   stream
 	reason   reason
 	status   int
 	broken   bool // the caller's connection must end without the answer's end
@@ -174,7 +174,10 @@
 			return
 		}
 		avoid = append(avoid, a.target)
-		if !x.again(ctx, a) {
+		again := x.again(ctx, a)
+		x.server.base.Log.Info("attempt ended", "request", x.caller.ID, "target", a.target, "result", a.outcome.String(),
+			"reason", string(a.reason), "status", a.status(), "again", again, "left-ms", x.left().Milliseconds())
+		if !again {
 			x.fail(ctx, a)
 			return
 		}
@@ -240,7 +243,7 @@
 		number = x.table.Number()
 	}
 	g.base.Log.Info("request", "request", x.caller.ID, "route", name, "organisation", x.org, "service", x.service,
-		"target", x.target, "sent", x.sent, "maybe-run", x.maybeRun, "status", x.status, "events", x.events,
+		"target", x.target, "sent", x.sent, "maybe-run", x.maybeRun, "status", x.status, "events", x.stream.passed, "resumed", x.stream.resumed,
 		"outcome", string(x.reason), "configuration", number, "budget-ms", x.caller.Budget.Milliseconds(),
 		"took-ms", took.Milliseconds())
 	if x.broken {
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,216 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/vanillaward/vanillaward"
+	"github.com/vanillaward/vanillaward/internal/balance"
+	"github.com/vanillaward/vanillaward/internal/rescue"
+)
+
+const (
+	// moveTime bounds one step of a move.
+	moveTime = 2 * time.Second
+	// dropTime bounds the freeing of a copy that was not needed.
+	dropTime = time.Second
+	// copyMargin is how long before its end a moved copy is not relied on.
+	copyMargin = 500 * time.Millisecond
+)
+
+// run is a generation at an engine. Its fields are guarded by the server's lock.
+type run struct {
+	ctx     context.Context //nolint:containedctx // ends with the request, for moves of the run
+	request string
+	tokens  int
+	movable bool
+	keep    time.Duration // how long engines keep a moved copy
+
+	engine *balance.Target
+	copy   *heldCopy
+	moving chan struct{} // closed at the end of a move; nil without one
+	failed []string      // engines that could not take the run's memory
+}
+
+// heldCopy is a copy of a run's memory at another engine.
+type heldCopy struct {
+	holder *balance.Target
+	at     string        // address of the engine that names the copy
+	name   string        // its name there
+	until  time.Duration // when it is dropped; 0 while the run goes on
+}
+
+// addRun registers a run at an engine. A backup is chosen for it where wanted.
+func (g *Server) addRun(r *run, backup bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.runs[r] = struct{}{}
+	if backup {
+		g.chooseCopy(r)
+	}
+}
+
+// resumeRun puts a run at another engine, where it goes on.
+func (g *Server) resumeRun(r *run, engine *balance.Target) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r.engine, r.failed = engine, nil
+	g.chooseCopy(r)
+}
+
+// chooseCopy is called with the lock held.
+func (g *Server) chooseCopy(r *run) {
+	now := g.base.Timers.Now()
+	holder := g.balancer.ChooseBackup(r.engine, r.tokens, nil, now)
+	if holder == nil {
+		g.base.Log.Info("no engine has room for a copy", "request", r.request, "target", r.engine.ID())
+		return
+	}
+	g.balancer.HoldCopy(holder, r.tokens, now)
+	r.copy = &heldCopy{holder: holder, at: holder.Address(), name: r.request}
+}
+
+// removeRun ends a run and frees a moved copy that was not used.
+func (g *Server) removeRun(r *run) {
+	unused := g.takeCopy(r)
+	g.mu.Lock()
+	delete(g.runs, r)
+	g.mu.Unlock()
+	if unused == nil || unused.until == 0 {
+		return // engines drop a copy that grew with its run by themselves
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), dropTime)
+		defer cancel()
+		if err := g.engines.Drop(ctx, unused.at, unused.name); err != nil {
+			g.base.Log.V(1).Info("copy not freed; its engine drops it in time", "request", r.request, "reason", err.Error())
+		}
+	}()
+}
+
+// backupAddress returns where an engine should copy the run's memory as it grows,
+// or the empty string.
+func (g *Server) backupAddress(r *run) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r == nil || r.copy == nil || r.copy.until > 0 {
+		return ""
+	}
+	return r.copy.at
+}
+
+// hasCopy reports whether a run can go on elsewhere.
+func (g *Server) hasCopy(r *run) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return r.copy != nil
+}
+
+// takeCopy returns the run's copy, if it has one, and forgets it.
+func (g *Server) takeCopy(r *run) *heldCopy {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := r.copy
+	g.dropCopy(r)
+	return c
+}
+
+// dropCopy is called with the lock held.
+func (g *Server) dropCopy(r *run) {
+	if r.copy != nil {
+		g.balancer.DropCopy(r.copy.holder, r.tokens)
+		r.copy = nil
+	}
+}
+
+// awaitMove waits for a move of the run that is under way.
+func (g *Server) awaitMove(ctx context.Context, r *run) {
+	g.mu.Lock()
+	moving := r.moving
+	g.mu.Unlock()
+	if moving == nil {
+		return
+	}
+	select {
+	case <-moving:
+	case <-ctx.Done():
+	}
+}
+
+// watchRuns starts the moves that what is known of the engines asks for. It is
+// called with the lock held.
+func (g *Server) watchRuns() {
+	now := g.base.Timers.Now()
+	for r := range g.runs {
+		view := rescue.View{
+			EngineLeaving: g.balancer.Leaving(r.engine), CopyUsable: r.copy != nil && !g.balancer.Leaving(r.copy.holder),
+			Moving: r.moving != nil, Movable: r.movable, Failures: len(r.failed),
+		}
+		if rescue.Next(view) != rescue.Move {
+			continue
+		}
+		destination := g.balancer.ChooseBackup(r.engine, r.tokens, r.failed, now)
+		if destination == nil {
+			continue
+		}
+		g.dropCopy(r)
+		r.moving = make(chan struct{})
+		go g.move(r, r.engine, destination, r.moving)
+	}
+}
+
+// move copies a run's memory to another engine while the run goes on, then stops
+// the run there and leaves it to be resumed. It reports its end on the channel.
+func (g *Server) move(r *run, source, destination *balance.Target, ended chan struct{}) {
+	defer close(ended)
+	started := g.base.Timers.Now()
+	first, err := g.moveStep(r, source, destination, false)
+	if err != nil {
+		g.endMove(r, destination, err)
+		return
+	}
+	g.setMoved(r, destination, source, first.Handle)
+	copied := g.base.Timers.Now()
+	last, err := g.moveStep(r, source, destination, true)
+	g.base.Log.Info("run moved", "request", r.request, "target", source.ID(), "to", destination.ID(), "made", last.Made, "done", last.Done,
+		"copy-ms", (copied - started).Milliseconds(), "last-ms", (g.base.Timers.Now() - copied).Milliseconds())
+	if err != nil && last.Handle != "" {
+		g.setMoved(r, source, source, last.Handle)
+	}
+	g.endMove(r, destination, err)
+}
+
+func (g *Server) moveStep(r *run, source, destination *balance.Target, last bool) (vanillaward.MoveResult, error) {
+	ctx, cancel := context.WithTimeout(r.ctx, moveTime)
+	defer cancel()
+	return g.engines.Move(ctx, vanillaward.Move{
+		Source: source.Address(), Destination: destination.Address(), Request: r.request, Last: last,
+	})
+}
+
+// setMoved notes where a moved copy is.
+func (g *Server) setMoved(r *run, holder, source *balance.Target, handle string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, open := g.runs[r]; !open {
+		return
+	}
+	now := g.base.Timers.Now()
+	g.dropCopy(r)
+	g.balancer.HoldCopy(holder, r.tokens, now)
+	r.copy = &heldCopy{holder: holder, at: source.Address(), name: handle, until: now + max(copyMargin, r.keep-copyMargin)}
+}
+
+func (g *Server) endMove(r *run, destination *balance.Target, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r.moving = nil
+	if err == nil {
+		return
+	}
+	r.failed = append(r.failed, destination.ID())
+	g.base.Log.Info("run not moved", "request", r.request, "target", r.engine.ID(), "to", destination.ID(), "reason", err.Error())
+	if r.ctx.Err() == nil {
+		g.watchRuns()
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -46,6 +46,7 @@
 	base     base.Base
 	settings settings.Gateway
 	dialect  vanillaward.Dialect
+	engines  vanillaward.Engines
 	decode   Decoder
 	pool     *upstream.Pool
 
@@ -57,17 +58,18 @@
 	balancer *balance.Balancer
 	budgets  map[string]*retry.Budget
 	random   *rand.Rand
+	runs     map[*run]struct{}
 }
 
 // New returns a gateway that does not know any configuration yet.
-func New(b base.Base, dialect vanillaward.Dialect, decode Decoder, seed uint64) *Server {
+func New(b base.Base, dialect vanillaward.Dialect, engines vanillaward.Engines, decode Decoder, seed uint64) *Server {
 	s := b.Settings.Gateway
 	random := rand.New(rand.NewPCG(seed, 0))
 	g := &Server{
-		base: b, settings: s, dialect: dialect, decode: decode,
+		base: b, settings: s, dialect: dialect, engines: engines, decode: decode,
 		pool:     upstream.NewPool(s.DialTimeout, maxIdleConns),
 		balancer: balance.New(b.Settings.Instance.FailureDomain, random),
-		budgets:  map[string]*retry.Budget{}, random: random,
+		budgets:  map[string]*retry.Budget{}, random: random, runs: map[*run]struct{}{},
 	}
 	b.Metrics.Gauge("vanillaward_gateway_open_requests", func() float64 { return float64(g.open.Load()) })
 	b.Metrics.Gauge("vanillaward_gateway_configuration_number", func() float64 { return float64(g.Number()) })
@@ -109,6 +111,29 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.balancer.Update(list, g.base.Timers.Now())
+	g.watchRuns()
+}
+
+// UpdateLoads takes reports of some engines.
+func (g *Server) UpdateLoads(loads []*wire.Load) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.UpdateLoads(loads, g.base.Timers.Now())
+	g.watchRuns()
+}
+
+// Uses returns what this instance has at targets.
+func (g *Server) Uses() []*wire.Use {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.balancer.Uses()
+}
+
+// UpdateOthers takes the sums of what the other instances have at targets.
+func (g *Server) UpdateOthers(uses []*wire.Use) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.UpdateOthers(uses)
 }
 
 // Ready reports whether the instance should be sent new connections: it knows a
@@ -212,20 +237,41 @@
 }
 
 // begin chooses a target and counts the request there.
-func (g *Server) begin(service string, avoid []string) *balance.Target {
+func (g *Server) begin(service string, tokens int, avoid []string) *balance.Target {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	t := g.balancer.Choose(service, avoid, g.base.Timers.Now())
+	now := g.base.Timers.Now()
+	t := g.balancer.Choose(service, tokens, avoid, now)
 	if t != nil {
-		g.balancer.Begin(t)
+		g.balancer.Begin(t, tokens, now)
 	}
 	return t
 }
 
-func (g *Server) end(t *balance.Target, result balance.Result) {
+// beginResume counts a request at the holder of its copy, unless the holder takes
+// no more requests.
+func (g *Server) beginResume(t *balance.Target, tokens int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.base.Timers.Now()
+	if !g.balancer.Resumable(t, now) {
+		return false
+	}
+	g.balancer.Begin(t, tokens, now)
+	return true
+}
+
+func (g *Server) end(t *balance.Target, tokens int, result balance.Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.End(t, tokens, result, g.base.Timers.Now())
+}
+
+// prefill counts tokens of a prompt that a target is reading, or has read.
+func (g *Server) prefill(t *balance.Target, tokens int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.balancer.End(t, result, g.base.Timers.Now())
+	g.balancer.Prefilled(t, tokens)
 }
 
 func (g *Server) draw() float64 {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -17,43 +16,73 @@
 
 const (
 	streamBuffer = 4 << 10
-	// maxEvent bounds one event of a stream in bytes.
-	maxEvent = 1 << 20
 	// callerWrite bounds how long a caller may leave an event unread.
 	callerWrite = 10 * time.Second
+	// stallAfter is the silence within a stream after which its engine is taken
+	// for lost, where another one holds a copy of the run.
+	stallAfter = 1500 * time.Millisecond
 )
 
-// errLongEvent ends a stream whose event is over the bound.
-var errLongEvent = errors.New("event is over the size bound")
+// errOrder ends a stream whose events are not numbered one after another.
+var errOrder = errors.New("events are not numbered one after another")
 
-// relay passes on a stream, event by event. An event of which a part is missing is
-// not passed on, and a stream without its end does not look complete.
-func (x *request) relay(ctx context.Context, t *balance.Target, conn *upstream.Conn, response *http.Response, said vanillaward.TargetAnswer, result *attemptResult) balance.Result {
-	x.copyHeader(response.Header)
-	x.w.WriteHeader(response.StatusCode)
-	x.status = response.StatusCode
-	result.outcome = delivered
+// stream is what a request knows of its run at an engine.
+type stream struct {
+	passed  int    // events that the caller got
+	last    uint64 // number of the last of them
+	headed  bool   // the caller got the head of the answer
+	resumed int    // how often the run went on from a copy
+	run     *run   // nil for requests that no engine runs
+}
+
+// relay passes on a stream, event by event. When it breaks off, the run goes on
+// from its copy; without one, the answer does not look complete.
+func (x *request) relay(ctx context.Context, t *balance.Target, conn *upstream.Conn, response *http.Response, said vanillaward.TargetAnswer) balance.Result {
 	x.maybeRun = true
-	err := x.passEvents(response.Body)
-	if err != nil {
-		conn.Close()
+	err := x.startStream(response)
+	if err == nil {
+		err = x.passEvents(conn, response.Body)
+	}
+	if err == nil {
+		x.reason = reasonComplete
+		x.release(conn, response, said)
+		return balance.Served
+	}
+	conn.Close()
+	got := x.broke(ctx, "stream broke off", t, err)
+	if !x.goOn(ctx, err) {
 		x.cutOff()
-		return x.broke(ctx, "stream broke off", t, err)
 	}
-	x.reason = reasonComplete
-	x.release(conn, response, said)
-	return balance.Served
+	return got
 }
 
+// startStream gives the caller the head of the answer, once.
+func (x *request) startStream(response *http.Response) error {
+	if x.stream.headed {
+		return nil
+	}
+	x.stream.headed = true
+	x.copyHeader(response.Header)
+	x.w.WriteHeader(response.StatusCode)
+	x.status = response.StatusCode
+	return http.NewResponseController(x.w).Flush()
+}
+
+// callerError marks an error of the caller's connection, after which there is
+// nobody to go on for.
+type callerError struct{ error }
+
+func (e callerError) Unwrap() error { return e.error }
+
 // passEvents returns nil after the end of a whole stream.
-func (x *request) passEvents(body io.Reader) error {
+func (x *request) passEvents(conn *upstream.Conn, body io.Reader) error {
 	reader := bufio.NewReaderSize(body, streamBuffer)
 	control := http.NewResponseController(x.w)
-	if err := control.Flush(); err != nil {
-		return err
-	}
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }() // fails only where the connection has ended
 	for {
+		if err := x.boundSilence(conn); err != nil {
+			return err
+		}
 		event, err := readEvent(reader)
 		if err != nil && !errors.Is(err, io.EOF) {
 			return err
@@ -69,37 +98,37 @@
 	}
 }
 
+// boundSilence bounds the wait for the next event where the run can go on
+// elsewhere.
+func (x *request) boundSilence(conn *upstream.Conn) error {
+	if x.stream.run == nil || x.stream.passed == 0 {
+		return nil
+	}
+	if !x.server.hasCopy(x.stream.run) {
+		return conn.Bound(time.Time{})
+	}
+	return conn.Bound(time.Now().Add(stallAfter))
+}
+
 func (x *request) passEvent(control *http.ResponseController, event []byte, flush bool) error {
+	if number, ok := eventNumber(event); ok {
+		if x.stream.passed > 0 && number != x.stream.last+1 {
+			return errOrder
+		}
+		x.stream.last = number
+	}
 	if err := control.SetWriteDeadline(time.Now().Add(callerWrite)); err != nil {
-		return err
+		return callerError{err}
 	}
 	if _, err := x.w.Write(event); err != nil {
-		return err
+		return callerError{err}
 	}
-	x.events++
+	x.stream.passed++
 	if !flush {
 		return nil
 	}
-	return control.Flush()
-}
-
-// readEvent reads up to and including the empty line that ends an event. At the
-// end of the stream it returns io.EOF with what is left.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var event []byte
-	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue
-		case err != nil:
-			return event, err
-		case len(event) > maxEvent:
-			return nil, errLongEvent
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return event, nil
-		}
+	if err := control.Flush(); err != nil {
+		return callerError{err}
 	}
+	return nil
 }
--- a/internal/instance/seeded.go
+++ b/internal/instance/seeded.go
@@ -145,7 +145,8 @@
 	s.ends = append(s.ends, s.node.Run(ctx), service.KeepPlace(ctx, s.seeds.Peers))
 	if set.Platform.List != "" {
 		reader := fleet.NewReader(log, s.base.Timers, platform.NewDirectory(log, set.Platform.List), board, set.Platform.PollInterval)
-		s.ends = append(s.ends, reader.Run(ctx))
+		prober := fleet.NewProber(log, s.base.Timers, platform.NewEngines(), board, set.Instance.FailureDomain, set.Platform.ReportInterval)
+		s.ends = append(s.ends, reader.Run(ctx), prober.Run(ctx))
 	}
 	if !set.Listen.Operators.IsValid() {
 		return nil
@@ -168,7 +169,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := gateway.New(s.base, platform.Dialect{}, platform.DecodeConfig, seed())
+	g := gateway.New(s.base, platform.Dialect{}, platform.NewEngines(), platform.DecodeConfig, seed())
 	follower := follow.New(s.base.Log, s.base.Timers, s.peers, set.Instance.Name, set.Instance.FailureDomain, s.seeds.Peers, g)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.PathReadiness, func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/route/spec.go
+++ b/internal/route/spec.go
@@ -75,6 +75,13 @@
 	Slots int
 	// MemoryTokens is the size of an engine's key-value cache.
 	MemoryTokens int
+	// Backups is true for engines that copy the memory of a run to another one
+	// while it grows.
+	Backups bool
+	// Moves is true for engines that copy the memory of a run when asked to, and
+	// KeepCopy is how long they keep such a copy.
+	Moves    bool
+	KeepCopy time.Duration
 }
 
 // OrganisationSpec is one organisation with its keys.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -148,3 +148,14 @@
 // Slots returns the number of generations that an engine of the service runs at
 // once; 0 for plain services.
 func (s *Service) Slots() int { return s.spec.Slots }
+
+// Backups reports whether the service's engines copy the memory of a run to
+// another one while it grows.
+func (s *Service) Backups() bool { return s != nil && s.spec.Backups }
+
+// Moves reports whether the service's engines copy the memory of a run when asked
+// to.
+func (s *Service) Moves() bool { return s != nil && s.spec.Moves }
+
+// KeepCopy returns how long an engine keeps such a copy.
+func (s *Service) KeepCopy() time.Duration { return s.spec.KeepCopy }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -97,14 +97,16 @@
 	RetryWindow time.Duration `ini:"retry-window" default:"10s" min:"1000000" doc:"Window in which repeated requests are counted."`
 	RetryRatio  float64       `ini:"retry-ratio" default:"0.18" min:"0" doc:"Part of a service's requests that may be sent once more within a window."`
 	RetrySpare  float64       `ini:"retry-spare" default:"2" min:"0" doc:"Requests that may be sent once more beside that part."`
+	CopyFrom    int           `ini:"copy-from-tokens" default:"200" min:"0" doc:"Longest output in tokens from which on an engine's memory of a run is copied to another engine, so that the run can go on there."`
 	StopDelay   time.Duration `ini:"stop-delay" default:"2500ms" doc:"How long a stopping instance still serves at least, so that the balancer sees that it is not ready."`
 	StopBound   time.Duration `ini:"stop-bound" default:"7500ms" min:"1000000" doc:"How long a stopping instance serves at most."`
 }
 
 // Platform names the platform's list of live and leaving instances.
 type Platform struct {
-	List         string        `ini:"list-url" doc:"URL of the platform's list of targets. Empty uses the declared targets only. With seeds, the replicas read it and hand it on."`
-	PollInterval time.Duration `ini:"poll-interval" default:"500ms" min:"10000000" doc:"Interval between readings of the list."`
+	List           string        `ini:"list-url" doc:"URL of the platform's list of targets. Empty uses the declared targets only. With seeds, the replicas read it and hand it on."`
+	PollInterval   time.Duration `ini:"poll-interval" default:"500ms" min:"10000000" doc:"Interval between readings of the list."`
+	ReportInterval time.Duration `ini:"report-interval" default:"500ms" min:"10000000" doc:"Interval between readings of an engine's report, in deployments with seeds: each replica reads the engines of its failure domain."`
 }
 
 // Log sets what is logged.
--- a/vanillaward.go
+++ b/vanillaward.go
@@ -125,6 +125,39 @@
 	Targets(ctx context.Context) ([]*wire.Target, error)
 }
 
+// Engines asks engines what they report of themselves.
+type Engines interface {
+	// Load reads the report of the engine at an address.
+	Load(ctx context.Context, address string) (*wire.Load, error)
+	// Move copies the memory of a run to another engine and returns once that is
+	// done. With last, the run stops first, and its stream ends without its end.
+	Move(ctx context.Context, m Move) (MoveResult, error)
+	// Drop frees the copy of a move at both engines.
+	Drop(ctx context.Context, address, handle string) error
+}
+
+// Move names a run and where its memory goes.
+type Move struct {
+	// Source and Destination are addresses of engines.
+	Source      string
+	Destination string
+	Request     string
+	Last        bool
+}
+
+// MoveResult is an engine's answer to a move.
+type MoveResult struct {
+	// Handle names the copy. It may be set beside a failure: a run that stopped
+	// can then go on at its source.
+	Handle string
+	// Made is the number of events that the run had made by then.
+	Made uint64
+	// Done is true when the copy is complete.
+	Done bool
+	// NoRun is true when the engine has no such run.
+	NoRun bool
+}
+
 // Dialect translates between the headers of a platform and what the gateway
 // needs to know. Implementations decide nothing.
 type Dialect interface {
@@ -151,6 +184,9 @@
 	// of its longest output; 0 for other requests.
 	PromptTokens  int
 	LongestTokens int
+	// ExpectedTokens is the caller's estimate of the output, which is often far
+	// off; 0 for none.
+	ExpectedTokens int
 }
 
 // Forwarding is what a target is told beside the caller's own headers.
@@ -165,6 +201,22 @@
 	Urgency int
 	// Generation is true for requests that an engine runs.
 	Generation bool
+	// Backup is the address of an engine that is to hold a copy of the run's
+	// memory while it grows; empty for none.
+	Backup string
+	// Resume is set when the request goes on from a copy.
+	Resume *Resume
+}
+
+// Resume tells an engine to go on with a run from a copy of its memory.
+type Resume struct {
+	// At is the address of the engine that names the copy: its holder, or the
+	// source of a move.
+	At string
+	// Copy is the name of the copy there.
+	Copy string
+	// After is the number of the last event that the caller has; 0 for none.
+	After uint64
 }
 
 // TargetAnswer is what the status and headers of a target's answer say.
