Copy on notice without stopping the run

Change: the copy on notice is made while the run goes on, renewed before engines drop it, and used when the engine ends. Runs that made no event are not asked for.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -14,8 +14,8 @@
 	moveTime = 2 * time.Second
 	// dropTime bounds the freeing of a copy that was not needed.
 	dropTime = time.Second
-	// copyMargin is how long before its end a moved copy is not relied on.
-	copyMargin = 500 * time.Millisecond
+	// copyMargin is how long before its end a copy made on demand is renewed.
+	copyMargin = 1500 * time.Millisecond
 )
 
 // run is a generation at an engine. Its fields are guarded by the server's lock.
@@ -26,10 +26,11 @@
 	movable bool
 	keep    time.Duration // how long engines keep a moved copy
 
-	engine *balance.Target
-	copy   *heldCopy
-	moving chan struct{} // closed at the end of a move; nil without one
-	failed []string      // engines that could not take the run's memory
+	engine  *balance.Target
+	started bool // the run has made an event at its engine
+	copy    *heldCopy
+	moving  chan struct{} // closed at the end of a move; nil without one
+	failed  []string      // engines that could not take the run's memory
 }
 
 // heldCopy is a copy of a run's memory at another engine.
@@ -54,10 +55,24 @@
 func (g *Server) resumeRun(r *run, engine *balance.Target) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r.engine, r.failed = engine, nil
+	r.engine, r.started, r.failed = engine, false, nil
 	g.chooseCopy(r)
 }
 
+// startedRun notes the first event of a run at its engine, and moves it if that
+// engine is about to end.
+func (g *Server) startedRun(r *run) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r.started {
+		return
+	}
+	r.started = true
+	if g.balancer.Leaving(r.engine) {
+		g.watchRuns()
+	}
+}
+
 // chooseCopy is called with the lock held.
 func (g *Server) chooseCopy(r *run) {
 	now := g.base.Timers.Now()
@@ -143,52 +158,53 @@
 	now := g.base.Timers.Now()
 	for r := range g.runs {
 		view := rescue.View{
-			EngineLeaving: g.balancer.Leaving(r.engine), CopyUsable: r.copy != nil && !g.balancer.Leaving(r.copy.holder),
+			EngineLeaving: g.balancer.Leaving(r.engine), Started: r.started, CopyUsable: g.usable(r.copy, now),
 			Moving: r.moving != nil, Movable: r.movable, Failures: len(r.failed),
 		}
-		if rescue.Next(view) != rescue.Move {
+		if rescue.Next(view) != rescue.Copy {
 			continue
 		}
-		destination := g.balancer.ChooseBackup(r.engine, r.tokens, r.failed, now)
+		destination := g.destination(r, now)
 		if destination == nil {
 			continue
 		}
-		g.dropCopy(r)
 		r.moving = make(chan struct{})
 		go g.move(r, r.engine, destination, r.moving)
 	}
 }
 
-// move copies a run's memory to another engine while the run goes on, then stops
-// the run there and leaves it to be resumed. It reports its end on the channel.
-func (g *Server) move(r *run, source, destination *balance.Target, ended chan struct{}) {
-	defer close(ended)
-	started := g.base.Timers.Now()
-	first, err := g.moveStep(r, source, destination, false)
-	if err != nil {
-		g.endMove(r, destination, err)
-		return
-	}
-	g.setMoved(r, destination, source, first.Handle)
-	copied := g.base.Timers.Now()
-	last, err := g.moveStep(r, source, destination, true)
-	g.base.Log.Info("run moved", "request", r.request, "target", source.ID(), "to", destination.ID(), "made", last.Made, "done", last.Done,
-		"copy-ms", (copied - started).Milliseconds(), "last-ms", (g.base.Timers.Now() - copied).Milliseconds())
-	if err != nil && last.Handle != "" {
-		g.setMoved(r, source, source, last.Handle)
+// usable reports whether a run can rely on a copy. It is called with the lock held.
+func (g *Server) usable(c *heldCopy, now time.Duration) bool {
+	return c != nil && !g.balancer.Leaving(c.holder) && (c.until == 0 || now < c.until)
+}
+
+// destination returns the engine that a run's memory should be copied to, or nil: the
+// one that holds an older copy, which needs only what is new, or any with room. It is
+// called with the lock held.
+func (g *Server) destination(r *run, now time.Duration) *balance.Target {
+	if r.copy != nil && r.copy.until > 0 && !g.balancer.Leaving(r.copy.holder) {
+		return r.copy.holder
 	}
-	g.endMove(r, destination, err)
+	return g.balancer.ChooseBackup(r.engine, r.tokens, r.failed, now)
 }
 
-func (g *Server) moveStep(r *run, source, destination *balance.Target, last bool) (vanillaward.MoveResult, error) {
+// move copies a run's memory to another engine while the run goes on. It reports its
+// end on the channel.
+func (g *Server) move(r *run, source, destination *balance.Target, ended chan struct{}) {
+	defer close(ended)
+	started := g.base.Timers.Now()
 	ctx, cancel := context.WithTimeout(r.ctx, moveTime)
 	defer cancel()
-	return g.engines.Move(ctx, vanillaward.Move{
-		Source: source.Address(), Destination: destination.Address(), Request: r.request, Last: last,
-	})
+	got, err := g.engines.Move(ctx, vanillaward.Move{Source: source.Address(), Destination: destination.Address(), Request: r.request})
+	if err == nil {
+		g.setMoved(r, destination, source, got.Handle)
+		g.base.Log.Info("run copied", "request", r.request, "target", source.ID(), "to", destination.ID(), "made", got.Made,
+			"took-ms", (g.base.Timers.Now() - started).Milliseconds())
+	}
+	g.endMove(r, destination, err)
 }
 
-// setMoved notes where a moved copy is.
+// setMoved notes where the copy of a move is.
 func (g *Server) setMoved(r *run, holder, source *balance.Target, handle string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -209,7 +225,7 @@
 		return
 	}
 	r.failed = append(r.failed, destination.ID())
-	g.base.Log.Info("run not moved", "request", r.request, "target", r.engine.ID(), "to", destination.ID(), "reason", err.Error())
+	g.base.Log.Info("run not copied", "request", r.request, "target", r.engine.ID(), "to", destination.ID(), "reason", err.Error())
 	if r.ctx.Err() == nil {
 		g.watchRuns()
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -79,11 +79,14 @@
 	reader := bufio.NewReaderSize(body, streamBuffer)
 	control := http.NewResponseController(x.w)
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }() // fails only where the connection has ended
-	for {
+	for first := true; ; first = false {
 		if err := x.boundSilence(conn); err != nil {
 			return err
 		}
 		event, err := readEvent(reader)
+		if first && err == nil && x.stream.run != nil {
+			x.server.startedRun(x.stream.run)
+		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			return err
 		}
--- a/internal/rescue/rescue.go
+++ b/internal/rescue/rescue.go
@@ -6,17 +6,20 @@
 type View struct {
 	// EngineLeaving is true when the run's engine is about to end.
 	EngineLeaving bool
-	// CopyUsable is true when another engine that stays holds a copy.
+	// Started is true once the run has made its first event; before, an engine has
+	// nothing to move.
+	Started bool
+	// CopyUsable is true when another engine that stays holds a copy, and will for a while.
 	CopyUsable bool
-	// Moving is true while the run's memory is being moved.
+	// Moving is true while the run's memory is being copied on demand.
 	Moving bool
-	// Movable is true when the engines move memory when asked to.
+	// Movable is true when the engines copy memory when asked to.
 	Movable bool
-	// Failures is the number of moves of this run that failed.
+	// Failures is the number of such copies of this run that failed.
 	Failures int
 }
 
-// maxFailures is the number of failed moves after which a run is left where it is.
+// maxFailures is the number of failed copies after which a run is left where it is.
 const maxFailures = 3
 
 // Step is what is done for a run.
@@ -27,16 +30,17 @@
 	// Stay means that nothing is done: the run goes on where it is, and from its
 	// copy if its engine ends.
 	Stay Step = iota
-	// Move means that its memory is copied to another engine while the run goes on,
-	// and that the run then follows.
-	Move
+	// Copy means that its memory is copied to another engine while the run goes on.
+	// The run is not stopped for that: when its engine ends, it goes on from the copy
+	// and reads what came after it, which takes less time than the last step of a
+	// move behind those of other runs.
+	Copy
 )
 
-// Next returns the step for a run. A usable copy makes a move unnecessary: going
-// on from it takes about as long as the last step of a move.
+// Next returns the step for a run.
 func Next(v View) Step {
-	if !v.EngineLeaving || v.CopyUsable || v.Moving || !v.Movable || v.Failures >= maxFailures {
+	if !v.EngineLeaving || !v.Started || v.CopyUsable || v.Moving || !v.Movable || v.Failures >= maxFailures {
 		return Stay
 	}
-	return Move
+	return Copy
 }
