--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -33,7 +33,7 @@
 	memoryCost = 3.0
 	// copyRoom is the part of an engine's memory that copies may fill up to: the
 	// rest is for the growth of the runs there.
-	copyRoom = 0.9
+	copyRoom = 0.8
 	// leavingGrace is how long an engine that leaves may still be sent requests
 	// that only it can go on with.
 	leavingGrace = 1500 * time.Millisecond
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -220,6 +220,7 @@
 func (n *Node) tick() error {
 	actions := n.core.Tick(n.timers.Now())
 	actions = append(actions, n.steward()...)
+	actions = append(actions, n.core.KeepCommit()...)
 	return n.perform(actions)
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -244,6 +244,7 @@
 	}
 	g.base.Log.Info("request", "request", x.caller.ID, "route", name, "organisation", x.org, "service", x.service,
 		"target", x.target, "sent", x.sent, "maybe-run", x.maybeRun, "status", x.status, "events", x.stream.passed, "resumed", x.stream.resumed,
+		"first-ms", x.stream.first.Milliseconds(), "longest-gap-ms", x.stream.gap.Milliseconds(),
 		"outcome", string(x.reason), "configuration", number, "budget-ms", x.caller.Budget.Milliseconds(),
 		"took-ms", took.Milliseconds())
 	if x.broken {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,11 +28,14 @@
 
 // stream is what a request knows of its run at an engine.
 type stream struct {
-	passed  int    // events that the caller got
-	last    uint64 // number of the last of them
-	headed  bool   // the caller got the head of the answer
-	resumed int    // how often the run went on from a copy
-	run     *run   // nil for requests that no engine runs
+	passed  int           // events that the caller got
+	last    uint64        // number of the last of them
+	headed  bool          // the caller got the head of the answer
+	resumed int           // how often the run went on from a copy
+	first   time.Duration // from the request's arrival to the first event
+	latest  time.Duration // when the last event was passed on
+	gap     time.Duration // the longest time between two events
+	run     *run          // nil for requests that no engine runs
 }
 
 // relay passes on a stream, event by event. When it breaks off, the run goes on
@@ -127,6 +130,7 @@
 		return callerError{err}
 	}
 	x.stream.passed++
+	x.stream.note(x.server.base.Timers.Now(), x.arrived)
 	if !flush {
 		return nil
 	}
@@ -135,3 +139,13 @@
 	}
 	return nil
 }
+
+// note keeps the times that callers feel.
+func (s *stream) note(now, arrived time.Duration) {
+	if s.passed == 1 {
+		s.first = now - arrived
+	} else {
+		s.gap = max(s.gap, now-s.latest)
+	}
+	s.latest = now
+}
--- a/internal/replog/core.go
+++ b/internal/replog/core.go
@@ -42,14 +42,16 @@
 	timing Timing
 	random *rand.Rand
 
-	now      time.Duration
-	role     Role
-	term     uint64
-	vote     string
-	leader   string
-	commit   uint64
-	log      entryLog
-	snapshot *wire.Snapshot
+	now    time.Duration
+	role   Role
+	term   uint64
+	vote   string
+	leader string
+	commit uint64
+	log    entryLog
+	// savedCommit is the commit index that is durable
+	savedCommit uint64
+	snapshot    *wire.Snapshot
 
 	heard    time.Duration // last message of a current leader, or the start
 	deadline time.Duration // when to campaign
@@ -79,7 +81,10 @@
 		c.log.reset(from.Snapshot)
 	}
 	c.log.append(from.Entries...)
-	c.commit = c.log.snapIndex // what is committed beyond it is learned again
+	c.commit = c.log.snapIndex
+	// What is committed beyond the saved index is learned again.
+	c.commitTo(min(from.HardState.GetCommit(), c.log.last()))
+	c.savedCommit = c.commit
 	c.postpone()
 	return c
 }
@@ -272,7 +277,18 @@
 }
 
 func (c *Core) saveState() {
-	c.emit(SaveState{&wire.HardState{Term: c.term, Vote: c.vote}})
+	c.savedCommit = c.commit
+	c.emit(SaveState{&wire.HardState{Term: c.term, Vote: c.vote, Commit: c.commit}})
+}
+
+// KeepCommit makes the commit index durable where it has risen, so that a restarted
+// replica knows at once what was committed. It need not follow each commit: an older
+// index is only learned again.
+func (c *Core) KeepCommit() []Action {
+	if c.commit > c.savedCommit {
+		c.saveState()
+	}
+	return c.take()
 }
 
 func (c *Core) emit(a Action) { c.actions = append(c.actions, a) }
