Take an engine that ends connections for leaving, and tell all instances

Cause: requests were sent to engines for 0.5 to 1 s after their notice; those died during their prompt.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -14,7 +14,7 @@
 const (
 	// abroadCost is added for a target in another failure domain: it costs
 	// traffic, and a partition would cut the request.
-	abroadCost = 0.15
+	abroadCost = 0.5
 	// failureCost is added for a target of which every recent request failed.
 	failureCost = 2.0
 	// coldCost is added for a target that has just started.
@@ -34,6 +34,9 @@
 	// copyRoom is the part of an engine's memory that copies may fill up to: the
 	// rest is for the growth of the runs there.
 	copyRoom = 0.8
+	// suspicion is how long an engine that ends a connection is taken for leaving; by
+	// then its report has told.
+	suspicion = 1500 * time.Millisecond
 	// leavingGrace is how long an engine that leaves may still be sent requests
 	// that only it can go on with.
 	leavingGrace = 1500 * time.Millisecond
@@ -71,14 +74,15 @@
 
 // Target is a target as the balancer sees it.
 type Target struct {
-	id      string
-	service string
-	address string
-	domain  string
-	slots   int
-	leaving bool
-	left    time.Duration // since when it is known to leave
-	cold    time.Duration // until when it is slow
+	id        string
+	service   string
+	address   string
+	domain    string
+	slots     int
+	leaving   bool
+	suspected time.Duration // until when it is taken for leaving
+	left      time.Duration // since when it is known to leave
+	cold      time.Duration // until when it is slow
 
 	open       int // own requests
 	copies     int // copies of own requests' memory
@@ -154,7 +158,7 @@
 	var best *Target
 	bestScore, ties := 0.0, 0
 	for _, t := range b.byName[service] {
-		if t.leaving || contains(avoid, t.id) {
+		if t.ends(now) || contains(avoid, t.id) {
 			continue
 		}
 		score := b.score(t, tokens, now)
@@ -177,7 +181,7 @@
 	var best *Target
 	bestScore := 0.0
 	for _, t := range b.byName[run.service] {
-		if t.leaving || t == run || now < t.ejected || t.load.waiting > 0 || contains(avoid, t.id) {
+		if t.ends(now) || t == run || now < t.ejected || t.load.waiting > 0 || contains(avoid, t.id) {
 			continue
 		}
 		score, known := t.memory(tokens, now)
@@ -198,7 +202,18 @@
 }
 
 // Leaving reports whether a target is about to end, or gone.
-func (b *Balancer) Leaving(t *Target) bool { return t.leaving || b.targets[t.id] != t }
+func (b *Balancer) Leaving(t *Target, now time.Duration) bool {
+	return t.ends(now) || b.targets[t.id] != t
+}
+
+// ends reports whether a target is known to leave, or taken for it.
+func (t *Target) ends(now time.Duration) bool {
+	return t.leaving || now < t.suspected || now < t.others.suspected
+}
+
+// Suspect takes an engine for leaving, since it ends connections: that comes ahead of
+// its own report and of the list, which confirm it or let it pass.
+func (b *Balancer) Suspect(t *Target, now time.Duration) { t.suspected = now + suspicion }
 
 // Resumable reports whether a request may still be sent to the holder of its copy:
 // an engine gets no more requests some time after it is known to leave.
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -99,24 +99,29 @@
 }
 
 // UpdateOthers takes the sums of what other instances have at targets.
-func (b *Balancer) UpdateOthers(uses []*wire.Use) {
+func (b *Balancer) UpdateOthers(uses []*wire.Use, now time.Duration) {
 	for _, t := range b.targets {
 		t.others = others{}
 	}
 	for _, u := range uses {
 		if t := b.targets[u.GetTarget()]; t != nil {
-			t.others = others{requests: int(u.GetRequests()), tokens: int(u.GetTokens()), prefilling: int(u.GetPrefilling())}
+			t.others = others{
+				requests: int(u.GetRequests()), tokens: int(u.GetTokens()), prefilling: int(u.GetPrefilling()),
+				suspected: now + time.Duration(u.GetSuspectedMs())*time.Millisecond,
+			}
 		}
 	}
 }
 
 // Uses returns what this instance has at targets.
-func (b *Balancer) Uses() []*wire.Use {
+func (b *Balancer) Uses(now time.Duration) []*wire.Use {
 	var out []*wire.Use
 	for _, t := range b.targets {
-		if t.open > 0 || t.tokens > 0 || t.prefilling > 0 {
+		suspected := max(0, t.suspected-now)
+		if t.open > 0 || t.tokens > 0 || t.prefilling > 0 || suspected > 0 {
 			out = append(out, &wire.Use{
 				Target: t.id, Requests: uint32(max(0, t.open)), Tokens: uint32(max(0, t.tokens)), Prefilling: uint32(max(0, t.prefilling)),
+				SuspectedMs: uint32(suspected.Milliseconds()),
 			})
 		}
 	}
@@ -128,4 +133,5 @@
 	requests   int
 	tokens     int
 	prefilling int
+	suspected  time.Duration // until when one of them takes it for leaving
 }
--- a/internal/control/uses.go
+++ b/internal/control/uses.go
@@ -79,7 +79,25 @@
 		out = append(out, &wire.Use{
 			Target: target, Requests: s.GetRequests() - mine.GetRequests(),
 			Tokens: s.GetTokens() - mine.GetTokens(), Prefilling: s.GetPrefilling() - mine.GetPrefilling(),
+			SuspectedMs: u.suspected(target, instance, now),
 		})
 	}
 	return out
 }
+
+// suspected returns for how long other instances take a target for leaving. It is
+// called with the lock held.
+func (u *uses) suspected(target, except string, now time.Duration) uint32 {
+	longest := int64(0)
+	for id, t := range u.byID {
+		if id == except {
+			continue
+		}
+		for _, use := range t.uses {
+			if use.GetTarget() == target && use.GetSuspectedMs() > 0 {
+				longest = max(longest, int64(use.GetSuspectedMs())-(now-t.at).Milliseconds())
+			}
+		}
+	}
+	return uint32(longest)
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -143,7 +143,7 @@
 		return got
 	}
 	said := x.server.dialect.ReadAnswer(response.StatusCode, response.Header)
-	if said.Closing && response.StatusCode < http.StatusInternalServerError {
+	if response.Close && framed(response) {
 		x.noteClosing(t)
 	}
 	if said.NotRun {
@@ -180,10 +180,14 @@
 		"reason", err.Error(), "open-there", t.Open(), "took-ms", (x.server.base.Timers.Now() - x.arrived).Milliseconds())
 }
 
-// noteClosing is called when a target ends a connection after a good answer. It
-// may be leaving, or not: only the list and its own report tell for sure.
+// noteClosing is called when a target ends a connection that could be kept. An engine
+// that does so mostly leaves; a plain service does it now and then.
 func (x *request) noteClosing(t *balance.Target) {
-	x.server.base.Log.V(1).Info("target closes a connection", "request", x.caller.ID, "target", t.ID())
+	if !x.route.Generation() {
+		return
+	}
+	x.server.base.Log.Info("engine ends a connection and is taken for leaving", "request", x.caller.ID, "target", t.ID())
+	x.server.suspect(t)
 }
 
 // turnedAway handles a target's statement that it did not run the request.
@@ -350,3 +354,9 @@
 func (x *request) urgency() int {
 	return min(maxUrgency, urgencyBase+2*x.orgRank+x.route.Rank())
 }
+
+// framed reports whether an answer's end is marked, so that its connection could have
+// been kept.
+func framed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -68,7 +68,7 @@
 		return
 	}
 	r.started = true
-	if g.balancer.Leaving(r.engine) {
+	if g.balancer.Leaving(r.engine, g.base.Timers.Now()) {
 		g.watchRuns()
 	}
 }
@@ -158,7 +158,7 @@
 	now := g.base.Timers.Now()
 	for r := range g.runs {
 		view := rescue.View{
-			EngineLeaving: g.balancer.Leaving(r.engine), Started: r.started, CopyUsable: g.usable(r.copy, now),
+			EngineLeaving: g.balancer.Leaving(r.engine, now), Started: r.started, CopyUsable: g.usable(r.copy, now),
 			Moving: r.moving != nil, Movable: r.movable, Failures: len(r.failed),
 		}
 		if rescue.Next(view) != rescue.Copy {
@@ -175,14 +175,14 @@
 
 // usable reports whether a run can rely on a copy. It is called with the lock held.
 func (g *Server) usable(c *heldCopy, now time.Duration) bool {
-	return c != nil && !g.balancer.Leaving(c.holder) && (c.until == 0 || now < c.until)
+	return c != nil && !g.balancer.Leaving(c.holder, now) && (c.until == 0 || now < c.until)
 }
 
 // destination returns the engine that a run's memory should be copied to, or nil: the
 // one that holds an older copy, which needs only what is new, or any with room. It is
 // called with the lock held.
 func (g *Server) destination(r *run, now time.Duration) *balance.Target {
-	if r.copy != nil && r.copy.until > 0 && !g.balancer.Leaving(r.copy.holder) {
+	if r.copy != nil && r.copy.until > 0 && !g.balancer.Leaving(r.copy.holder, now) {
 		return r.copy.holder
 	}
 	return g.balancer.ChooseBackup(r.engine, r.tokens, r.failed, now)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -126,14 +126,15 @@
 func (g *Server) Uses() []*wire.Use {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.balancer.Uses()
+	return g.balancer.Uses(g.base.Timers.Now())
 }
 
 // UpdateOthers takes the sums of what the other instances have at targets.
 func (g *Server) UpdateOthers(uses []*wire.Use) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.balancer.UpdateOthers(uses)
+	g.balancer.UpdateOthers(uses, g.base.Timers.Now())
+	g.watchRuns()
 }
 
 // Ready reports whether the instance should be sent new connections: it knows a
@@ -274,6 +275,14 @@
 	g.balancer.Prefilled(t, tokens)
 }
 
+// suspect takes an engine for leaving.
+func (g *Server) suspect(t *balance.Target) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.Suspect(t, g.base.Timers.Now())
+	g.watchRuns()
+}
+
 func (g *Server) draw() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -13,7 +13,7 @@
 )
 
 // dialTimeout bounds connecting and the TLS handshake.
-const dialTimeout = time.Second
+const dialTimeout = 300 * time.Millisecond
 
 // ErrUnreachable is returned when no connection to the peer could be made, so
 // that the call certainly did not arrive.
