--- a/internal/control/uses.go
+++ b/internal/control/uses.go
@@ -10,12 +10,11 @@
 // useValid is how long what an instance told of its requests counts.
 const useValid = 3 * time.Second
 
-// uses sums what instances have at targets, so that each of them can see the
+// uses holds what instances have at targets, so that each of them can see the
 // others' requests before the targets report them. It is safe for concurrent use.
 type uses struct {
 	mu   sync.Mutex // guards the rest; never held while another lock is taken
 	byID map[string]told
-	sum  map[string]*wire.Use
 }
 
 // told is what one instance has.
@@ -24,80 +23,47 @@
 	uses []*wire.Use
 }
 
-func newUses() *uses {
-	return &uses{byID: map[string]told{}, sum: map[string]*wire.Use{}}
-}
+func newUses() *uses { return &uses{byID: map[string]told{}} }
 
 // take replaces what an instance has.
 func (u *uses) take(instance string, now []*wire.Use, at time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.drop(instance)
 	u.byID[instance] = told{at: at, uses: now}
-	for _, use := range now {
-		s := u.sum[use.GetTarget()]
-		if s == nil {
-			s = &wire.Use{Target: use.GetTarget()}
-			u.sum[use.GetTarget()] = s
-		}
-		s.Requests += use.GetRequests()
-		s.Tokens += use.GetTokens()
-		s.Prefilling += use.GetPrefilling()
-	}
 }
 
-// drop is called with the lock held.
-func (u *uses) drop(instance string) {
-	for _, use := range u.byID[instance].uses {
-		s := u.sum[use.GetTarget()]
-		s.Requests -= use.GetRequests()
-		s.Tokens -= use.GetTokens()
-		s.Prefilling -= use.GetPrefilling()
-		if s.GetRequests() == 0 && s.GetTokens() == 0 && s.GetPrefilling() == 0 {
-			delete(u.sum, use.GetTarget())
-		}
-	}
-	delete(u.byID, instance)
-}
-
-// others returns the sums without an instance's own part.
-func (u *uses) others(instance string, now time.Duration) []*wire.Use {
+// others returns what all instances but one have together.
+func (u *uses) others(except string, now time.Duration) []*wire.Use {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	sums := map[string]*wire.Use{}
+	var out []*wire.Use
 	for id, t := range u.byID {
 		if now-t.at > useValid {
-			u.drop(id)
+			delete(u.byID, id)
+			continue
 		}
-	}
-	own := map[string]*wire.Use{}
-	for _, use := range u.byID[instance].uses {
-		own[use.GetTarget()] = use
-	}
-	out := make([]*wire.Use, 0, len(u.sum))
-	for target, s := range u.sum {
-		mine := own[target]
-		out = append(out, &wire.Use{
-			Target: target, Requests: s.GetRequests() - mine.GetRequests(),
-			Tokens: s.GetTokens() - mine.GetTokens(), Prefilling: s.GetPrefilling() - mine.GetPrefilling(),
-			SuspectedMs: u.suspected(target, instance, now),
-		})
-	}
-	return out
-}
-
-// suspected returns for how long other instances take a target for leaving. It is
-// called with the lock held.
-func (u *uses) suspected(target, except string, now time.Duration) uint32 {
-	longest := int64(0)
-	for id, t := range u.byID {
 		if id == except {
 			continue
 		}
 		for _, use := range t.uses {
-			if use.GetTarget() == target && use.GetSuspectedMs() > 0 {
-				longest = max(longest, int64(use.GetSuspectedMs())-(now-t.at).Milliseconds())
+			sum := sums[use.GetTarget()]
+			if sum == nil {
+				sum = &wire.Use{Target: use.GetTarget()}
+				sums[use.GetTarget()] = sum
+				out = append(out, sum)
 			}
+			add(sum, use, now-t.at)
 		}
 	}
-	return uint32(longest)
+	return out
+}
+
+// add adds what an instance told some time ago to a sum.
+func add(sum, use *wire.Use, age time.Duration) {
+	sum.Requests += use.GetRequests()
+	sum.Tokens += use.GetTokens()
+	sum.Prefilling += use.GetPrefilling()
+	left := max(0, time.Duration(use.GetSuspectedMs())*time.Millisecond-age)
+	sum.SuspectedMs = max(sum.GetSuspectedMs(), uint32(left.Milliseconds()))
 }
