--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -75,7 +75,7 @@
 	}
 	defer conn.CloseWith(ctx)()
 	x.server.resumeRun(x.stream.run, holder)
-	response, err := x.sendResume(from, conn)
+	response, err := x.sendResume(from, conn) //nolint:bodyclose // closing the connection or reading to the end releases it
 	if err != nil {
 		conn.Close()
 		return x.broke(ctx, "run did not go on", holder, err), false
