--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -79,7 +79,8 @@
 	address   string
 	domain    string
 	slots     int
-	leaving   bool
+	leaving   bool          // by the list, which lags
+	says      bool          // by its own report
 	suspected time.Duration // until when it is taken for leaving
 	left      time.Duration // since when it is known to leave
 	cold      time.Duration // until when it is slow
@@ -138,7 +139,7 @@
 		t.domain = l.GetFailureDomain()
 		t.slots = int(l.GetSlots())
 		leaving := l.GetState() != wire.TargetState_TARGET_STATE_READY
-		if leaving && !t.leaving {
+		if leaving && !t.leaving && !t.says {
 			t.left = now
 		}
 		t.leaving = leaving
@@ -208,7 +209,7 @@
 
 // ends reports whether a target is known to leave, or taken for it.
 func (t *Target) ends(now time.Duration) bool {
-	return t.leaving || now < t.suspected || now < t.others.suspected
+	return t.leaving || t.says || now < t.suspected || now < t.others.suspected
 }
 
 // Suspect takes an engine for leaving, since it ends connections: that comes ahead of
@@ -218,7 +219,7 @@
 // Resumable reports whether a request may still be sent to the holder of its copy:
 // an engine gets no more requests some time after it is known to leave.
 func (b *Balancer) Resumable(t *Target, now time.Duration) bool {
-	return b.targets[t.id] == t && (!t.leaving || now < t.left+leavingGrace)
+	return b.targets[t.id] == t && (!t.leaving && !t.says || now < t.left+leavingGrace)
 }
 
 // HoldCopy counts a copy at a target, DropCopy ends that.
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -52,9 +52,10 @@
 		t.load.running, t.load.waiting = int(l.GetRunning()), int(l.GetWaiting())
 		t.load.used, t.load.capacity = int(l.GetUsedTokens()), int(l.GetCapacityTokens())
 		t.load.forget(at)
-		if l.GetLeaving() && !t.leaving {
-			t.leaving, t.left = true, now
+		if l.GetLeaving() && !t.leaving && !t.says {
+			t.left = now
 		}
+		t.says = l.GetLeaving()
 	}
 }
 
--- a/internal/gateway/event.go
+++ b/internal/gateway/event.go
@@ -35,6 +35,13 @@
 	}
 }
 
+// eventWaits reports whether another whole event was received already, so that both
+// can be sent together. The beginning of one does not count.
+func eventWaits(r *bufio.Reader) bool {
+	received, err := r.Peek(r.Buffered())
+	return err == nil && (bytes.Contains(received, []byte("\n\n")) || bytes.Contains(received, []byte("\n\r\n")))
+}
+
 // eventNumber returns the number in the field id of an event.
 func eventNumber(event []byte) (uint64, bool) {
 	for line := range bytes.Lines(event) {
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,358 @@
+package gateway_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillaward/vanillaward/internal/base"
+	"github.com/vanillaward/vanillaward/internal/gateway"
+	"github.com/vanillaward/vanillaward/internal/inifile"
+	"github.com/vanillaward/vanillaward/internal/route"
+	"github.com/vanillaward/vanillaward/internal/settings"
+	"github.com/vanillaward/vanillaward/internal/telemetry"
+	"github.com/vanillaward/vanillaward/internal/timer"
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+const (
+	testService = "service"
+	testHost    = "example.test"
+	otherDomain = "other-domain"
+	ownDomain   = "own-domain"
+)
+
+// rig is a gateway before stand-in targets.
+type rig struct {
+	gateway *gateway.Server
+	address string
+	stop    chan struct{}
+	end     <-chan error
+	engines *engines
+}
+
+var kinds = map[string]route.Kind{"idempotent": route.Idempotent, "once": route.Once, "stream": route.Stream}
+
+// configuration is the routing table of the tests; number is its version.
+func configuration(number uint64, kind route.Kind, attempts int, timeout time.Duration) *route.Configuration {
+	return &route.Configuration{
+		Number: number,
+		Routes: []route.Spec{
+			{
+				Name: "r", Host: testHost, Prefix: "/r/", Kind: kind, KindKnown: true, Timeout: timeout, Attempts: attempts,
+				Generation: kind == route.Stream, Shares: []route.Share{{Service: testService, Weight: 1}},
+			},
+			{
+				Name: "public", Host: testHost, Prefix: "/r/public/", Kind: kind, KindKnown: true, Timeout: timeout, Attempts: attempts,
+				Public: true, Shares: []route.Share{{Service: testService, Weight: 1}},
+			},
+		},
+		Services:      []route.ServiceSpec{{Name: testService, Slots: 8, Backups: true, Moves: true, KeepCopy: 5 * time.Second}},
+		Organisations: []route.OrganisationSpec{{Name: "org", Keys: []string{"key"}}},
+		Limits:        route.Limits{HeaderBytes: 4096, BodyBytes: 64 << 10},
+	}
+}
+
+func newRig(t *testing.T, c *route.Configuration, targets ...*standin) *rig {
+	t.Helper()
+	s := &settings.Settings{}
+	require.Empty(t, inifile.Decode(inifile.NewSection("test", "gateway", "", 0), &s.Gateway))
+	s.Gateway.StopDelay = 100 * time.Millisecond
+	s.Instance.FailureDomain = ownDomain
+	b := base.Base{Log: logr.Discard(), Settings: s, Timers: timer.New(), Metrics: telemetry.NewMetrics()}
+	r := &rig{stop: make(chan struct{}), engines: &engines{}}
+	r.gateway = gateway.New(b, dialect{}, r.engines, func([]byte) (*route.Configuration, error) { return c, nil }, 1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r.address = listener.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	r.end = r.gateway.Run(ctx, listener, r.stop)
+	t.Cleanup(func() {
+		cancel()
+		<-r.end
+	})
+	if c != nil {
+		require.NoError(t, r.gateway.Install(&wire.Document{Number: c.Number}))
+	}
+	r.list(targets...)
+	return r
+}
+
+// list tells the gateway of targets: the first is in its own failure domain and
+// therefore chosen first.
+func (r *rig) list(targets ...*standin) {
+	var list []*wire.Target
+	for i, s := range targets {
+		domain := otherDomain
+		if i == 0 {
+			domain = ownDomain
+		}
+		list = append(list, &wire.Target{
+			Id: s.id, Service: testService, Address: s.address(), FailureDomain: domain, Slots: 8,
+			State: wire.TargetState_TARGET_STATE_READY, Engine: true,
+		})
+	}
+	r.gateway.UpdateTargets(list)
+}
+
+// reply is what the caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (r *rig) ask(t *testing.T, method, path, body string, header map[string]string) reply {
+	t.Helper()
+	request, err := http.NewRequest(method, "http://"+r.address+path, strings.NewReader(body))
+	require.NoError(t, err)
+	request.Host = testHost
+	request.Header.Set(testID, "request-1")
+	request.Header.Set(testKey, "key")
+	request.Header.Set(testBudget, "3000")
+	request.Header.Set(testSizes, "1000")
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(data), err: err}
+}
+
+// script is one file of testdata: a request, how targets behave, and what must
+// come of it.
+type script struct {
+	Kind     string   `ini:"kind" required:"true" oneof:"idempotent|once|stream"`
+	Attempts int      `ini:"attempts" default:"1"`
+	Timeout  int      `ini:"timeout-ms" default:"3000"`
+	Targets  []string `ini:"targets"`
+	Body     int      `ini:"body-bytes" default:"10"`
+	Status   int      `ini:"status" required:"true"`
+	Whole    bool     `ini:"whole" default:"false"`
+	Broken   bool     `ini:"broken" default:"false"`
+	Runs     []int    `ini:"runs"`
+	Events   int      `ini:"events" default:"0"`
+	Again    bool     `ini:"comes-back" default:"false"`
+}
+
+// TestScripts plays the scripts of testdata.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.ini")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		require.NoError(t, err)
+		sections, found := inifile.Parse(file, data)
+		require.NoError(t, found.Err())
+		for _, section := range sections {
+			var s script
+			decoded := inifile.Decode(section, &s)
+			require.NoError(t, decoded.Err())
+			t.Run(strings.ReplaceAll(section.ID(), " ", "-"), func(t *testing.T) {
+				t.Parallel()
+				s.play(t)
+			})
+		}
+	}
+}
+
+func (s *script) play(t *testing.T) {
+	var targets []*standin
+	for i, behave := range s.Targets {
+		targets = append(targets, newStandin(t, fmt.Sprint("target-", i), behave))
+	}
+	r := newRig(t, configuration(1, kinds[s.Kind], s.Attempts, time.Duration(s.Timeout)*time.Millisecond), targets...)
+	got := r.ask(t, http.MethodPost, "/r/path?query=1", strings.Repeat("x", s.Body), nil)
+	require.Equal(t, s.Broken, got.err != nil, "error of the answer: %v", got.err)
+	require.Equal(t, s.Status, got.status)
+	if s.Whole {
+		require.Equal(t, wholeBody, got.body)
+	}
+	if s.Events > 0 {
+		want := ""
+		for i := 1; i <= s.Events; i++ {
+			want += fmt.Sprintf("id: %d\ndata: event %d\n\n", i, i)
+		}
+		require.Equal(t, want, got.body)
+	}
+	require.Equal(t, s.Again, got.header.Get("Retry-After") != "")
+	for i, runs := range s.Runs {
+		require.Equal(t, runs, targets[i].ran(), "runs at target %d", i)
+	}
+}
+
+// TestUnchanged: method, path, query, host and body reach the target as they came,
+// the key does not, and the target is told who it should be and how long is left.
+func TestUnchanged(t *testing.T) {
+	target := newStandin(t, "target-0", "complete")
+	r := newRig(t, configuration(1, route.Once, 1, 3*time.Second), target)
+	got := r.ask(t, http.MethodPut, "/r/a%2Fb/../c?x=%20&y", "body", map[string]string{testOrg: "forged", testResume: "forged", "Connection": "X-One", "X-One": "1", "X-Two": "2"})
+	require.Equal(t, http.StatusOK, got.status)
+	require.Equal(t, []string{"PUT /r/a%2Fb/../c?x=%20&y " + testHost + " body"}, target.bodies)
+	h := target.seen[0]
+	require.Equal(t, "org", h.Get(testOrg))
+	require.Equal(t, "target-0", h.Get(testTarget))
+	require.Empty(t, h.Get(testKey))
+	require.Empty(t, h.Get("X-One"), "a header of one connection")
+	require.Equal(t, "2", h.Get("X-Two"))
+	require.Regexp(t, "^(2[5-9]..|3000)$", h.Get(testLeft))
+}
+
+// TestRefused: requests that no configuration allows, or that break a bound, are
+// refused and reach no target.
+func TestRefused(t *testing.T) {
+	target := newStandin(t, "target-0", "complete")
+	r := newRig(t, configuration(1, route.Once, 1, 3*time.Second), target)
+	for _, c := range []struct {
+		path, body, key, big string
+		status               int
+	}{
+		{path: "/other", status: http.StatusNotFound},
+		{path: "/r", status: http.StatusNotFound},
+		{path: "/r/x", key: "unknown", status: http.StatusUnauthorized},
+		{path: "/r/x", body: strings.Repeat("x", 65<<10), status: http.StatusRequestEntityTooLarge},
+		{path: "/r/x", big: strings.Repeat("x", 5000), status: http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		header := map[string]string{"Big": c.big}
+		if c.key != "" {
+			header[testKey] = c.key
+		}
+		require.Equal(t, c.status, r.ask(t, http.MethodPost, c.path, c.body, header).status, c.path)
+	}
+	require.Equal(t, http.StatusOK, r.ask(t, http.MethodPost, "/r/public/x", "", map[string]string{testKey: "unknown"}).status)
+	require.Equal(t, 1, target.ran())
+}
+
+// TestMalformed: what is no proper request, or holds two of them, reaches no target.
+func TestMalformed(t *testing.T) {
+	target := newStandin(t, "target-0", "complete")
+	r := newRig(t, configuration(1, route.Once, 1, 3*time.Second), target)
+	for _, raw := range []string{
+		"POST /r/x HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+		"POST /r/x HTTP/1.1\r\nHost: example.test\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
+		"POST http://example.test/r/x HTTP/1.1\r\nHost: example.test\r\nTest-Key: key\r\nContent-Length: 0\r\n\r\n",
+		"GET\r\n\r\n",
+	} {
+		conn, err := net.Dial("tcp", r.address)
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, raw)
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadRequest, response.StatusCode, raw)
+		require.NoError(t, response.Body.Close())
+		require.NoError(t, conn.Close())
+	}
+	require.Zero(t, target.ran())
+}
+
+// TestChunked: a body in chunks is passed on whole, and bytes that look like a
+// request within it stay its bytes.
+func TestChunked(t *testing.T) {
+	target := newStandin(t, "target-0", "complete")
+	r := newRig(t, configuration(1, route.Once, 1, 3*time.Second), target)
+	inner := "POST /r/inner HTTP/1.1\r\nHost: example.test\r\n\r\n"
+	conn, err := net.Dial("tcp", r.address)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /r/x HTTP/1.1\r\nHost: example.test\r\nTest-Id: request-1\r\nTest-Key: key\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(inner), inner)
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, []string{"POST /r/x " + testHost + " " + inner}, target.bodies)
+}
+
+// TestNoConfiguration: an instance that knows no configuration refuses everything as
+// not run and is not ready.
+func TestNoConfiguration(t *testing.T) {
+	r := newRig(t, nil)
+	require.False(t, r.gateway.Ready())
+	got := r.ask(t, http.MethodPost, "/r/x", "", nil)
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+}
+
+// TestNeverBack: an older document changes nothing.
+func TestNeverBack(t *testing.T) {
+	current := configuration(7, route.Once, 1, time.Second)
+	r := newRig(t, current)
+	require.NoError(t, r.gateway.Install(&wire.Document{Number: 6}))
+	require.EqualValues(t, 7, r.gateway.Number())
+	require.Error(t, r.gateway.Install(&wire.Document{Number: 8}), "a document holds the number that it is under")
+	require.EqualValues(t, 7, r.gateway.Number())
+}
+
+// TestGracefulStop: a stopping instance is not ready, ends running requests, answers
+// on open connections and refuses new streams as not run.
+func TestGracefulStop(t *testing.T) {
+	target := newStandin(t, "target-0", "stream:")
+	r := newRig(t, configuration(1, route.Stream, 1, 3*time.Second), target)
+	require.True(t, r.gateway.Ready())
+	close(r.stop)
+	require.Eventually(t, func() bool { return !r.gateway.Ready() }, time.Second, time.Millisecond)
+	got := r.ask(t, http.MethodPost, "/r/x", "", nil)
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+	require.Zero(t, target.ran())
+}
+
+// TestCallerLeaves: when the caller leaves, the target's connection ends.
+func TestCallerLeaves(t *testing.T) {
+	target := newStandin(t, "target-0", "mute")
+	r := newRig(t, configuration(1, route.Once, 1, 3*time.Second), target)
+	conn, err := net.Dial("tcp", r.address)
+	require.NoError(t, err)
+	_, err = io.WriteString(conn, "POST /r/x HTTP/1.1\r\nHost: example.test\r\nTest-Id: request-1\r\nTest-Key: key\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return target.ran() == 1 }, 2*time.Second, time.Millisecond)
+	require.NoError(t, conn.Close())
+	require.Eventually(t, func() bool {
+		var b bytes.Buffer
+		return len(r.gateway.Uses()) == 0 && b.Len() == 0
+	}, 2*time.Second, time.Millisecond, "the request is let go")
+}
+
+// TestLateExtra: bytes that come after a whole answer belong to no request: the next
+// one goes over another connection.
+func TestLateExtra(t *testing.T) {
+	target := newStandin(t, "target-0", "extra")
+	r := newRig(t, configuration(1, route.Once, 1, 3*time.Second), target)
+	for i := range 3 {
+		got := r.ask(t, http.MethodPost, "/r/x", "", map[string]string{testID: fmt.Sprint("request-", i)})
+		require.Equal(t, wholeBody, got.body)
+	}
+}
+
+// TestCopyOnNotice: a run without a copy is copied when its engine says that it
+// leaves, and goes on from that copy.
+func TestCopyOnNotice(t *testing.T) {
+	c := configuration(1, route.Stream, 1, 3*time.Second)
+	c.Services[0].Backups = false
+	first := newStandin(t, "target-0", "mute")
+	second := newStandin(t, "target-1", "stream:")
+	r := newRig(t, c, first, second)
+	r.gateway.UpdateLoads([]*wire.Load{{Target: "target-0", CapacityTokens: 10000, Leaving: true}})
+	got := r.ask(t, http.MethodPost, "/r/x", "", nil)
+	require.Equal(t, http.StatusOK, got.status)
+	require.Zero(t, first.ran(), "an engine that leaves gets no new request")
+	require.Equal(t, 1, second.ran())
+}
--- /dev/null
+++ b/internal/gateway/standin_test.go
@@ -0,0 +1,238 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillaward/vanillaward"
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+// Headers of the test's own dialect.
+const (
+	testID     = "Test-Id"
+	testBudget = "Test-Budget-Ms"
+	testKey    = "Test-Key"
+	testLeft   = "Test-Left-Ms"
+	testTarget = "Test-Target"
+	testOrg    = "Test-Organisation"
+	testBackup = "Test-Backup"
+	testResume = "Test-Resume"
+	testAfter  = "Test-After"
+	testNotRun = "Test-Not-Run"
+	testSizes  = "Test-Longest"
+)
+
+// dialect is a dialect with names of the tests' own.
+type dialect struct{}
+
+func (dialect) ReadRequest(h http.Header) vanillaward.CallerRequest {
+	budget, _ := strconv.Atoi(h.Get(testBudget))
+	longest, _ := strconv.Atoi(h.Get(testSizes))
+	return vanillaward.CallerRequest{
+		ID: h.Get(testID), Budget: time.Duration(budget) * time.Millisecond, Key: h.Get(testKey),
+		PromptTokens: longest, LongestTokens: longest,
+	}
+}
+
+func (dialect) Forward(h http.Header, f vanillaward.Forwarding) {
+	h.Del(testKey)
+	h.Set(testLeft, strconv.FormatInt(f.Left.Milliseconds(), 10))
+	h.Set(testTarget, f.Target)
+	h.Set(testOrg, f.Organisation)
+	h.Del(testBackup)
+	if f.Backup != "" {
+		h.Set(testBackup, f.Backup)
+	}
+	if f.Resume != nil {
+		h.Set(testResume, f.Resume.At+"/"+f.Resume.Copy)
+		h.Set(testAfter, strconv.FormatUint(f.Resume.After, 10))
+	}
+}
+
+func (dialect) ReadAnswer(_ int, h http.Header) vanillaward.TargetAnswer {
+	return vanillaward.TargetAnswer{RequestID: h.Get(testID), NotRun: h.Get(testNotRun) != "", Closing: h.Get("Connection") == "close"}
+}
+
+func (dialect) SetRetryAfter(h http.Header, after time.Duration) {
+	h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+}
+
+// engines counts the copies that were asked for.
+type engines struct {
+	mu    sync.Mutex // guards moves
+	moves []vanillaward.Move
+}
+
+func (*engines) Load(context.Context, string) (*wire.Load, error) { return &wire.Load{}, nil }
+
+func (e *engines) Move(_ context.Context, m vanillaward.Move) (vanillaward.MoveResult, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.moves = append(e.moves, m)
+	return vanillaward.MoveResult{Handle: "handle", Done: true}, nil
+}
+
+func (*engines) Drop(context.Context, string, string) error { return nil }
+
+// standin is a target that misbehaves as told.
+type standin struct {
+	id       string
+	behave   string
+	listener net.Listener
+
+	mu       sync.Mutex // guards the rest
+	runs     []string   // identities of the requests that it ran
+	seen     []http.Header
+	bodies   []string
+	cut      int // how often it broke a stream off
+	answered int
+}
+
+const wholeBody = "the whole answer of the target"
+
+func newStandin(t *testing.T, id, behave string) *standin {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &standin{id: id, behave: behave, listener: listener}
+	if behave == "dead" {
+		require.NoError(t, listener.Close())
+		return s
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go s.accept()
+	return s
+}
+
+func (s *standin) address() string { return s.listener.Addr().String() }
+
+func (s *standin) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(conn)
+	}
+}
+
+func (s *standin) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if s.behave == "early" {
+			fmt.Fprintf(conn, "HTTP/1.1 413 Too Large\r\n%s: %s\r\nContent-Length: 2\r\n\r\nno", testID, request.Header.Get(testID))
+		}
+		body, _ := io.ReadAll(request.Body)
+		s.mu.Lock()
+		s.seen = append(s.seen, request.Header)
+		s.bodies = append(s.bodies, request.Method+" "+request.RequestURI+" "+request.Host+" "+string(body))
+		s.mu.Unlock()
+		if s.behave != "early" && !s.answer(conn, request) {
+			return
+		}
+	}
+}
+
+// answer reports whether the connection goes on.
+func (s *standin) answer(conn net.Conn, request *http.Request) bool {
+	id := request.Header.Get(testID)
+	if s.behave != "refuse" {
+		s.mu.Lock()
+		s.runs = append(s.runs, id)
+		s.answered++
+		s.mu.Unlock()
+	}
+	head := func(status int, id string, more string, body string) {
+		fmt.Fprintf(conn, "HTTP/1.1 %d X\r\n%s: %s\r\n%s\r\n%s", status, testID, id, more, body)
+	}
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(wholeBody))
+	name, argument, _ := strings.Cut(s.behave, ":")
+	switch name {
+	case "complete":
+		head(200, id, length, wholeBody)
+	case "error":
+		head(500, id, "Content-Length: 4\r\n", "oops")
+	case "says-503":
+		head(503, id, "Content-Length: 4\r\n", "oops")
+	case "refuse":
+		head(503, id, testNotRun+": 1\r\nContent-Length: 0\r\n", "")
+	case "truncate":
+		head(200, id, length, wholeBody[:10])
+		return false
+	case "reset":
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return false
+	case "garbage":
+		fmt.Fprint(conn, "\x00\x01 this is no answer\r\n\r\n")
+		return false
+	case "foreign":
+		head(200, "somebody-else", "Content-Length: 7\r\n", "foreign")
+		head(200, id, length, wholeBody)
+	case "only-foreign":
+		head(200, "somebody-else", "Content-Length: 7\r\n", "foreign")
+		return false
+	case "extra":
+		head(200, id, length, wholeBody+"HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nextra")
+	case "unframed":
+		head(200, id, "Connection: close\r\n", wholeBody)
+		return false
+	case "unframed-reset":
+		head(200, id, "Connection: close\r\n", wholeBody[:10])
+		time.Sleep(20 * time.Millisecond) // the bytes must leave before the reset
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return false
+	case "mute":
+		_, _ = conn.Read(make([]byte, 1))
+		return false
+	case "stream":
+		return s.stream(conn, request, argument)
+	}
+	return true
+}
+
+// stream sends five events. The argument tells after which one it breaks off, once.
+func (s *standin) stream(conn net.Conn, request *http.Request, argument string) bool {
+	const events = 5
+	from := 0
+	if request.Header.Get(testResume) != "" {
+		from, _ = strconv.Atoi(request.Header.Get(testAfter))
+	}
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", testID, request.Header.Get(testID))
+	cut, err := strconv.Atoi(argument)
+	for i := from + 1; i <= events; i++ {
+		event := fmt.Sprintf("id: %d\ndata: event %d\n\n", i, i)
+		if argument == "skip" && i == 3 {
+			continue
+		}
+		if err == nil && i == cut+1 {
+			fmt.Fprintf(conn, "%x\r\n%s", len(event), event[:4]) // in the middle of the event
+			return false
+		}
+		fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
+	}
+	fmt.Fprint(conn, "0\r\n\r\n")
+	return true
+}
+
+func (s *standin) ran() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.runs)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -52,6 +52,9 @@
 		return balance.Served
 	}
 	conn.Close()
+	if !isCaller(err) {
+		_ = http.NewResponseController(x.w).Flush() // whole events that wait; the caller may have left
+	}
 	got := x.broke(ctx, "stream broke off", t, err)
 	if !x.goOn(ctx, err) {
 		x.cutOff()
@@ -94,7 +97,7 @@
 			return err
 		}
 		if len(event) > 0 {
-			if err := x.passEvent(control, event, reader.Buffered() == 0); err != nil {
+			if err := x.passEvent(control, event, !eventWaits(reader)); err != nil {
 				return err
 			}
 		}
