--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -287,8 +287,16 @@
 	member    bool
 	leader    string
 	addresses []string
+	voters    int
 }
 
+// Voters returns the number of voters that the replica knows, and Learners that of
+// learners.
+func (s Standing) Voters() int { return s.voters }
+
+// Learners returns the number of learners that the replica knows.
+func (s Standing) Learners() int { return len(s.addresses) - s.voters }
+
 // Fresh reports whether the replica leads or has heard its leader lately.
 func (s Standing) Fresh() bool { return s.fresh }
 
@@ -306,6 +314,9 @@
 		out.member = n.core.Member()
 		for _, r := range n.core.Membership().GetReplicas() {
 			out.addresses = append(out.addresses, r.GetAddress())
+			if !r.GetLearner() {
+				out.voters++
+			}
 			if r.GetId() == n.core.LeaderID() {
 				out.leader = r.GetAddress()
 			}
--- a/internal/instance/seeded.go
+++ b/internal/instance/seeded.go
@@ -142,6 +142,7 @@
 		control.WithBoard(board), control.WithFounders(founders))
 	service := control.NewService(ctx, s.node, published, s.base.Timers, s.peers, s.self())
 	service.Register(s.server)
+	s.gauges(ctx)
 	s.ends = append(s.ends, s.node.Run(ctx), service.KeepPlace(ctx, s.seeds.Peers))
 	if set.Platform.List != "" {
 		reader := fleet.NewReader(log, s.base.Timers, platform.NewDirectory(log, set.Platform.List), board, set.Platform.PollInterval)
@@ -159,6 +160,26 @@
 	return nil
 }
 
+// gauges shows the replica's place in the log.
+func (s *seeded) gauges(ctx context.Context) {
+	standing := func(value func(control.Standing) int) func() float64 {
+		return func() float64 {
+			ctx, cancel := context.WithTimeout(ctx, gaugeTime)
+			defer cancel()
+			got, err := s.node.Standing(ctx)
+			if err != nil {
+				return 0 // the replica has stopped, which its log tells
+			}
+			return float64(value(got))
+		}
+	}
+	s.base.Metrics.Gauge("vanillaward_control_voters", standing(control.Standing.Voters))
+	s.base.Metrics.Gauge("vanillaward_control_learners", standing(control.Standing.Learners))
+}
+
+// gaugeTime bounds the reading of a replica's state for its metrics.
+const gaugeTime = 500 * time.Millisecond
+
 func (s *seeded) startGateway(ctx context.Context, stop <-chan struct{}) (<-chan error, error) {
 	set := s.base.Settings
 	callers, err := listen(set.Listen.Callers.String())
