--- a/internal/gateway/reason.go
+++ b/internal/gateway/reason.go
@@ -45,7 +45,7 @@
 var refusals = map[reason]refusal{
 	reasonTimeout:      {status: http.StatusGatewayTimeout},
 	reasonBroken:       {status: http.StatusBadGateway},
-	reasonNoConfig:     {status: http.StatusServiceUnavailable, after: 300 * time.Millisecond, closing: true},
+	reasonNoConfig:     {status: http.StatusServiceUnavailable, after: 700 * time.Millisecond, closing: true},
 	reasonBusy:         {status: http.StatusServiceUnavailable, after: 300 * time.Millisecond, closing: true},
 	reasonHeadTooLarge: {status: http.StatusRequestHeaderFieldsTooLarge, closing: true},
 	reasonMalformed:    {status: http.StatusBadRequest, closing: true},
@@ -54,7 +54,7 @@
 	reasonBodyTooLarge: {status: http.StatusRequestEntityTooLarge, closing: true},
 	reasonBodyBroken:   {status: http.StatusBadRequest, closing: true},
 	reasonTooLate:      {status: http.StatusServiceUnavailable},
-	reasonStopping:     {status: http.StatusServiceUnavailable, after: 20 * time.Millisecond, closing: true},
+	reasonStopping:     {status: http.StatusServiceUnavailable, after: 400 * time.Millisecond, closing: true},
 	reasonNoTarget:     {status: http.StatusServiceUnavailable, after: 400 * time.Millisecond},
 	reasonUnreachable:  {status: http.StatusServiceUnavailable, after: 150 * time.Millisecond},
 	reasonFull:         {status: http.StatusServiceUnavailable, after: 150 * time.Millisecond},
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -149,12 +149,54 @@
 	if x.left() <= 0 {
 		return x.refuse(reasonTooLate)
 	}
-	if x.server.stopping.Load() && x.route.Kind() == route.Stream {
+	if x.server.stopping.Load() && !x.endsInTime() {
 		return x.refuse(reasonStopping)
 	}
 	return true
 }
 
+// endsInTime reports whether the request will end before the stopping gateway does.
+// Just after the stop, callers cannot know of it yet, and a likely end is enough: the
+// other instances are not sent them sooner. Later, an end must be sure.
+func (x *request) endsInTime() bool {
+	left := x.server.servesFor()
+	if x.server.settings.StopGrace-stopMargin-left < likelyFor {
+		return x.likelyTime() <= left
+	}
+	return x.longestTime() <= left
+}
+
+// likelyFor is how long after the stop a request is served that likely ends in time.
+const likelyFor = 2500 * time.Millisecond
+
+const (
+	// plainTime is how long a request takes that no engine runs, with room to spare.
+	plainTime = time.Second
+	// firstTime and tokenTime are how long a generation takes to its first token and
+	// from each to the next.
+	firstTime = 800 * time.Millisecond
+	tokenTime = 9 * time.Millisecond
+	// slowFirstTime and slowTokenTime are the same at an engine that is crowded.
+	slowFirstTime = 2500 * time.Millisecond
+	slowTokenTime = 20 * time.Millisecond
+)
+
+// likelyTime estimates how long the request will take.
+func (x *request) likelyTime() time.Duration {
+	if x.route.Kind() != route.Stream {
+		return plainTime
+	}
+	return firstTime + time.Duration(x.likelyOutput())*tokenTime
+}
+
+// longestTime bounds how long the request will take.
+func (x *request) longestTime() time.Duration {
+	if x.route.Kind() != route.Stream {
+		return min(x.left(), plainTime)
+	}
+	return min(x.left(), slowFirstTime+time.Duration(x.caller.LongestTokens)*slowTokenTime)
+}
+
 // left returns how long the caller will still wait.
 func (x *request) left() time.Duration { return x.until - x.server.base.Timers.Now() }
 
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -106,9 +106,13 @@
 	if !x.route.Generation() {
 		return 0
 	}
-	expected := x.caller.LongestTokens
+	return max(1, x.caller.PromptTokens+x.likelyOutput()/2)
+}
+
+// likelyOutput estimates the output of a generation in tokens.
+func (x *request) likelyOutput() int {
 	if x.caller.ExpectedTokens > 0 {
-		expected = min(expected, x.caller.ExpectedTokens)
+		return min(x.caller.LongestTokens, x.caller.ExpectedTokens)
 	}
-	return max(1, x.caller.PromptTokens+expected/2)
+	return x.caller.LongestTokens
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -53,6 +53,7 @@
 	table    atomic.Pointer[route.Table]
 	open     atomic.Int64 // requests that are being served
 	stopping atomic.Bool
+	stopped  atomic.Int64 // when a stopping gateway ends at the latest
 
 	mu       sync.Mutex // guards the rest; never held while another lock is taken
 	balancer *balance.Balancer
@@ -183,20 +184,30 @@
 		return
 	case <-stop:
 	}
-	g.stopping.Store(true)
 	start := g.base.Timers.Now()
+	g.stopped.Store(int64(start + g.settings.StopGrace - stopMargin))
+	g.stopping.Store(true)
 	g.base.Log.Info("stopping", "open-requests", g.open.Load())
 	for range g.base.Timers.Subscribe(ctx, stopCheck) {
 		waited := g.base.Timers.Now() - start
-		if waited >= g.settings.StopBound || waited >= g.settings.StopDelay && g.open.Load() == 0 {
+		if g.servesFor() <= 0 || waited >= g.settings.StopDelay && g.open.Load() == 0 {
 			break
 		}
 	}
 	g.base.Log.Info("stopped serving", "open-requests", g.open.Load())
 }
 
-// stopCheck is how often a stopping gateway looks whether it is done.
-const stopCheck = 50 * time.Millisecond
+const (
+	// stopCheck is how often a stopping gateway looks whether it is done.
+	stopCheck = 50 * time.Millisecond
+	// stopMargin is how long before it is killed a stopping gateway ends.
+	stopMargin = 200 * time.Millisecond
+)
+
+// servesFor returns how long a stopping gateway still serves.
+func (g *Server) servesFor() time.Duration {
+	return time.Duration(g.stopped.Load()) - g.base.Timers.Now()
+}
 
 func (g *Server) expire(ctx context.Context, ended <-chan struct{}) {
 	ticks := g.base.Timers.Subscribe(ctx, expireInterval)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -99,7 +99,7 @@
 	RetrySpare  float64       `ini:"retry-spare" default:"2" min:"0" doc:"Requests that may be sent once more beside that part."`
 	CopyFrom    int           `ini:"copy-from-tokens" default:"200" min:"0" doc:"Longest output in tokens from which on an engine's memory of a run is copied to another engine, so that the run can go on there."`
 	StopDelay   time.Duration `ini:"stop-delay" default:"2500ms" doc:"How long a stopping instance still serves at least, so that the balancer sees that it is not ready."`
-	StopBound   time.Duration `ini:"stop-bound" default:"7500ms" min:"1000000" doc:"How long a stopping instance serves at most."`
+	StopGrace   time.Duration `ini:"stop-grace" default:"8s" min:"1000000000" doc:"How long after SIGTERM the process is killed. A stopping instance serves until shortly before."`
 }
 
 // Platform names the platform's list of live and leaving instances.
