--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -31,6 +31,16 @@
 	// memoryCost what counts beyond it.
 	roomy      = 0.6
 	memoryCost = 3.0
+	// copyAbroad is added for a holder of a copy in another failure domain than the
+	// run: the copy takes twice as long.
+	copyAbroad = 0.15
+	// pairCost is added for each other copy that the same engine's runs have there: when
+	// that engine ends, all of them go on at once.
+	pairCost = 0.1
+	// cutOffCost is added for the targets of a failure domain that is taken for cut off
+	// since one of them could not be reached, and cutOffTime is for how long.
+	cutOffCost = 1.0
+	cutOffTime = time.Second
 	// copyRoom is the part of an engine's memory that copies may fill up to: the
 	// rest is for the growth of the runs there.
 	copyRoom = 0.8
@@ -115,11 +125,24 @@
 	targets map[string]*Target
 	byName  map[string][]*Target
 	listed  bool
+	// pairs counts own copies by the engine of their run and the one that holds them
+	pairs map[pair]int
+	// cutOff tells until when a failure domain is taken for cut off
+	cutOff map[string]time.Duration
+}
+
+// pair is the engine of a run and the engine that holds a copy of it.
+type pair struct {
+	run    string
+	holder string
 }
 
 // New returns a balancer for an instance in a failure domain.
 func New(domain string, random *rand.Rand) *Balancer {
-	return &Balancer{domain: domain, random: random, targets: map[string]*Target{}, byName: map[string][]*Target{}}
+	return &Balancer{
+		domain: domain, random: random, targets: map[string]*Target{}, byName: map[string][]*Target{},
+		pairs: map[pair]int{}, cutOff: map[string]time.Duration{},
+	}
 }
 
 // Listed reports whether a list was taken yet.
@@ -193,8 +216,9 @@
 			continue
 		}
 		if t.domain != run.domain {
-			score += abroadCost
+			score += copyAbroad
 		}
+		score += pairCost * float64(b.pairs[pair{run.id, t.id}])
 		if best == nil || score < bestScore {
 			best, bestScore = t, score
 		}
@@ -222,15 +246,21 @@
 	return b.targets[t.id] == t && (!t.leaving && !t.says || now < t.left+leavingGrace)
 }
 
-// HoldCopy counts a copy at a target, DropCopy ends that.
-func (b *Balancer) HoldCopy(t *Target, tokens int, now time.Duration) {
+// HoldCopy counts a copy of a run at a target, DropCopy ends that.
+func (b *Balancer) HoldCopy(run, t *Target, tokens int, now time.Duration) {
+	b.pairs[pair{run.id, t.id}]++
 	t.copies++
 	t.tokens += tokens
 	t.load.place(now, tokens, 0)
 }
 
 // DropCopy ends what HoldCopy counted.
-func (b *Balancer) DropCopy(t *Target, tokens int) {
+func (b *Balancer) DropCopy(run, t *Target, tokens int) {
+	if key := (pair{run.id, t.id}); b.pairs[key] > 1 {
+		b.pairs[key]--
+	} else {
+		delete(b.pairs, key)
+	}
 	t.copies--
 	t.tokens -= tokens
 }
@@ -250,6 +280,9 @@
 	score := t.busy(tokens, now) + failureCost*t.rate
 	if t.domain != b.domain {
 		score += abroadCost
+		if now < b.cutOff[t.domain] {
+			score += cutOffCost
+		}
 	}
 	if now < t.cold {
 		score += coldCost
@@ -302,6 +335,9 @@
 	case Failed, Unreachable:
 		t.failures++
 		t.rate += failureWeight * (1 - t.rate)
+		if result == Unreachable && t.domain != b.domain {
+			b.cutOff[t.domain] = now + cutOffTime
+		}
 		if result == Unreachable || t.failures >= ejectAfter {
 			t.ejected = now + min(ejection<<min(t.failures-1, 3), longestEjection)
 		}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -32,6 +32,8 @@
 	answerMargin = 300 * time.Millisecond
 	// failurePause is the pause after a replica failed.
 	failurePause = 100 * time.Millisecond
+	// lostAfter is how long no replica may be current until that is logged.
+	lostAfter = 2 * time.Second
 	// listValid is how old a list may be to count beside a newer one.
 	listValid = 5 * time.Second
 )
@@ -68,7 +70,9 @@
 	leader   string          // its address, where it is known
 	share    time.Duration   // how long the leader may hold a question
 	lists    map[string]*list
-	lost     bool
+	heard    map[string]string // what became of the last question to a replica
+	fresh    time.Duration     // when a replica last answered with what is current
+	lost     bool              // since then, for lostAfter
 }
 
 // list is what one replica told of the targets.
@@ -85,7 +89,7 @@
 func New(log logr.Logger, timers vanillaward.Timers, peers *peer.Pool, name, domain string, seeds func() []string, sink Sink) *Follower {
 	return &Follower{
 		log: log, timers: timers, peers: peers, name: name, domain: domain, seeds: seeds, sink: sink,
-		share: shareInterval, taken: map[string]bool{}, lists: map[string]*list{},
+		share: shareInterval, taken: map[string]bool{}, lists: map[string]*list{}, heard: map[string]string{}, fresh: timers.Now(),
 	}
 }
 
@@ -163,9 +167,8 @@
 			f.noteLost(address, err)
 			return
 		}
-		f.learn(address, answer, first)
+		f.learn(address, answer)
 		if !answer.GetFresh() {
-			f.log.V(1).Info("replica is behind its leader", "replica", address)
 			return
 		}
 	}
@@ -196,21 +199,37 @@
 func (f *Follower) noteLost(address string, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.taken) <= 1 && !f.lost {
+	f.note(address, "lost", err.Error())
+}
+
+// note logs what became of a replica when that differs from before, and whether there
+// is any current one. It is called with the lock held.
+func (f *Follower) note(address, what, reason string) {
+	if f.heard[address] != what {
+		f.heard[address] = what
+		f.log.Info("replica "+what, "replica", address, "reason", reason, "number", f.sink.Number())
+	}
+	now := f.timers.Now()
+	switch {
+	case what == "current":
+		if f.lost {
+			f.log.Info("control regained", "replica", address, "after-ms", (now - f.fresh).Milliseconds())
+		}
+		f.fresh, f.lost = now, false
+	case !f.lost && now-f.fresh > lostAfter:
 		f.lost = true
-		f.log.Info("control replicas lost", "replica", address, "reason", err.Error(), "number", f.sink.Number())
+		f.log.Info("control lost", "number", f.sink.Number(), "age-ms", (now - f.fresh).Milliseconds())
 	}
 }
 
 // learn takes an answer.
-func (f *Follower) learn(address string, answer *wire.FollowResponse, first bool) {
+func (f *Follower) learn(address string, answer *wire.FollowResponse) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.lost {
-		f.lost = false
-		f.log.Info("control replicas regained", "replica", address)
-	} else if first {
-		f.log.Info("following replica", "replica", address, "fresh", answer.GetFresh())
+	if answer.GetFresh() {
+		f.note(address, "current", "")
+	} else {
+		f.note(address, "behind", "it has not heard its leader lately")
 	}
 	if len(answer.GetReplicas()) > 0 {
 		f.replicas = usable(answer.GetReplicas())
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -226,8 +226,12 @@
 	}
 }
 
-// maxDials bounds the targets that are tried for one request.
-const maxDials = 4
+const (
+	// maxDials bounds the targets that are tried for one request, and dialTime how long
+	// after its arrival another one is tried.
+	maxDials = 12
+	dialTime = 700 * time.Millisecond
+)
 
 // again reports whether the request may go to another target.
 func (x *request) again(ctx context.Context, a attemptResult) bool {
@@ -235,7 +239,7 @@
 	case ctx.Err() != nil || x.left() <= 0:
 		return false
 	case a.outcome == notSent:
-		return a.tried < maxDials
+		return a.tried < maxDials && x.server.base.Timers.Now() < x.arrived+dialTime
 	case x.sent >= x.route.Attempts():
 		return false
 	case a.outcome == notRun:
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -35,6 +35,7 @@
 
 // heldCopy is a copy of a run's memory at another engine.
 type heldCopy struct {
+	run    *balance.Target // the engine of the run
 	holder *balance.Target
 	at     string        // address of the engine that names the copy
 	name   string        // its name there
@@ -81,8 +82,14 @@
 		g.base.Log.Info("no engine has room for a copy", "request", r.request, "target", r.engine.ID())
 		return
 	}
-	g.balancer.HoldCopy(holder, r.tokens, now)
-	r.copy = &heldCopy{holder: holder, at: holder.Address(), name: r.request}
+	g.holdCopy(r, &heldCopy{holder: holder, at: holder.Address(), name: r.request})
+}
+
+// holdCopy notes a run's copy. It is called with the lock held.
+func (g *Server) holdCopy(r *run, c *heldCopy) {
+	c.run = r.engine
+	g.balancer.HoldCopy(c.run, c.holder, r.tokens, g.base.Timers.Now())
+	r.copy = c
 }
 
 // removeRun ends a run and frees a moved copy that was not used.
@@ -133,7 +140,7 @@
 // dropCopy is called with the lock held.
 func (g *Server) dropCopy(r *run) {
 	if r.copy != nil {
-		g.balancer.DropCopy(r.copy.holder, r.tokens)
+		g.balancer.DropCopy(r.copy.run, r.copy.holder, r.tokens)
 		r.copy = nil
 	}
 }
@@ -211,10 +218,9 @@
 	if _, open := g.runs[r]; !open {
 		return
 	}
-	now := g.base.Timers.Now()
 	g.dropCopy(r)
-	g.balancer.HoldCopy(holder, r.tokens, now)
-	r.copy = &heldCopy{holder: holder, at: source.Address(), name: handle, until: now + max(copyMargin, r.keep-copyMargin)}
+	until := g.base.Timers.Now() + max(copyMargin, r.keep-copyMargin)
+	g.holdCopy(r, &heldCopy{holder: holder, at: source.Address(), name: handle, until: until})
 }
 
 func (g *Server) endMove(r *run, destination *balance.Target, err error) {
