One reader an engine over all replicas; loads reach instances through the leader

Cause: on sites with two replicas a failure domain each engine was read twice, and instances that follow three of eight replicas lacked the loads of the others' engines. Change: replicas ask each other once a second whether they are there; rendezvous hashing gives each engine one reader, in its own domain where a replica is there, with takeover. Loads go to the leader and from there to all.

--- a/internal/control/board.go
+++ b/internal/control/board.go
@@ -18,18 +18,17 @@
 	mu       sync.Mutex // guards the rest; never held while another lock is taken
 	document *wire.Document
 	targets  []*wire.Target
-	version  uint64        // of the list, raised when it changes
-	readAt   time.Duration // when the list was last read whole
-	loads    []*wire.Load
-	loadsAt  time.Duration // when the loads were read
-	readings uint64        // how often the loads were read
-	changed  chan struct{} // closed at the next change
+	version  uint64             // of the list, raised when it changes
+	readAt   time.Duration      // when the list was last read whole
+	loads    map[string]reading // by engine
+	readings uint64             // how often loads were posted
+	changed  chan struct{}      // closed at the next change
 }
 
 // NewBoard returns an empty board. The epoch tells its lists from those of an
 // earlier process.
 func NewBoard(epoch uint64) *Board {
-	return &Board{epoch: epoch, changed: make(chan struct{})}
+	return &Board{epoch: epoch, loads: map[string]reading{}, changed: make(chan struct{})}
 }
 
 // Post takes a document unless a higher one is held.
@@ -57,13 +56,32 @@
 	b.wake()
 }
 
-// PostLoads takes the loads of the engines that this replica reads.
+// reading is an engine's report and when it was read.
+type reading struct {
+	load *wire.Load
+	at   time.Duration
+}
+
+// loadValid is how long a report is handed on.
+const loadValid = 5 * time.Second
+
+// PostLoads takes reports of engines. Nobody is woken for them: they change all the
+// time, and the instances ask often enough.
 func (b *Board) PostLoads(loads []*wire.Load, now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.loads, b.loadsAt = loads, now
+	for _, l := range loads {
+		at := now - time.Duration(l.GetAgeMs())*time.Millisecond
+		if old, ok := b.loads[l.GetTarget()]; !ok || at > old.at {
+			b.loads[l.GetTarget()] = reading{load: l, at: at}
+		}
+	}
+	for id, r := range b.loads {
+		if now-r.at > loadValid {
+			delete(b.loads, id)
+		}
+	}
 	b.readings++
-	b.wake()
 }
 
 // Targets returns the list that was posted last.
@@ -86,7 +104,7 @@
 	defer timeout.Stop()
 	for {
 		answer, changed := b.missing(r, now())
-		if answer.GetDocument() != nil || answer.GetListChanged() || len(answer.GetLoads()) > 0 {
+		if answer.GetDocument() != nil || answer.GetListChanged() {
 			return answer
 		}
 		select {
@@ -115,17 +133,18 @@
 	}
 	answer.LoadsVersion = b.readings
 	if r.GetListEpoch() != b.epoch || r.GetLoadsVersion() != b.readings {
-		answer.Loads = aged(b.loads, now-b.loadsAt)
+		answer.Loads = b.aged(now)
 	}
 	return answer, b.changed
 }
 
-// aged returns the loads with their age.
-func aged(loads []*wire.Load, age time.Duration) []*wire.Load {
-	out := make([]*wire.Load, len(loads))
-	for i, l := range loads {
-		out[i] = proto.CloneOf(l)
-		out[i].AgeMs += uint32(max(0, age).Milliseconds())
+// aged returns the loads with their age. It is called with the lock held.
+func (b *Board) aged(now time.Duration) []*wire.Load {
+	out := make([]*wire.Load, 0, len(b.loads))
+	for _, r := range b.loads {
+		l := proto.CloneOf(r.load)
+		l.AgeMs = uint32(max(0, now-r.at).Milliseconds())
+		out = append(out, l)
 	}
 	return out
 }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -41,6 +41,7 @@
 	log    logr.Logger
 	name   string
 	self   string // peer address of this replica
+	domain string // its failure domain, where that is known
 
 	mu       sync.Mutex // guards watchers; never held while another lock is taken
 	watchers map[string]watcher
@@ -154,6 +155,7 @@
 		answer.Failed = err.Error()
 		return nil
 	}
+	answer.FailureDomain = c.service.domain
 	answer.Id, answer.Empty, answer.Membership = got.GetId(), got.GetEmpty(), got.GetMembership()
 	return err
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -50,6 +50,7 @@
 	posted  [][]*wire.Target
 	changed int
 	loads   []*wire.Load
+	shared  int
 }
 
 func (p *platform) set(list []*wire.Target, err error) {
@@ -82,7 +83,7 @@
 		p := &platform{}
 		p.set([]*wire.Target{{Id: "b", ColdMs: 900}, {Id: "a"}}, nil)
 		ctx, cancel := context.WithCancel(context.Background())
-		end := fleet.NewReader(logr.Discard(), clock{time.Now()}, directory{p}, p, time.Second).Run(ctx)
+		end := fleet.NewReader(logr.Discard(), clock{time.Now()}, directory{p}, p, time.Second, func() bool { return true }).Run(ctx)
 		time.Sleep(2500 * time.Millisecond)
 		p.set([]*wire.Target{{Id: "a"}, {Id: "b", ColdMs: 100}}, nil)
 		time.Sleep(time.Second)
@@ -132,16 +133,28 @@
 			{Id: "d", Address: "plain", FailureDomain: "home"},
 		}}
 		ctx, cancel := context.WithCancel(context.Background())
-		end := fleet.NewProber(logr.Discard(), clock{time.Now()}, engines{reports{p}}, board{p}, "home", time.Second).Run(ctx)
+		end := fleet.NewProber(logr.Discard(), clock{time.Now()}, engines{reports{p}}, board{p}, readers{p}, time.Second).Run(ctx)
 		time.Sleep(2500 * time.Millisecond)
 		cancel()
 		require.NoError(t, <-end)
 		require.Equal(t, map[string]int{"near": 2, "dark": 2}, p.asked)
 		require.Len(t, p.loads, 1)
 		require.Equal(t, "a", p.loads[0].GetTarget())
+		require.Equal(t, 1, p.shared)
 	})
 }
 
+// readers says that this process reads the engines of the domain home.
+type readers struct{ *platform }
+
+func (readers) Reads(_, domain string) bool { return domain == "home" }
+
+func (r readers) ShareLoads(_ context.Context, loads []*wire.Load) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.shared = len(loads)
+}
+
 // engines adds the calls that the prober does not make.
 type engines struct{ reports }
 
--- a/internal/fleet/prober.go
+++ b/internal/fleet/prober.go
@@ -17,22 +17,31 @@
 	PostLoads(loads []*wire.Load, now time.Duration)
 }
 
-// Prober reads the reports of the engines of one failure domain at an interval.
-// Each engine has one reader, whose findings reach all instances.
+// Readers tells who reads which engine, and hands on what was read here.
+type Readers interface {
+	// Reads reports whether this process is the reader of an engine in a failure
+	// domain.
+	Reads(engine, domain string) bool
+	// ShareLoads hands loads to where all instances learn them.
+	ShareLoads(ctx context.Context, loads []*wire.Load)
+}
+
+// Prober reads the reports of engines at an interval. Each engine has one reader,
+// whose findings reach all instances.
 type Prober struct {
 	log      logr.Logger
 	timers   vanillaward.Timers
 	engines  vanillaward.Engines
 	board    LoadBoard
-	domain   string
+	readers  Readers
 	interval time.Duration
 	leaving  map[string]bool
 }
 
 // NewProber returns a reader of reports that posts to the board.
-func NewProber(log logr.Logger, timers vanillaward.Timers, engines vanillaward.Engines, board LoadBoard, domain string, interval time.Duration) *Prober {
+func NewProber(log logr.Logger, timers vanillaward.Timers, engines vanillaward.Engines, board LoadBoard, readers Readers, interval time.Duration) *Prober {
 	return &Prober{
-		log: log, timers: timers, engines: engines, board: board, domain: domain, interval: interval,
+		log: log, timers: timers, engines: engines, board: board, readers: readers, interval: interval,
 		leaving: map[string]bool{},
 	}
 }
@@ -52,7 +61,7 @@
 func (p *Prober) step(ctx context.Context) {
 	var own []*wire.Target
 	for _, t := range p.board.Targets() {
-		if t.GetEngine() && t.GetFailureDomain() == p.domain {
+		if t.GetEngine() && p.readers.Reads(t.GetId(), t.GetFailureDomain()) {
 			own = append(own, t)
 		}
 	}
@@ -74,6 +83,7 @@
 		}
 	}
 	p.board.PostLoads(loads, asked)
+	p.readers.ShareLoads(ctx, loads)
 }
 
 func (p *Prober) read(ctx context.Context, t *wire.Target) *wire.Load {
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -29,14 +29,21 @@
 	directory vanillaward.Directory
 	board     Board
 	interval  time.Duration
+	leads     func() bool
+	skipped   int
 	last      []*wire.Target
 	read      bool
 	failed    bool
 }
 
-// NewReader returns a reader that posts to the board.
-func NewReader(log logr.Logger, timers vanillaward.Timers, directory vanillaward.Directory, board Board, interval time.Duration) *Reader {
-	return &Reader{log: log, timers: timers, directory: directory, board: board, interval: interval}
+// otherEvery is how many intervals pass between two readings of a process that does
+// not lead: the leader hands its readings to all.
+const otherEvery = 2
+
+// NewReader returns a reader that posts to the board. Leads tells whether this process
+// reads at every interval.
+func NewReader(log logr.Logger, timers vanillaward.Timers, directory vanillaward.Directory, board Board, interval time.Duration, leads func() bool) *Reader {
+	return &Reader{log: log, timers: timers, directory: directory, board: board, interval: interval, leads: leads}
 }
 
 // Run reads until the context ends and reports its end on the returned channel.
@@ -45,7 +52,10 @@
 	go func() {
 		r.step(ctx)
 		for range r.timers.Subscribe(ctx, r.interval) {
-			r.step(ctx)
+			if r.skipped++; r.skipped >= otherEvery || r.leads() {
+				r.skipped = 0
+				r.step(ctx)
+			}
 		}
 		done <- nil
 	}()
--- a/internal/instance/seeded.go
+++ b/internal/instance/seeded.go
@@ -145,9 +145,10 @@
 	s.gauges(ctx)
 	s.ends = append(s.ends, s.node.Run(ctx), service.KeepPlace(ctx, s.seeds.Peers))
 	if set.Platform.List != "" {
-		reader := fleet.NewReader(log, s.base.Timers, platform.NewDirectory(log, set.Platform.List), board, set.Platform.PollInterval)
-		prober := fleet.NewProber(log, s.base.Timers, platform.NewEngines(), board, set.Instance.FailureDomain, set.Platform.ReportInterval)
-		s.ends = append(s.ends, reader.Run(ctx), prober.Run(ctx))
+		neighbours := control.NewNeighbours(service, set.Instance.FailureDomain)
+		reader := fleet.NewReader(log, s.base.Timers, platform.NewDirectory(log, set.Platform.List), board, set.Platform.PollInterval, s.leads(ctx))
+		prober := fleet.NewProber(log, s.base.Timers, platform.NewEngines(), board, neighbours, set.Platform.ReportInterval)
+		s.ends = append(s.ends, neighbours.Run(ctx), reader.Run(ctx), prober.Run(ctx))
 	}
 	if !set.Listen.Operators.IsValid() {
 		return nil
@@ -160,6 +161,17 @@
 	return nil
 }
 
+// leads returns a function that tells whether this replica leads.
+func (s *seeded) leads(ctx context.Context) func() bool {
+	return func() bool {
+		ctx, cancel := context.WithTimeout(ctx, gaugeTime)
+		defer cancel()
+		standing, err := s.node.Standing(ctx)
+		// A replica that cannot tell, or is cut off from the leader, reads for itself.
+		return err != nil || standing.Leader() == s.base.Settings.Listen.Peers.String() || !standing.Fresh()
+	}
+}
+
 // gauges shows the replica's place in the log.
 func (s *seeded) gauges(ctx context.Context) {
 	standing := func(value func(control.Standing) int) func() float64 {
@@ -177,7 +189,7 @@
 	s.base.Metrics.Gauge("vanillaward_control_learners", standing(control.Standing.Learners))
 }
 
-// gaugeTime bounds the reading of a replica's state for its metrics.
+// gaugeTime bounds the reading of a replica's state for its metrics and its readers.
 const gaugeTime = 500 * time.Millisecond
 
 func (s *seeded) startGateway(ctx context.Context, stop <-chan struct{}) (<-chan error, error) {
