Copies give way to runs; a refuge for runs whose engine ends

Cause: on the grown sites runs alone need about all of the engines' memory (27 recaps/s x 8 s x 3,450 tokens against 36 engines x 21,800), and copies made preemptions. Change: the room for copies falls from 0.8 to 0.4 of an engine while runs need 0.7 to 0.9 of all memory; a copy of a run whose engine is about to end may use 0.97.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -41,9 +41,15 @@
 	// since one of them could not be reached, and cutOffTime is for how long.
 	cutOffCost = 1.0
 	cutOffTime = time.Second
-	// copyRoom is the part of an engine's memory that copies may fill up to: the
-	// rest is for the growth of the runs there.
-	copyRoom = 0.8
+	// calmCopyRoom and highCopyRoom are the parts of an engine's memory that copies may
+	// fill up to, while runs need at most calmPressure, or at least highPressure, of the
+	// memory of all engines; refugeRoom is the part for copies of runs whose engine is
+	// about to end.
+	calmCopyRoom = 0.8
+	highCopyRoom = 0.4
+	refugeRoom   = 0.97
+	calmPressure = 0.7
+	highPressure = 0.9
 	// suspicion is how long an engine that ends a connection is taken for leaving; by
 	// then its report has told.
 	suspicion = 1500 * time.Millisecond
@@ -103,6 +109,7 @@
 	load       load
 	others     others
 	tokens     int           // memory that own requests and copies will need
+	copyTokens int           // the part of copies
 	ejected    time.Duration // until when
 }
 
@@ -198,10 +205,22 @@
 	return best
 }
 
-// ChooseBackup returns the engine that should hold the copy of a run's memory, or
-// nil when none has room. An engine in the run's own failure domain gets it sooner,
-// since a partition between domains would stop the copying.
-func (b *Balancer) ChooseBackup(run *Target, tokens int, avoid []string, now time.Duration) *Target {
+// ChooseBackup returns the engine that should hold a copy of a run's memory while it
+// grows, or nil when none has room.
+func (b *Balancer) ChooseBackup(run *Target, tokens int, now time.Duration) *Target {
+	return b.chooseHolder(run, tokens, nil, b.copyRoom(run.service, now), now)
+}
+
+// ChooseRefuge returns the engine that should take a copy of a run whose own engine is
+// about to end, or nil. Such a copy is needed soon and for a short time, so it gets more
+// room.
+func (b *Balancer) ChooseRefuge(run *Target, tokens int, avoid []string, now time.Duration) *Target {
+	return b.chooseHolder(run, tokens, avoid, refugeRoom, now)
+}
+
+// chooseHolder prefers an engine in the run's own failure domain: a partition between
+// domains would stop the copying, and it takes twice as long.
+func (b *Balancer) chooseHolder(run *Target, tokens int, avoid []string, room float64, now time.Duration) *Target {
 	var best *Target
 	bestScore := 0.0
 	for _, t := range b.byName[run.service] {
@@ -212,7 +231,7 @@
 		if !known {
 			score = unreported + float64(t.open+t.copies)/float64(max(t.slots, plainSlots))
 		}
-		if score > copyRoom {
+		if score > room {
 			continue
 		}
 		if t.domain != run.domain {
@@ -251,6 +270,7 @@
 	b.pairs[pair{run.id, t.id}]++
 	t.copies++
 	t.tokens += tokens
+	t.copyTokens += tokens
 	t.load.place(now, tokens, 0)
 }
 
@@ -263,6 +283,7 @@
 	}
 	t.copies--
 	t.tokens -= tokens
+	t.copyTokens -= tokens
 }
 
 func contains(ids []string, id string) bool {
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -96,7 +96,9 @@
 	case "choose":
 		p.expect(p.balancer.Choose("s", int(p.number("tokens")), avoided(p.values["avoid"]), p.now))
 	case "copy":
-		p.expect(p.balancer.ChooseBackup(p.balancer.Target(words[1]), int(p.number("tokens")), nil, p.now))
+		p.expect(p.balancer.ChooseBackup(p.balancer.Target(words[1]), int(p.number("tokens")), p.now))
+	case "refuge":
+		p.expect(p.balancer.ChooseRefuge(p.balancer.Target(words[1]), int(p.number("tokens")), avoided(p.values["avoid"]), p.now))
 	case "resumable":
 		got := p.balancer.Resumable(p.balancer.Target(words[1]), p.now)
 		require.Equal(p.t, p.values["is"], strconv.FormatBool(got), p.place)
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -90,6 +90,37 @@
 	return float64(used+tokens) / float64(l.capacity), true
 }
 
+// pressure returns the part of the memory of a service's engines that runs will need,
+// copies left out.
+func (b *Balancer) pressure(service string, now time.Duration) float64 {
+	needed, capacity := 0, 0
+	for _, t := range b.byName[service] {
+		needed += t.tokens - t.copyTokens + t.others.tokens - t.others.copyTokens
+		if !t.ends(now) {
+			capacity += t.load.capacity
+		}
+	}
+	if capacity == 0 {
+		return 0
+	}
+	return float64(needed) / float64(capacity)
+}
+
+// copyRoom returns the part of an engine's memory that copies may fill up to. Copies
+// give way when runs need the memory: then a run that waits for room is worth more than
+// one that could go on elsewhere.
+func (b *Balancer) copyRoom(service string, now time.Duration) float64 {
+	pressure := b.pressure(service, now)
+	switch {
+	case pressure <= calmPressure:
+		return calmCopyRoom
+	case pressure >= highPressure:
+		return highCopyRoom
+	}
+	part := (pressure - calmPressure) / (highPressure - calmPressure)
+	return calmCopyRoom - part*(calmCopyRoom-highCopyRoom)
+}
+
 // batch returns the number of requests at the engine, as far as it is known.
 func (t *Target) batch() int {
 	n := t.load.running + t.load.waiting
@@ -107,7 +138,7 @@
 	for _, u := range uses {
 		if t := b.targets[u.GetTarget()]; t != nil {
 			t.others = others{
-				requests: int(u.GetRequests()), tokens: int(u.GetTokens()), prefilling: int(u.GetPrefilling()),
+				requests: int(u.GetRequests()), tokens: int(u.GetTokens()), prefilling: int(u.GetPrefilling()), copyTokens: int(u.GetCopyTokens()),
 				suspected: now + time.Duration(u.GetSuspectedMs())*time.Millisecond,
 			}
 		}
@@ -122,7 +153,7 @@
 		if t.open > 0 || t.tokens > 0 || t.prefilling > 0 || suspected > 0 {
 			out = append(out, &wire.Use{
 				Target: t.id, Requests: uint32(max(0, t.open)), Tokens: uint32(max(0, t.tokens)), Prefilling: uint32(max(0, t.prefilling)),
-				SuspectedMs: uint32(suspected.Milliseconds()),
+				SuspectedMs: uint32(suspected.Milliseconds()), CopyTokens: uint32(max(0, t.copyTokens)),
 			})
 		}
 	}
@@ -134,5 +165,6 @@
 	requests   int
 	tokens     int
 	prefilling int
+	copyTokens int
 	suspected  time.Duration // until when one of them takes it for leaving
 }
--- a/internal/control/uses.go
+++ b/internal/control/uses.go
@@ -64,6 +64,7 @@
 	sum.Requests += use.GetRequests()
 	sum.Tokens += use.GetTokens()
 	sum.Prefilling += use.GetPrefilling()
+	sum.CopyTokens += use.GetCopyTokens()
 	left := max(0, time.Duration(use.GetSuspectedMs())*time.Millisecond-age)
 	sum.SuspectedMs = max(sum.GetSuspectedMs(), uint32(left.Milliseconds()))
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -77,7 +77,7 @@
 // chooseCopy is called with the lock held.
 func (g *Server) chooseCopy(r *run) {
 	now := g.base.Timers.Now()
-	holder := g.balancer.ChooseBackup(r.engine, r.tokens, nil, now)
+	holder := g.balancer.ChooseBackup(r.engine, r.tokens, now)
 	if holder == nil {
 		g.base.Log.Info("no engine has room for a copy", "request", r.request, "target", r.engine.ID())
 		return
@@ -192,7 +192,7 @@
 	if r.copy != nil && r.copy.until > 0 && !g.balancer.Leaving(r.copy.holder, now) {
 		return r.copy.holder
 	}
-	return g.balancer.ChooseBackup(r.engine, r.tokens, r.failed, now)
+	return g.balancer.ChooseRefuge(r.engine, r.tokens, r.failed, now)
 }
 
 // move copies a run's memory to another engine while the run goes on. It reports its
