--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -121,6 +121,29 @@
 	return calmCopyRoom - part*(calmCopyRoom-highCopyRoom)
 }
 
+// State is what a choice of an engine went by.
+type State struct {
+	// Known is false without a valid report.
+	Known bool
+	// ReportAge is the age of the report.
+	ReportAge time.Duration
+	// Memory is the part of the memory that is taken or promised.
+	Memory float64
+	// Waiting is the number of requests that the report shows as waiting.
+	Waiting int
+	// Prefilling is the number of tokens of prompts on their way there.
+	Prefilling int
+}
+
+// State returns what is known of a target.
+func (b *Balancer) State(t *Target, now time.Duration) State {
+	memory, known := t.memory(0, now)
+	return State{
+		Known: known, ReportAge: now - t.load.at, Memory: memory, Waiting: t.load.waiting,
+		Prefilling: t.prefilling + t.others.prefilling,
+	}
+}
+
 // batch returns the number of requests at the engine, as far as it is known.
 func (t *Target) batch() int {
 	n := t.load.running + t.load.waiting
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -76,6 +76,7 @@
 	t.addReplica(app)
 	t.addCertificates(app)
 	t.addReplay(app)
+	t.addExplain(app)
 	t.addExperiment(app)
 	_, err := app.Parse(args)
 	if code >= 0 {
--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,165 @@
+package cli
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+)
+
+// maxLogLine bounds one line of a log in bytes.
+const maxLogLine = 1 << 20
+
+// startedMessage is logged by a process that knows nothing of before.
+const startedMessage = "started"
+
+// beliefs are the messages that tell what an instance takes for true. The newest of
+// each before a decision is what the decision was made on.
+var beliefs = []string{startedMessage, "configuration in force", "targets", "control lost", "control regained", "settings read again", "stopping"}
+
+// logLine is one line of a log.
+type logLine struct {
+	time     string
+	instance string
+	message  string
+	request  string
+	target   string
+	text     string
+}
+
+func (t *tool) addExplain(app *kingpin.Application) {
+	c := app.Command("explain", "Read the logs of several instances and print the history of one request in order: each decision, the beliefs in force at its instance when it arrived there, and what became known of its targets.")
+	request := c.Arg("request", "Identity of the request.").Required().String()
+	files := c.Arg("file", "Log files.").Required().Strings()
+	c.Action(func(*kingpin.ParseContext) error {
+		var lines []logLine
+		for _, name := range *files {
+			read, err := readLog(name)
+			if err != nil {
+				return err
+			}
+			lines = append(lines, read...)
+		}
+		history := explain(lines, *request)
+		if len(history) == 0 {
+			return errors.Errorf("no line of %d tells of request %s", len(lines), *request)
+		}
+		return t.print(texts(history), func(w io.Writer) {
+			for _, l := range history {
+				line(w, "%s", l.text)
+			}
+		})
+	})
+}
+
+func readLog(name string) ([]logLine, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "log")
+	}
+	defer func() { _ = f.Close() }() // it was only read
+	var out []logLine
+	scanner := bufio.NewScanner(f)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		if l, ok := parseLogLine(scanner.Text()); ok {
+			out = append(out, l)
+		}
+	}
+	return out, errors.Wrap(scanner.Err(), name)
+}
+
+// parseLogLine reads a line, with or without something before its JSON. Other lines,
+// such as a crash report, are passed over.
+func parseLogLine(text string) (logLine, bool) {
+	start := strings.Index(text, "{")
+	if start < 0 {
+		return logLine{}, false
+	}
+	var fields struct {
+		Time     string `json:"ts"`
+		Message  string `json:"msg"`
+		Instance string `json:"instance"`
+		Request  string `json:"request"`
+		Target   string `json:"target"`
+	}
+	if json.Unmarshal([]byte(text[start:]), &fields) != nil || fields.Message == "" {
+		return logLine{}, false
+	}
+	return logLine{
+		time: fields.Time, instance: fields.Instance, message: fields.Message, request: fields.Request,
+		target: fields.Target, text: text[start:],
+	}, true
+}
+
+// explain returns the lines of a request, the beliefs that its instance had before the
+// first of them, and what others logged of its targets meanwhile, in order of time.
+func explain(lines []logLine, request string) []logLine {
+	slices.SortStableFunc(lines, func(a, b logLine) int { return strings.Compare(a.time, b.time) })
+	var own []int
+	targets := map[string]bool{}
+	for i, l := range lines {
+		if l.request == request {
+			own = append(own, i)
+			if l.target != "" {
+				targets[l.target] = true
+			}
+		}
+	}
+	if len(own) == 0 {
+		return nil
+	}
+	first, last := own[0], own[len(own)-1]
+	keep := map[int]bool{}
+	for _, i := range own {
+		keep[i] = true
+	}
+	for _, i := range believed(lines[:first], lines[first].instance) {
+		keep[i] = true
+	}
+	for i := first; i <= last; i++ {
+		l := lines[i]
+		if l.request == "" && (targets[l.target] && l.target != "" || l.instance == lines[first].instance && slices.Contains(beliefs, l.message)) {
+			keep[i] = true
+		}
+	}
+	var out []logLine
+	for i, l := range lines {
+		if keep[i] {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// believed returns the places of an instance's newest beliefs since it started.
+func believed(lines []logLine, instance string) []int {
+	newest := map[string]int{}
+	for i, l := range lines {
+		if l.instance != instance || !slices.Contains(beliefs, l.message) {
+			continue
+		}
+		if l.message == startedMessage {
+			clear(newest)
+		}
+		newest[l.message] = i
+	}
+	var out []int
+	for _, i := range newest {
+		out = append(out, i)
+	}
+	return out
+}
+
+func texts(lines []logLine) []json.RawMessage {
+	out := make([]json.RawMessage, len(lines))
+	for i, l := range lines {
+		out[i] = json.RawMessage(l.text)
+	}
+	return out
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -79,10 +79,13 @@
 
 // attempt sends the request to one target.
 func (x *request) attempt(ctx context.Context, avoid []string) attemptResult {
-	t := x.server.begin(x.service, x.tokens(), avoid)
+	t, state := x.server.begin(x.service, x.tokens(), avoid)
 	if t == nil {
 		return attemptResult{outcome: noTarget}
 	}
+	if x.route.Generation() {
+		x.noteChoice(t, state)
+	}
 	x.target = t.ID()
 	result := attemptResult{target: t.ID(), tried: len(avoid) + 1}
 	conn, err := x.server.pool.Get(ctx, t.ID(), t.Address())
@@ -105,6 +108,14 @@
 	return result
 }
 
+// noteChoice logs what an engine was chosen by. For plain services the request's own
+// line says enough.
+func (x *request) noteChoice(t *balance.Target, s balance.State) {
+	x.server.base.Log.Info("engine chosen", "request", x.caller.ID, "target", t.ID(), "failure-domain", t.Domain(), "tokens", x.tokens(),
+		"report", s.Known, "report-age-ms", s.ReportAge.Milliseconds(), "memory-percent", int(100*s.Memory), "waiting", s.Waiting,
+		"prefilling", s.Prefilling)
+}
+
 // endUnreached ends an attempt without a connection. When the caller left or the
 // time ran out meanwhile, that tells nothing about the target.
 func (x *request) endUnreached(t *balance.Target, err error) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -82,6 +82,7 @@
 		g.base.Log.Info("no engine has room for a copy", "request", r.request, "target", r.engine.ID())
 		return
 	}
+	g.base.Log.Info("copy grows with its run", "request", r.request, "target", r.engine.ID(), "to", holder.ID())
 	g.holdCopy(r, &heldCopy{holder: holder, at: holder.Address(), name: r.request})
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -249,15 +249,17 @@
 }
 
 // begin chooses a target and counts the request there.
-func (g *Server) begin(service string, tokens int, avoid []string) *balance.Target {
+func (g *Server) begin(service string, tokens int, avoid []string) (*balance.Target, balance.State) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.base.Timers.Now()
 	t := g.balancer.Choose(service, tokens, avoid, now)
-	if t != nil {
-		g.balancer.Begin(t, tokens, now)
+	if t == nil {
+		return nil, balance.State{}
 	}
-	return t
+	state := g.balancer.State(t, now)
+	g.balancer.Begin(t, tokens, now)
+	return t, state
 }
 
 // beginResume counts a request at the holder of its copy, unless the holder takes
