--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -67,46 +67,66 @@
 		words = append(words, w)
 	}
 	p.words = words
-	switch words[0] {
+	if !p.learn() && !p.ask() {
+		require.Fail(p.t, "unknown command", p.place)
+	}
+}
+
+// learn does a command that tells the balancer something.
+func (p *player) learn() bool {
+	switch p.words[0] {
 	case "target":
 		p.addTarget()
 	case "leaving":
-		p.target(words[1]).State = wire.TargetState_TARGET_STATE_LEAVING
+		p.target(p.words[1]).State = wire.TargetState_TARGET_STATE_LEAVING
 		p.balancer.Update(p.list, p.now)
 	case "report":
 		p.balancer.UpdateLoads([]*wire.Load{{
-			Target: words[1], Running: p.number("running"), Waiting: p.number("waiting"), UsedTokens: p.number("used"),
+			Target: p.words[1], Running: p.number("running"), Waiting: p.number("waiting"), UsedTokens: p.number("used"),
 			CapacityTokens: 30000, Leaving: p.values["leaving"] != "",
 		}}, p.now)
 	case "others":
 		p.balancer.UpdateOthers([]*wire.Use{{
-			Target: words[1], Requests: p.number("requests"), Tokens: p.number("tokens"), Prefilling: p.number("prefilling"),
+			Target: p.words[1], Requests: p.number("requests"), Tokens: p.number("tokens"), Prefilling: p.number("prefilling"),
 			SuspectedMs: p.number("suspected"),
 		}}, p.now)
 	case "wait":
 		p.now += time.Duration(p.number("ms")) * time.Millisecond
 	case "suspect":
-		p.balancer.Suspect(p.balancer.Target(words[1]), p.now)
+		p.balancer.Suspect(p.named(), p.now)
 	case "prefill":
-		p.balancer.Prefilled(p.balancer.Target(words[1]), int(p.number("tokens")))
+		p.balancer.Prefilled(p.named(), int(p.number("tokens")))
 	case "begin":
-		p.balancer.Begin(p.balancer.Target(words[1]), int(p.number("tokens")), p.now)
+		p.balancer.Begin(p.named(), int(p.number("tokens")), p.now)
 	case "end":
-		p.balancer.End(p.balancer.Target(words[1]), int(p.number("tokens")), results[words[2]], p.now)
+		p.balancer.End(p.named(), int(p.number("tokens")), results[p.words[2]], p.now)
+	default:
+		return false
+	}
+	return true
+}
+
+// ask does a command that compares a choice with the expected one.
+func (p *player) ask() bool {
+	tokens := int(p.number("tokens"))
+	switch p.words[0] {
 	case "choose":
-		p.expect(p.balancer.Choose("s", int(p.number("tokens")), avoided(p.values["avoid"]), p.now))
+		p.expect(p.balancer.Choose("s", tokens, avoided(p.values["avoid"]), p.now))
 	case "copy":
-		p.expect(p.balancer.ChooseBackup(p.balancer.Target(words[1]), int(p.number("tokens")), p.now))
+		p.expect(p.balancer.ChooseBackup(p.named(), tokens, p.now))
 	case "refuge":
-		p.expect(p.balancer.ChooseRefuge(p.balancer.Target(words[1]), int(p.number("tokens")), avoided(p.values["avoid"]), p.now))
+		p.expect(p.balancer.ChooseRefuge(p.named(), tokens, avoided(p.values["avoid"]), p.now))
 	case "resumable":
-		got := p.balancer.Resumable(p.balancer.Target(words[1]), p.now)
-		require.Equal(p.t, p.values["is"], strconv.FormatBool(got), p.place)
+		require.Equal(p.t, p.values["is"], strconv.FormatBool(p.balancer.Resumable(p.named(), p.now)), p.place)
 	default:
-		require.Fail(p.t, "unknown command", p.place)
+		return false
 	}
+	return true
 }
 
+// named returns the target that the command names.
+func (p *player) named() *balance.Target { return p.balancer.Target(p.words[1]) }
+
 var results = map[string]balance.Result{
 	"served": balance.Served, "failed": balance.Failed, "unreachable": balance.Unreachable, "full": balance.Full,
 	"misdirected": balance.Misdirected, "abandoned": balance.Abandoned,
