Callers' times follow the configuration

A server of net/http fixes its times at its start: there is one for each timing that a configuration asked for, and connections are handed to the newest. Test: TestTimes.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -405,3 +405,50 @@
 	require.Equal(t, http.StatusOK, r.ask(t, http.MethodPost, "/r/x", "", map[string]string{testSizes: "10", testBudget: "30000"}).status)
 	require.Error(t, (<-running).err, "the stop does not wait for ever")
 }
+
+// TestTimes: how long a caller may take for a request's head and be idle follows the
+// configuration, for connections that come after it.
+func TestTimes(t *testing.T) {
+	target := newStandin(t, "target-0", "complete")
+	c := configuration(1, route.Once, 1, 30*time.Second)
+	c.Limits.HeaderTime, c.Limits.IdleTime = 20*time.Second, 20*time.Second
+	r := newRig(t, c, target)
+	patient := dial(t, r)
+	require.Equal(t, http.StatusOK, exchange(t, patient))
+	next := configuration(2, route.Once, 1, 30*time.Second)
+	next.Limits.HeaderTime, next.Limits.IdleTime = time.Second, time.Second
+	*c = *next
+	require.NoError(t, r.gateway.Install(&wire.Document{Number: 2}))
+
+	slow := dial(t, r)
+	_, err := io.WriteString(slow, "POST /r/x HTTP/1.1\r\nHost: exa")
+	require.NoError(t, err)
+	_, err = slow.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF, "the head took too long")
+
+	idle := dial(t, r)
+	require.Equal(t, http.StatusOK, exchange(t, idle))
+	_, err = idle.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF, "it was idle for too long")
+
+	require.Equal(t, http.StatusOK, exchange(t, patient), "an earlier connection keeps its times")
+}
+
+func dial(t *testing.T, r *rig) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", r.address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func exchange(t *testing.T, conn net.Conn) int {
+	t.Helper()
+	_, err := io.WriteString(conn, "POST /r/x HTTP/1.1\r\nHost: example.test\r\nTest-Id: request-1\r\nTest-Key: key\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	require.NoError(t, err)
+	return response.StatusCode
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -6,8 +6,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,13 +27,6 @@
 	expireInterval = time.Second
 	// maxIdleConns bounds the idle connections to one target.
 	maxIdleConns = 4
-	// defaultHeaderBytes bounds a request's head before a configuration is known,
-	// and headerSlack is what net/http allows beyond its bound.
-	defaultHeaderBytes = 64 << 10
-	// slowestHeader and longestIdle bound callers' connections before a
-	// configuration is known.
-	slowestHeader = 10 * time.Second
-	longestIdle   = 60 * time.Second
 )
 
 // Decoder turns the body of a document into a configuration.
@@ -149,32 +140,6 @@
 	return g.balancer.Listed()
 }
 
-// Run serves callers until Stop has ended and reports the end on the returned
-// channel.
-func (g *Server) Run(ctx context.Context, listener net.Listener, stop <-chan struct{}) <-chan error {
-	server := &http.Server{
-		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: slowestHeader, IdleTimeout: longestIdle,
-		MaxHeaderBytes: defaultHeaderBytes, ErrorLog: nil, ConnContext: withConn,
-	}
-	done := make(chan error, 1)
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		g.await(ctx, stop)
-		_ = server.Close() // what is still open is given up
-	}()
-	go func() {
-		err := server.Serve(listener)
-		<-ended
-		if errors.Is(err, http.ErrServerClosed) {
-			err = nil
-		}
-		done <- err
-	}()
-	go g.expire(ctx, ended)
-	return done
-}
-
 // await returns when the gateway has stopped: after stop is closed it goes on
 // serving until the balancer has seen that it is not ready and no request is
 // open, or until the bound on stopping.
@@ -301,10 +266,3 @@
 	defer g.mu.Unlock()
 	return g.random.Float64()
 }
-
-type connKey struct{}
-
-// withConn keeps the caller's connection for the bounds on it.
-func withConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
-}
