Always follow the leader

Cause: on sites with six or eight replicas an instance that followed three others never told the leader what it has at engines. Test: TestLeaderIsFollowed (fails before).

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -48,6 +48,9 @@
 	calmCopyRoom = 0.8
 	highCopyRoom = 0.4
 	refugeRoom   = 0.97
+	// fullMemory is the part of an engine's memory, taken and promised, up to which it
+	// takes another generation.
+	fullMemory   = 1.0
 	calmPressure = 0.7
 	highPressure = 0.9
 	// suspicion is how long an engine that ends a connection is taken for leaving; by
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -106,6 +106,24 @@
 	return float64(needed) / float64(capacity)
 }
 
+// Crowded reports whether no engine of a service has room for a generation that needs
+// some tokens, as far as reports tell. An engine that takes it all the same reads it
+// in, runs out of memory and reads others in again.
+func (b *Balancer) Crowded(service string, tokens int, now time.Duration) bool {
+	known := false
+	for _, t := range b.byName[service] {
+		if t.ends(now) {
+			continue
+		}
+		memory, ok := t.memory(tokens, now)
+		if !ok || memory <= fullMemory {
+			return false
+		}
+		known = true
+	}
+	return known
+}
+
 // copyRoom returns the part of an engine's memory that copies may fill up to. Copies
 // give way when runs need the memory: then a run that waits for room is worth more than
 // one that could go on elsewhere.
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -168,12 +168,20 @@
 			return
 		}
 		f.learn(address, answer)
-		if !answer.GetFresh() {
+		if !answer.GetFresh() || f.lacksLeader() {
 			return
 		}
 	}
 }
 
+// lacksLeader reports whether the leader is known and none of the followed replicas:
+// one of them must be given up for it.
+func (f *Follower) lacksLeader() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leader != "" && !f.taken[f.leader]
+}
+
 func (f *Follower) ask(ctx context.Context, client *peer.Client, address string, first bool) (*wire.FollowResponse, error) {
 	request := &wire.FollowRequest{
 		Instance: f.name, FailureDomain: f.domain, Document: f.sink.Number(), WaitMs: uint64(holdQuestion.Milliseconds()),
--- /dev/null
+++ b/internal/follow/follower_test.go
@@ -0,0 +1,85 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillaward/vanillaward/internal/peer"
+	"github.com/vanillaward/vanillaward/internal/timer"
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+// replica answers questions as one of several, of which one leads.
+type replica struct {
+	address string
+	mu      *sync.Mutex // guards what the replicas share
+	leader  *string
+	all     *[]string
+	told    map[string]int // uses that instances told the leader
+}
+
+func (r *replica) Follow(request *wire.FollowRequest, answer *wire.FollowResponse) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	answer.Fresh, answer.Replicas = true, *r.all
+	answer.LeaderAddress, answer.Leader = *r.leader, *r.leader == r.address
+	if answer.GetLeader() && len(request.GetUses()) > 0 {
+		r.told[request.GetInstance()]++
+	}
+	return nil
+}
+
+type sink struct{}
+
+func (sink) Number() uint64               { return 0 }
+func (sink) Install(*wire.Document) error { return nil }
+func (sink) UpdateTargets([]*wire.Target) {}
+func (sink) UpdateLoads([]*wire.Load)     {}
+func (sink) Uses() []*wire.Use            { return []*wire.Use{{Target: "t"}} }
+func (sink) UpdateOthers([]*wire.Use)     {}
+
+// TestLeaderIsFollowed: of eight replicas, of which three are followed, the leader is
+// always one, also after another one leads: it alone learns what all instances have at
+// engines. Half of the instances did not follow it once (grown sites).
+func TestLeaderIsFollowed(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var mu sync.Mutex
+	var all []string
+	leader := ""
+	told := map[string]int{}
+	credentials, traffic := peer.PlainCredentials(), &peer.Traffic{}
+	for range 8 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		r := &replica{address: listener.Addr().String(), mu: &mu, leader: &leader, all: &all, told: told}
+		all = append(all, r.address)
+		server := peer.NewServer(logr.Discard(), credentials, traffic)
+		server.Register("Control", func(peer.Caller) any { return r })
+		server.Serve(ctx, listener)
+	}
+	for _, next := range []string{all[7], all[0], all[4]} {
+		mu.Lock()
+		leader = next
+		clear(told)
+		mu.Unlock()
+		if next == all[7] {
+			for i := range 4 {
+				f := New(logr.Discard(), timer.New(), peer.NewPool(credentials, traffic), fmt.Sprint("i", i), "d", func() []string { return all[:3] }, sink{})
+				f.Run(ctx)
+			}
+		}
+		require.Eventually(t, func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return len(told) == 4
+		}, 20*time.Second, 10*time.Millisecond)
+	}
+}
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -48,12 +48,12 @@
 	return &frontend{handler: handler, limits: limits, servers: map[timing]*handover{}}
 }
 
-// accept serves connections until the listener is closed, and returns why it ended.
-func (f *frontend) accept(listener net.Listener) error {
+// accept serves connections until the listener is closed.
+func (f *frontend) accept(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
-			return nil
+			return
 		}
 		if err != nil {
 			time.Sleep(acceptPause)
@@ -156,14 +156,14 @@
 	go func() {
 		defer close(ended)
 		g.await(ctx, stop)
-		_ = listener.Close() // accept reports what matters
+		_ = listener.Close() // ends the accepting
 		front.close()
 	}()
 	go func() {
-		err := front.accept(listener)
+		front.accept(listener)
 		<-ended
 		front.wait()
-		done <- err
+		done <- nil
 	}()
 	go g.expire(ctx, ended)
 	return done
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -442,6 +442,7 @@
 	return conn
 }
 
+// exchange sends a request over the connection and returns the status of its answer.
 func exchange(t *testing.T, conn net.Conn) int {
 	t.Helper()
 	_, err := io.WriteString(conn, "POST /r/x HTTP/1.1\r\nHost: example.test\r\nTest-Id: request-1\r\nTest-Key: key\r\nContent-Length: 0\r\n\r\n")
@@ -450,5 +451,6 @@
 	require.NoError(t, err)
 	_, err = io.Copy(io.Discard, response.Body)
 	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
 	return response.StatusCode
 }
--- a/internal/gateway/reason.go
+++ b/internal/gateway/reason.go
@@ -30,6 +30,7 @@
 	reasonNoTarget     reason = "no-target"
 	reasonUnreachable  reason = "unreachable"
 	reasonFull         reason = "full"
+	reasonCrowded      reason = "crowded" // no engine has memory for it
 	reasonMisdirected  reason = "misdirected"
 )
 
@@ -58,6 +59,7 @@
 	reasonNoTarget:     {status: http.StatusServiceUnavailable, after: 400 * time.Millisecond},
 	reasonUnreachable:  {status: http.StatusServiceUnavailable, after: 150 * time.Millisecond},
 	reasonFull:         {status: http.StatusServiceUnavailable, after: 150 * time.Millisecond},
+	reasonCrowded:      {status: http.StatusServiceUnavailable, after: 800 * time.Millisecond},
 	reasonMisdirected:  {status: http.StatusServiceUnavailable, after: 50 * time.Millisecond},
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -149,6 +149,9 @@
 	if x.left() <= 0 {
 		return x.refuse(reasonTooLate)
 	}
+	if x.route.Generation() && x.server.crowded(x.service, x.tokens()) {
+		return x.refuse(reasonCrowded)
+	}
 	if x.server.stopping.Load() && !x.endsInTime() {
 		return x.refuse(reasonStopping)
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -240,6 +240,13 @@
 	return true
 }
 
+// crowded reports whether no engine of a service has room for a generation.
+func (g *Server) crowded(service string, tokens int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.balancer.Crowded(service, tokens, g.base.Timers.Now())
+}
+
 func (g *Server) end(t *balance.Target, tokens int, result balance.Result) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
