Tell uses of this moment; spread choices by the number of instances

Cause: on the grown sites ten prompts reached one engine within 0.3 s while others were idle (first event after 4 s): what an instance knew of the others was 230 ms old, since the leader held its question, and all of them preferred the same idle engine. Change: the leader answers at once, every 50 ms or 1 ms x instances; scores get a random part that grows with the number of instances.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -53,6 +53,11 @@
 	fullMemory   = 1.0
 	calmPressure = 0.7
 	highPressure = 0.9
+	// spreadPerInstance is the width of the random part of an engine's score for each
+	// instance that chooses among the same engines, up to mostSpread: what the others
+	// have sent in the last moments is not known yet, and all would choose the same one.
+	spreadPerInstance = 0.004
+	mostSpread        = 0.3
 	// suspicion is how long an engine that ends a connection is taken for leaving; by
 	// then its report has told.
 	suspicion = 1500 * time.Millisecond
@@ -137,6 +142,8 @@
 	listed  bool
 	// pairs counts own copies by the engine of their run and the one that holds them
 	pairs map[pair]int
+	// spread is the width of the random part of a score
+	spread float64
 	// cutOff tells until when a failure domain is taken for cut off
 	cutOff map[string]time.Duration
 }
@@ -302,6 +309,9 @@
 // when there is nothing else.
 func (b *Balancer) score(t *Target, tokens int, now time.Duration) float64 {
 	score := t.busy(tokens, now) + failureCost*t.rate
+	if tokens > 0 {
+		score += b.spread * b.random.Float64()
+	}
 	if t.domain != b.domain {
 		score += abroadCost
 		if now < b.cutOff[t.domain] {
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -171,8 +171,10 @@
 	return max(n, t.open+t.others.requests)
 }
 
-// UpdateOthers takes the sums of what other instances have at targets.
-func (b *Balancer) UpdateOthers(uses []*wire.Use, now time.Duration) {
+// UpdateOthers takes the sums of what other instances have at targets, and how many
+// instances there are.
+func (b *Balancer) UpdateOthers(uses []*wire.Use, instances int, now time.Duration) {
+	b.spread = min(mostSpread, spreadPerInstance*float64(instances))
 	for _, t := range b.targets {
 		t.others = others{}
 	}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -26,8 +26,8 @@
 	// shareInterval is how often the leader is told what this instance has at
 	// targets, and sharePerFollower bounds the leader's work when it has many
 	// followers: the interval is at least this time for each of them.
-	shareInterval    = 80 * time.Millisecond
-	sharePerFollower = 2500 * time.Microsecond
+	shareInterval    = 50 * time.Millisecond
+	sharePerFollower = time.Millisecond
 	// answerMargin is how much later than that an answer may come.
 	answerMargin = 300 * time.Millisecond
 	// failurePause is the pause after a replica failed.
@@ -50,8 +50,9 @@
 	UpdateLoads(loads []*wire.Load)
 	// Uses returns what this instance has at targets.
 	Uses() []*wire.Use
-	// UpdateOthers takes the sums of what the other instances have at targets.
-	UpdateOthers(uses []*wire.Use)
+	// UpdateOthers takes the sums of what the other instances have at targets, and how
+	// many instances there are.
+	UpdateOthers(uses []*wire.Use, instances int)
 }
 
 // Follower follows replicas, starting from seeds.
@@ -116,10 +117,14 @@
 			f.follow(ctx, address)
 			f.release(address)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(failurePause):
-		}
+		pause(ctx, failurePause)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
@@ -187,17 +192,23 @@
 		Instance: f.name, FailureDomain: f.domain, Document: f.sink.Number(), WaitMs: uint64(holdQuestion.Milliseconds()),
 	}
 	f.mu.Lock()
-	if address == f.leader {
-		request.WaitMs = uint64(f.share.Milliseconds())
-		request.Uses = f.sink.Uses()
-	}
-	if first {
+	leads := address == f.leader
+	if first || leads {
 		request.WaitMs = 0
 	}
 	if l := f.lists[address]; l != nil {
 		request.ListEpoch, request.ListVersion, request.LoadsVersion = l.epoch, l.version, l.loads
 	}
+	share := f.share
 	f.mu.Unlock()
+	if leads {
+		// The leader does not hold the question: what it is told, and what it tells of
+		// the others, must be of this moment.
+		if !first {
+			pause(ctx, share)
+		}
+		request.Uses = f.sink.Uses()
+	}
 	ctx, cancel := context.WithTimeout(ctx, holdQuestion+answerMargin)
 	defer cancel()
 	answer := &wire.FollowResponse{}
@@ -247,7 +258,7 @@
 	}
 	if answer.GetLeader() {
 		f.share = max(shareInterval, time.Duration(answer.GetFollowers())*sharePerFollower)
-		f.sink.UpdateOthers(answer.GetOthers())
+		f.sink.UpdateOthers(answer.GetOthers(), int(answer.GetFollowers()))
 	}
 	if d := answer.GetDocument(); d != nil {
 		if err := f.sink.Install(d); err != nil {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -121,11 +121,12 @@
 	return g.balancer.Uses(g.base.Timers.Now())
 }
 
-// UpdateOthers takes the sums of what the other instances have at targets.
-func (g *Server) UpdateOthers(uses []*wire.Use) {
+// UpdateOthers takes the sums of what the other instances have at targets, and how many
+// instances there are.
+func (g *Server) UpdateOthers(uses []*wire.Use, instances int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.balancer.UpdateOthers(uses, g.base.Timers.Now())
+	g.balancer.UpdateOthers(uses, instances, g.base.Timers.Now())
 	g.watchRuns()
 }
 
