--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -46,7 +46,7 @@
 	// memory of all engines; refugeRoom is the part for copies of runs whose engine is
 	// about to end.
 	calmCopyRoom = 0.8
-	highCopyRoom = 0.4
+	highCopyRoom = 0.2
 	refugeRoom   = 0.97
 	// fullMemory is the part of an engine's memory, taken and promised, up to which it
 	// takes another generation.
