A leader that is gone no longer keeps an instance from the other replicas

Change: a leader that failed is left alone for a second. Also: fields that nothing read are gone; requests that a stopping instance cuts are no longer logged as left by their callers.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -28,6 +28,8 @@
 	// followers: the interval is at least this time for each of them.
 	shareInterval    = 50 * time.Millisecond
 	sharePerFollower = time.Millisecond
+	// leaderPause is how long a leader that failed is not asked again.
+	leaderPause = time.Second
 	// answerMargin is how much later than that an answer may come.
 	answerMargin = 300 * time.Millisecond
 	// failurePause is the pause after a replica failed.
@@ -69,7 +71,9 @@
 	replicas []string
 	taken    map[string]bool // replicas that are followed now
 	leader   string          // its address, where it is known
-	share    time.Duration   // how long the leader may hold a question
+	failed   string          // the leader that failed last
+	failedAt time.Duration
+	share    time.Duration // how often the leader is told
 	lists    map[string]*list
 	heard    map[string]string // what became of the last question to a replica
 	fresh    time.Duration     // when a replica last answered with what is current
@@ -134,7 +138,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known := slices.Clone(f.replicas)
-	if f.leader != "" && !f.taken[f.leader] {
+	if f.wantsLeader() {
 		f.taken[f.leader] = true
 		return f.leader
 	}
@@ -184,7 +188,14 @@
 func (f *Follower) lacksLeader() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.leader != "" && !f.taken[f.leader]
+	return f.wantsLeader()
+}
+
+// wantsLeader reports whether the leader should be followed by the next that is free. A
+// leader that has just failed is left alone for a while: the other replicas may name it
+// until they notice. It is called with the lock held.
+func (f *Follower) wantsLeader() bool {
+	return f.leader != "" && !f.taken[f.leader] && (f.leader != f.failed || f.timers.Now()-f.failedAt > leaderPause)
 }
 
 func (f *Follower) ask(ctx context.Context, client *peer.Client, address string, first bool) (*wire.FollowResponse, error) {
@@ -218,6 +229,9 @@
 func (f *Follower) noteLost(address string, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if address == f.leader {
+		f.failed, f.failedAt = address, f.timers.Now()
+	}
 	f.note(address, "lost", err.Error())
 }
 
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -23,11 +23,13 @@
 	leader  *string
 	all     *[]string
 	told    map[string]int // uses that instances told the leader
+	asked   map[string]int // questions of instances
 }
 
 func (r *replica) Follow(request *wire.FollowRequest, answer *wire.FollowResponse) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.asked[request.GetInstance()]++
 	answer.Fresh, answer.Replicas = true, *r.all
 	answer.LeaderAddress, answer.Leader = *r.leader, *r.leader == r.address
 	if answer.GetLeader() && len(request.GetUses()) > 0 {
@@ -54,12 +56,12 @@
 	var mu sync.Mutex
 	var all []string
 	leader := ""
-	told := map[string]int{}
+	told, asked := map[string]int{}, map[string]int{}
 	credentials, traffic := peer.PlainCredentials(), &peer.Traffic{}
 	for range 8 {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
-		r := &replica{address: listener.Addr().String(), mu: &mu, leader: &leader, all: &all, told: told}
+		r := &replica{address: listener.Addr().String(), mu: &mu, leader: &leader, all: &all, told: told, asked: asked}
 		all = append(all, r.address)
 		server := peer.NewServer(logr.Discard(), credentials, traffic)
 		server.Register("Control", func(peer.Caller) any { return r })
@@ -83,3 +85,33 @@
 		}, 20*time.Second, 10*time.Millisecond)
 	}
 }
+
+// TestLeaderGone: a leader that is gone does not keep an instance from following the
+// others, which still name it: once all three places were busy with the dead one
+// (TestDeployment, after a leader was lost).
+func TestLeaderGone(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	const questions = 2000 // more than one at a time between failures
+	var mu sync.Mutex
+	all := []string{"127.0.0.1:1"} // nobody is there
+	leader := all[0]
+	asked := map[string]int{}
+	credentials, traffic := peer.PlainCredentials(), &peer.Traffic{}
+	for range 2 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		r := &replica{address: listener.Addr().String(), mu: &mu, leader: &leader, all: &all, told: map[string]int{}, asked: asked}
+		all = append(all, r.address)
+		server := peer.NewServer(logr.Discard(), credentials, traffic)
+		server.Register("Control", func(peer.Caller) any { return r })
+		server.Serve(ctx, listener)
+	}
+	f := New(logr.Discard(), timer.New(), peer.NewPool(credentials, traffic), "i", "d", func() []string { return all }, sink{})
+	f.Run(ctx)
+	require.Eventually(t, func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return asked["i"] >= questions
+	}, 20*time.Second, 10*time.Millisecond)
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -290,12 +290,19 @@
 // cutOff makes sure that an answer which ended midway does not look whole.
 func (x *request) cutOff() {
 	x.reason = reasonCutOff
-	if x.r.Context().Err() != nil {
+	if x.callerLeft() {
 		x.reason = reasonCallerLeft
 	}
 	x.broken = true
 }
 
+// callerLeft reports whether the caller has closed its connection. When a stopping
+// gateway ends, it closes them itself.
+func (x *request) callerLeft() bool {
+	ended := x.server.stopping.Load() && x.server.servesFor() <= 0
+	return x.r.Context().Err() != nil && !ended
+}
+
 // write gives the caller a held answer.
 func (a *answer) write(x *request) {
 	x.copyHeader(a.header)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -255,7 +255,7 @@
 // fail ends a request that no target has answered.
 func (x *request) fail(ctx context.Context, a attemptResult) {
 	switch {
-	case x.r.Context().Err() != nil:
+	case x.callerLeft():
 		x.reason = reasonCallerLeft
 	case a.kept != nil:
 		a.kept.write(x)
--- a/internal/gateway/standin_test.go
+++ b/internal/gateway/standin_test.go
@@ -81,7 +81,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.moves = append(e.moves, m)
-	return vanillaward.MoveResult{Handle: "handle", Done: true}, nil
+	return vanillaward.MoveResult{Handle: "handle"}, nil
 }
 
 func (e *engines) asked() int {
--- a/internal/route/spec.go
+++ b/internal/route/spec.go
@@ -67,9 +67,6 @@
 // ServiceSpec is one service.
 type ServiceSpec struct {
 	Name string
-	// Connections is the number of connections that one target accepts from all
-	// instances together.
-	Connections int
 	// Slots is the number of generations that an engine runs at once; 0 for
 	// plain services.
 	Slots int
--- a/vanillaward.go
+++ b/vanillaward.go
@@ -129,8 +129,8 @@
 type Engines interface {
 	// Load reads the report of the engine at an address.
 	Load(ctx context.Context, address string) (*wire.Load, error)
-	// Move copies the memory of a run to another engine and returns once that is
-	// done. With last, the run stops first, and its stream ends without its end.
+	// Move copies the memory of a run to another engine while it goes on, and returns
+	// once that is done.
 	Move(ctx context.Context, m Move) (MoveResult, error)
 	// Drop frees the copy of a move at both engines.
 	Drop(ctx context.Context, address, handle string) error
@@ -142,20 +142,14 @@
 	Source      string
 	Destination string
 	Request     string
-	Last        bool
 }
 
 // MoveResult is an engine's answer to a move.
 type MoveResult struct {
-	// Handle names the copy. It may be set beside a failure: a run that stopped
-	// can then go on at its source.
+	// Handle names the copy.
 	Handle string
 	// Made is the number of events that the run had made by then.
 	Made uint64
-	// Done is true when the copy is complete.
-	Done bool
-	// NoRun is true when the engine has no such run.
-	NoRun bool
 }
 
 // Dialect translates between the headers of a platform and what the gateway
@@ -228,8 +222,6 @@
 	NotRun bool
 	// OtherTarget is true when another target than the expected one answered.
 	OtherTarget bool
-	// Stamped is true for answers that the target's service made.
-	Stamped bool
 	// Closing is true when the target takes no further request on the connection.
 	Closing bool
 	// KeepFor is how long the target keeps an idle connection; 0 when it does
