--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -137,11 +137,11 @@
 	seeds := f.seeds()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known := slices.Clone(f.replicas)
 	if f.wantsLeader() {
 		f.taken[f.leader] = true
 		return f.leader
 	}
+	known := slices.Clone(f.replicas)
 	for _, s := range seeds {
 		if !slices.Contains(known, s) {
 			known = append(known, s)
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -23,9 +23,11 @@
 		return
 	}
 	x.stream.run = &run{
-		ctx: ctx, request: x.caller.ID, tokens: x.tokens(), movable: service.Moves(), keep: service.KeepCopy(), engine: engine,
+		ctx: ctx, request: x.caller.ID, tokens: x.tokens(), engine: engine,
+		backup:  service.Backups() && x.caller.LongestTokens >= x.server.settings.CopyFrom,
+		movable: service.Moves(), keep: service.KeepCopy(),
 	}
-	x.server.addRun(x.stream.run, service.Backups() && x.caller.LongestTokens >= x.server.settings.CopyFrom)
+	x.server.addRun(x.stream.run)
 }
 
 func (x *request) endRun() {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// moveTime bounds one step of a move.
+	// moveTime bounds the copying of a run on demand.
 	moveTime = 2 * time.Second
 	// dropTime bounds the freeing of a copy that was not needed.
 	dropTime = time.Second
@@ -23,13 +23,14 @@
 	ctx     context.Context //nolint:containedctx // ends with the request, for moves of the run
 	request string
 	tokens  int
-	movable bool
-	keep    time.Duration // how long engines keep a moved copy
+	backup  bool          // a copy of it is to grow at another engine
+	movable bool          // its engines copy it when asked to
+	keep    time.Duration // how long they keep such a copy
 
 	engine  *balance.Target
 	started bool // the run has made an event at its engine
 	copy    *heldCopy
-	moving  chan struct{} // closed at the end of a move; nil without one
+	moving  chan struct{} // closed when a copy on demand is done; nil without one
 	failed  []string      // engines that could not take the run's memory
 }
 
@@ -42,14 +43,12 @@
 	until  time.Duration // when it is dropped; 0 while the run goes on
 }
 
-// addRun registers a run at an engine. A backup is chosen for it where wanted.
-func (g *Server) addRun(r *run, backup bool) {
+// addRun registers a run at an engine.
+func (g *Server) addRun(r *run) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.runs[r] = struct{}{}
-	if backup {
-		g.chooseCopy(r)
-	}
+	g.chooseCopy(r)
 }
 
 // resumeRun puts a run at another engine, where it goes on.
@@ -60,7 +59,7 @@
 	g.chooseCopy(r)
 }
 
-// startedRun notes the first event of a run at its engine, and moves it if that
+// startedRun notes the first event of a run at its engine, and has it copied if that
 // engine is about to end.
 func (g *Server) startedRun(r *run) {
 	g.mu.Lock()
@@ -74,8 +73,12 @@
 	}
 }
 
-// chooseCopy is called with the lock held.
+// chooseCopy chooses the engine at which a copy of a run is to grow, where one is wanted.
+// It is called with the lock held.
 func (g *Server) chooseCopy(r *run) {
+	if !r.backup {
+		return
+	}
 	now := g.base.Timers.Now()
 	holder := g.balancer.ChooseBackup(r.engine, r.tokens, now)
 	if holder == nil {
@@ -93,7 +96,7 @@
 	r.copy = c
 }
 
-// removeRun ends a run and frees a moved copy that was not used.
+// removeRun ends a run and frees a copy made on demand that was not used.
 func (g *Server) removeRun(r *run) {
 	unused := g.takeCopy(r)
 	g.mu.Lock()
@@ -146,7 +149,7 @@
 	}
 }
 
-// awaitMove waits for a move of the run that is under way.
+// awaitMove waits for a copy on demand that is being made.
 func (g *Server) awaitMove(ctx context.Context, r *run) {
 	g.mu.Lock()
 	moving := r.moving
@@ -160,7 +163,7 @@
 	}
 }
 
-// watchRuns starts the moves that what is known of the engines asks for. It is
+// watchRuns starts the copies that what is known of the engines asks for. It is
 // called with the lock held.
 func (g *Server) watchRuns() {
 	now := g.base.Timers.Now()
