A leader that is behind no longer draws all followers of an instance

It answers at once; while it is free, every follower gives up its replica for it. Ruled out: a lost document (all replicas had it), a replica that claims to be current, connections that fell silent. Writes to peers are bounded. Test: TestLeaderBehind (fails before).

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -192,8 +192,8 @@
 }
 
 // wantsLeader reports whether the leader should be followed by the next that is free. A
-// leader that has just failed is left alone for a while: the other replicas may name it
-// until they notice. It is called with the lock held.
+// leader that has just failed, or was none, is left alone for a while: the other replicas
+// may name it until they notice. It is called with the lock held.
 func (f *Follower) wantsLeader() bool {
 	return f.leader != "" && !f.taken[f.leader] && (f.leader != f.failed || f.timers.Now()-f.failedAt > leaderPause)
 }
@@ -267,9 +267,7 @@
 	if len(answer.GetReplicas()) > 0 {
 		f.replicas = usable(answer.GetReplicas())
 	}
-	if answer.GetLeaderAddress() != "" {
-		f.leader = answer.GetLeaderAddress()
-	}
+	f.learnLeader(address, answer)
 	if answer.GetLeader() {
 		f.share = max(shareInterval, time.Duration(answer.GetFollowers())*sharePerFollower)
 		f.sink.UpdateOthers(answer.GetOthers(), int(answer.GetFollowers()))
@@ -285,6 +283,18 @@
 	}
 }
 
+// learnLeader notes who leads. A replica that was taken for the leader and is not one,
+// or cannot show that it still is, is left alone like one that failed: it answers at
+// once, and would keep the instance from the others. It is called with the lock held.
+func (f *Follower) learnLeader(address string, answer *wire.FollowResponse) {
+	if address == f.leader && (!answer.GetLeader() || !answer.GetFresh()) {
+		f.leader, f.failed, f.failedAt = "", address, f.timers.Now()
+	}
+	if named := answer.GetLeaderAddress(); named != "" && answer.GetFresh() {
+		f.leader = named
+	}
+}
+
 func usable(addresses []string) []string {
 	var out []string
 	for _, a := range addresses {
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -30,7 +30,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.asked[request.GetInstance()]++
-	answer.Fresh, answer.Replicas = true, *r.all
+	answer.Replicas = *r.all
+	answer.Fresh = true
 	answer.LeaderAddress, answer.Leader = *r.leader, *r.leader == r.address
 	if answer.GetLeader() && len(request.GetUses()) > 0 {
 		r.told[request.GetInstance()]++
@@ -115,3 +116,31 @@
 		return asked["i"] >= questions
 	}, 20*time.Second, 10*time.Millisecond)
 }
+
+// TestLeaderBehind: a leader that is cut off from the other replicas answers at once that
+// it is behind, and the others still name it. No follower may give up one of the others
+// for it (hunt-c641-15, kupa: a gateway had an old configuration 3.5 s after a new one was
+// acknowledged, since all three followers asked the old leader in turn).
+func TestLeaderBehind(t *testing.T) {
+	pool := peer.NewPool(peer.PlainCredentials(), &peer.Traffic{})
+	f := New(logr.Discard(), timer.New(), pool, "i", "d", func() []string { return nil }, sink{})
+	current := &wire.FollowResponse{Fresh: true, Replicas: []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}, LeaderAddress: "10.0.0.1:1"}
+	f.learn("10.0.0.2:1", current)
+	require.Equal(t, "10.0.0.1:1", f.take(0), "the leader goes first")
+	require.Equal(t, "10.0.0.2:1", f.take(0))
+	require.Equal(t, "10.0.0.3:1", f.take(0))
+	require.False(t, f.lacksLeader())
+
+	f.learn("10.0.0.1:1", &wire.FollowResponse{})
+	f.release("10.0.0.1:1")
+	require.False(t, f.lacksLeader(), "it leads no more")
+	f.learn("10.0.0.2:1", current)
+	require.False(t, f.lacksLeader(), "the others have not noticed")
+	f.learn("10.0.0.1:1", &wire.FollowResponse{Leader: true, LeaderAddress: "10.0.0.1:1"})
+	require.False(t, f.lacksLeader(), "its own word without a lease does not count")
+
+	f.release("10.0.0.3:1")
+	f.learn("10.0.0.2:1", &wire.FollowResponse{Fresh: true, LeaderAddress: "10.0.0.3:1"})
+	require.True(t, f.lacksLeader())
+	require.Equal(t, "10.0.0.3:1", f.take(0))
+}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/rpc"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -21,6 +22,10 @@
 
 const lengthBytes = 4
 
+// writeTime bounds the writing of one message. A call waits for its writing without
+// regard to its context, and a peer behind a partition reads nothing.
+const writeTime = 5 * time.Second
+
 // ErrTooLarge is returned for a message over MaxMessageBytes.
 var ErrTooLarge = errors.New("message is over the size bound")
 
@@ -155,6 +160,11 @@
 	if !ok {
 		m = &wire.Empty{}
 	}
+	if bounded, ok := f.conn.(interface{ SetWriteDeadline(time.Time) error }); ok {
+		if err := bounded.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
+			return err
+		}
+	}
 	if err := f.write(header); err != nil {
 		return err
 	}
