Storage: what a restart finds is durable, a failed disk is used again, large records are compacted

Cause, found by reading: Open trusted whatever it read of the log. A process killed between a write and its sync left records that the next process acted on (it told the leader that it held them) and that a loss of power then took away. Three acknowledged copies could so become two or one. The tests did not see it, because their disk made contents durable with the folder's sync.

Ruled out: rewriting the whole log at each start (needs room on a full disk, and the replica would be away until there is some). It is done only after a sync that failed, when what can be read may be lost for good.

--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -54,12 +53,14 @@
 	newID         string
 	seed          uint64
 	snapshotEvery uint64
+	snapshotBytes int64
 	published     *config.Store
 	board         *Board
 	founders      *wire.Membership
 
 	inbox   chan func()
 	failed  chan struct{} // closed when the replica stops
+	rewrite bool          // a sync has failed since the log was last written whole
 	core    *replog.Core
 	store   *storage.Store
 	state   *State
@@ -93,6 +94,10 @@
 	return func(n *Node) { n.snapshotEvery = uint64(records) }
 }
 
+// WithSnapshotBytes sets after how many bytes of records a snapshot is taken, however few
+// records they are.
+func WithSnapshotBytes(size int64) Option { return func(n *Node) { n.snapshotBytes = size } }
+
 // WithBoard sets where documents in force are posted.
 func WithBoard(b *Board) Option { return func(n *Node) { n.board = b } }
 
@@ -107,7 +112,7 @@
 ) *Node {
 	n := &Node{
 		log: log, disk: disk, timers: timers, transport: transport, published: published,
-		newID: newID, seed: seed, timing: replog.DefaultTiming(), snapshotEvery: 1000,
+		newID: newID, seed: seed, timing: replog.DefaultTiming(), snapshotEvery: 1000, snapshotBytes: 4 << 20,
 		inbox: make(chan func(), inboxSize), failed: make(chan struct{}), waiters: map[uint64]waiter{},
 		addresses: map[string]string{}, board: NewBoard(0),
 	}
@@ -117,8 +122,9 @@
 	return n
 }
 
-// Run runs the replica until the context ends or its disk fails, and reports its
-// end on the returned channel. A full disk stops it only until there is room.
+// Run runs the replica until the context ends or its records turn out to be damaged, and
+// reports its end on the returned channel. A disk that fails stops it until the disk
+// works again.
 func (n *Node) Run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
@@ -137,11 +143,13 @@
 			return nil
 		}
 		n.dropWaiters(ErrStopped)
-		if !errors.Is(err, syscall.ENOSPC) {
+		if errors.Is(err, storage.ErrDamaged) {
 			n.log.Error(err, "replica stops; other roles of the instance go on")
 			return err
 		}
-		n.log.Error(err, "disk is full; no changes are accepted here until there is room")
+		var unsynced *storage.SyncError
+		n.rewrite = n.rewrite || errors.As(err, &unsynced)
+		n.log.Error(err, "disk failed; no changes are accepted here until it works again")
 		select {
 		case <-ctx.Done():
 			return nil
@@ -186,6 +194,14 @@
 		return err
 	}
 	n.store = store
+	if n.rewrite {
+		if err := store.Rewrite(); err != nil {
+			_ = store.Close() // the first error is the one to report
+			return err
+		}
+		n.rewrite = false
+		n.log.Info("log written anew after a failed sync")
+	}
 	n.state = NewState()
 	n.applied = 0
 	durable := store.Durable()
@@ -357,7 +373,9 @@
 }
 
 func (n *Node) compact() error {
-	if n.applied < n.core.FirstIndex()+n.snapshotEvery {
+	long := n.applied >= n.core.FirstIndex()+n.snapshotEvery
+	large := n.store.Grown() > n.snapshotBytes && n.applied > n.core.FirstIndex()
+	if !long && !large {
 		return nil
 	}
 	data, err := n.state.Snapshot()
@@ -399,13 +417,3 @@
 	}
 	return out
 }
-
-func cloneMembership(m *wire.Membership) *wire.Membership {
-	out := &wire.Membership{}
-	for _, r := range m.GetReplicas() {
-		out.Replicas = append(out.Replicas, &wire.Replica{
-			Id: r.GetId(), Name: r.GetName(), Address: r.GetAddress(), Learner: r.GetLearner(),
-		})
-	}
-	return out
-}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -13,34 +13,10 @@
 
 	"github.com/vanillaward/vanillaward"
 	"github.com/vanillaward/vanillaward/internal/fleet"
+	"github.com/vanillaward/vanillaward/internal/timer/timertest"
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
-// clock is a time service over the test's virtual time.
-type clock struct{ start time.Time }
-
-func (c clock) Now() time.Duration { return time.Since(c.start) }
-
-func (clock) Subscribe(ctx context.Context, interval time.Duration) <-chan time.Duration {
-	out := make(chan time.Duration)
-	go func() {
-		defer close(out)
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(interval):
-				select {
-				case out <- 0:
-				case <-ctx.Done():
-					return
-				}
-			}
-		}
-	}()
-	return out
-}
-
 // platform is a list and engines with the answers that a test gives.
 type platform struct {
 	mu      sync.Mutex // guards the rest
@@ -83,7 +59,7 @@
 		p := &platform{}
 		p.set([]*wire.Target{{Id: "b", ColdMs: 900}, {Id: "a"}}, nil)
 		ctx, cancel := context.WithCancel(context.Background())
-		end := fleet.NewReader(logr.Discard(), clock{time.Now()}, directory{p}, p, time.Second, func() bool { return true }).Run(ctx)
+		end := fleet.NewReader(logr.Discard(), timertest.New(), directory{p}, p, time.Second, func() bool { return true }).Run(ctx)
 		time.Sleep(2500 * time.Millisecond)
 		p.set([]*wire.Target{{Id: "a"}, {Id: "b", ColdMs: 100}}, nil)
 		time.Sleep(time.Second)
@@ -133,7 +109,7 @@
 			{Id: "d", Address: "plain", FailureDomain: "home"},
 		}}
 		ctx, cancel := context.WithCancel(context.Background())
-		end := fleet.NewProber(logr.Discard(), clock{time.Now()}, engines{reports{p}}, board{p}, readers{p}, time.Second).Run(ctx)
+		end := fleet.NewProber(logr.Discard(), timertest.New(), engines{reports{p}}, board{p}, readers{p}, time.Second).Run(ctx)
 		time.Sleep(2500 * time.Millisecond)
 		cancel()
 		require.NoError(t, <-end)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -217,7 +217,8 @@
 	published := config.NewStore()
 	timing := replog.Timing{Heartbeat: s.Control.Heartbeat, Election: s.Control.Election, Margin: s.Control.ClockMargin}
 	i.node = control.NewNode(log, disk, i.base.Timers, transport, published, once.NewIdentity()[:replicaIDLength], seed(),
-		control.WithTiming(timing), control.WithSnapshotEvery(s.Control.SnapshotEvery))
+		control.WithTiming(timing), control.WithSnapshotEvery(s.Control.SnapshotEvery),
+		control.WithSnapshotBytes(int64(s.Control.SnapshotBytes)))
 	service := control.NewService(ctx, i.node, published, i.base.Timers, peer.NewPool(i.base.Credentials, i.base.Traffic), i.self())
 	service.Register(i.server)
 	issuer := orders.NewIssuer(log, i.node, i.base.Timers, timing, s.Instance.Name)
--- a/internal/instance/seeded.go
+++ b/internal/instance/seeded.go
@@ -138,7 +138,7 @@
 	transport := control.NewPeerTransport(ctx, log, self, s.base.Credentials, s.base.Traffic)
 	timing := replog.Timing{Heartbeat: set.Control.Heartbeat, Election: set.Control.Election, Margin: set.Control.ClockMargin}
 	s.node = control.NewNode(log, disk, s.base.Timers, transport, published, id, seed(),
-		control.WithTiming(timing), control.WithSnapshotEvery(set.Control.SnapshotEvery),
+		control.WithTiming(timing), control.WithSnapshotEvery(set.Control.SnapshotEvery), control.WithSnapshotBytes(int64(set.Control.SnapshotBytes)),
 		control.WithBoard(board), control.WithFounders(founders))
 	service := control.NewService(ctx, s.node, published, s.base.Timers, s.peers, s.self())
 	service.Register(s.server)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -70,6 +70,7 @@
 	Election      time.Duration    `ini:"election-timeout" default:"750ms" min:"10000000" doc:"Shortest silence of the leader after which a replica campaigns."`
 	ClockMargin   time.Duration    `ini:"clock-margin" default:"100ms" doc:"Part of the leader's lease that covers clocks of different rates."`
 	SnapshotEvery int              `ini:"snapshot-every" default:"1000" min:"10" doc:"Number of log records after which a snapshot is taken."`
+	SnapshotBytes inifile.Bytes    `ini:"snapshot-bytes" default:"4MiB" min:"65536" doc:"Bytes of log records after which a snapshot is taken, however few records they are."`
 	WatchWait     time.Duration    `ini:"watch-wait" default:"4s" min:"100000000" doc:"Longest wait of an instance for a new version before it asks again; also the interval at which it is seen to be alive."`
 }
 
--- a/internal/storage/fuzz_test.go
+++ b/internal/storage/fuzz_test.go
@@ -13,9 +13,9 @@
 	f.Add([]byte("garbage of some length"), []byte("more"))
 	f.Fuzz(func(t *testing.T, log, snapshot []byte) {
 		d := newMemoryDisk()
-		d.live["replica-id"], d.live["log"] = []byte("id"), log
+		d.names["replica-id"], d.names["log"] = &node{live: []byte("id")}, &node{live: log}
 		if len(snapshot) > 0 {
-			d.live["snapshot"] = snapshot
+			d.names["snapshot"] = &node{live: snapshot}
 		}
 		s, err := storage.Open(d, "new")
 		if err != nil {
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -31,6 +31,7 @@
 	state    *wire.HardState
 	snapshot *wire.Snapshot
 	suffix   []*wire.Entry
+	grown    int64 // of the log file, in bytes, since it was last written whole
 }
 
 // Open reads the state of the folder. A folder without a replica identity is
@@ -51,9 +52,41 @@
 		return nil, errors.Wrap(err, logFile)
 	}
 	s.file = file
-	return s, errors.Wrap(disk.SyncFolder(), "data folder")
+	// The last process may have been killed between a write and its sync. The replica acts
+	// on what was read, so it must not be lost any more.
+	err = syncLog(file)
+	if err == nil {
+		err = errors.Wrap(disk.SyncFolder(), "data folder")
+	}
+	if err != nil {
+		_ = file.Close() // the first error is the one to report
+		return nil, err
+	}
+	return s, nil
 }
 
+// SyncError is returned when the log file could not be synced. What was to be made durable
+// may be lost for good then although it can still be read.
+type SyncError struct{ err error }
+
+func (e *SyncError) Error() string { return "sync of " + logFile + ": " + e.err.Error() }
+
+// Unwrap returns the error of the disk.
+func (e *SyncError) Unwrap() error { return e.err }
+
+func syncLog(file vanillaward.File) error {
+	if err := file.Sync(); err != nil {
+		return &SyncError{err}
+	}
+	return nil
+}
+
+// Rewrite writes the log anew. It is needed once after a SyncError.
+func (s *Store) Rewrite() error { return s.rewriteLog() }
+
+// Grown returns by how many bytes the log file has grown since it was last written whole.
+func (s *Store) Grown() int64 { return s.grown }
+
 // ID returns the replica's identity.
 func (s *Store) ID() string { return s.id }
 
@@ -129,6 +162,7 @@
 		return errors.Wrap(err, logFile)
 	}
 	records, whole, err := readRecords(data)
+	s.grown = whole
 	if err != nil {
 		return errors.Wrap(err, logFile)
 	}
@@ -228,8 +262,9 @@
 	if _, err := s.file.Write(s.pending); err != nil {
 		return errors.Wrap(err, logFile)
 	}
+	s.grown += int64(len(s.pending))
 	s.pending = s.pending[:0]
-	return errors.Wrap(s.file.Sync(), logFile)
+	return syncLog(s.file)
 }
 
 // saveSnapshot replaces the snapshot, then rewrites the log without the records
@@ -278,6 +313,7 @@
 	if err := s.replace(newLogFile, logFile, data); err != nil {
 		return err
 	}
+	s.grown = 0
 	s.file, err = s.disk.Append(logFile)
 	return errors.Wrap(err, logFile)
 }
--- a/internal/storage/store_test.go
+++ b/internal/storage/store_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"errors"
 	"io/fs"
+	"maps"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/vanillaward/vanillaward"
 	"github.com/vanillaward/vanillaward/internal/replog"
@@ -14,18 +16,26 @@
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
-// memoryDisk keeps what was written and what was synced apart, and can fail at
-// any operation.
+// memoryDisk keeps what was written and what was synced apart, for files and for their
+// names, and can fail at any operation.
 type memoryDisk struct {
-	live    map[string][]byte // as the process sees it
-	durable map[string][]byte // as it is after a crash
-	failAt  int               // operation that fails; 0 for none
+	names   map[string]*node // as processes see them
+	durable map[string]*node // as they are after a loss of power
+	failAt  int              // operation that fails; 0 for none
 	fault   error
 	done    int
+	forgets bool // a sync that fails loses what it should have written, although it can be read
+}
+
+// node is the content of a file.
+type node struct {
+	live    []byte // as processes see it
+	durable []byte // as it is after a loss of power
+	lost    int    // bytes at the start that no further sync writes
 }
 
 func newMemoryDisk() *memoryDisk {
-	return &memoryDisk{live: map[string][]byte{}, durable: map[string][]byte{}}
+	return &memoryDisk{names: map[string]*node{}, durable: map[string]*node{}}
 }
 
 func (d *memoryDisk) step() error {
@@ -35,78 +45,97 @@
 	return nil
 }
 
-// crash loses everything that was not synced.
-func (d *memoryDisk) crash() *memoryDisk {
+// losePower returns the disk after a loss of power: everything that was not synced is
+// gone.
+func (d *memoryDisk) losePower() *memoryDisk {
 	out := newMemoryDisk()
-	for name, data := range d.durable {
-		out.live[name] = bytes.Clone(data)
-		out.durable[name] = bytes.Clone(data)
+	for name, n := range d.durable {
+		after := &node{live: bytes.Clone(n.durable), durable: bytes.Clone(n.durable)}
+		out.names[name], out.durable[name] = after, after
 	}
 	return out
 }
 
+// restart returns the disk as the next process finds it after the last one was killed.
+func (d *memoryDisk) restart() *memoryDisk {
+	return &memoryDisk{names: d.names, durable: d.durable, forgets: d.forgets}
+}
+
 func (d *memoryDisk) ReadFile(name string) ([]byte, error) {
-	if data, ok := d.live[name]; ok {
-		return bytes.Clone(data), nil
+	if n, ok := d.names[name]; ok {
+		return bytes.Clone(n.live), nil
 	}
 	return nil, fs.ErrNotExist
 }
 
 func (d *memoryDisk) Append(name string) (vanillaward.File, error) {
-	if _, ok := d.live[name]; !ok {
-		d.live[name] = nil
+	n, ok := d.names[name]
+	if !ok {
+		n = &node{}
+		d.names[name] = n
 	}
-	return &memoryFile{d, name}, d.step()
+	return &memoryFile{d, n}, d.step()
 }
 
 func (d *memoryDisk) Create(name string) (vanillaward.File, error) {
-	d.live[name] = nil
-	return &memoryFile{d, name}, d.step()
+	n := &node{}
+	d.names[name] = n
+	return &memoryFile{d, n}, d.step()
 }
 
 func (d *memoryDisk) Rename(oldName, newName string) error {
-	d.live[newName] = d.live[oldName]
-	delete(d.live, oldName)
-	return d.step()
+	if err := d.step(); err != nil {
+		return err
+	}
+	d.names[newName] = d.names[oldName]
+	delete(d.names, oldName)
+	return nil
 }
 
 func (d *memoryDisk) Truncate(name string, size int64) error {
-	d.live[name] = d.live[name][:size]
-	return d.step()
+	if err := d.step(); err != nil {
+		return err
+	}
+	n := d.names[name]
+	n.live, n.lost = n.live[:size], min(n.lost, int(size))
+	return nil
 }
 
-// SyncFolder makes renames durable; file contents were synced before.
+// SyncFolder makes names durable; contents have syncs of their own.
 func (d *memoryDisk) SyncFolder() error {
 	if err := d.step(); err != nil {
 		return err
 	}
-	for name, data := range d.live {
-		if _, ok := d.durable[name]; !ok || name == "snapshot" || name == "log" || name == "replica-id" {
-			d.durable[name] = bytes.Clone(data)
-		}
-	}
+	d.durable = maps.Clone(d.names)
 	return nil
 }
 
 type memoryFile struct {
 	disk *memoryDisk
-	name string
+	node *node
 }
 
 func (f *memoryFile) Write(b []byte) (int, error) {
 	if err := f.disk.step(); err != nil {
-		f.disk.live[f.name] = append(f.disk.live[f.name], b[:len(b)/2]...) // a torn write
+		f.node.live = append(f.node.live, b[:len(b)/2]...) // a torn write
 		return len(b) / 2, err
 	}
-	f.disk.live[f.name] = append(f.disk.live[f.name], b...)
+	f.node.live = append(f.node.live, b...)
 	return len(b), nil
 }
 
 func (f *memoryFile) Sync() error {
 	if err := f.disk.step(); err != nil {
+		if f.disk.forgets {
+			f.node.lost = len(f.node.live)
+		}
 		return err
 	}
-	f.disk.durable[f.name] = bytes.Clone(f.disk.live[f.name])
+	written := bytes.Clone(f.node.live)
+	if lost := min(f.node.lost, len(written)); lost > len(f.node.durable) {
+		clear(written[len(f.node.durable):lost])
+	}
+	f.node.durable = written
 	return nil
 }
 
@@ -162,7 +191,7 @@
 		}
 		state, last, err := script(s)
 		require.Error(t, err)
-		for name, disk := range map[string]*memoryDisk{"after a crash": d.crash(), "after a restart": {live: d.live, durable: d.durable}} {
+		for name, disk := range map[string]*memoryDisk{"after a loss of power": d.losePower(), "after a restart": d.restart()} {
 			again, err := storage.Open(disk, "other-id")
 			require.NoError(t, err, "operation %d, %s", failAt, name)
 			require.Equal(t, "id", again.ID(), "a disk that has an identity keeps it")
@@ -177,6 +206,69 @@
 	}
 }
 
+// TestPowerLostAfterRestart: what a process finds after the last one was killed in the
+// middle of an operation is there after a loss of power too, because the replica acts on
+// it: it has told others which records it holds.
+func TestPowerLostAfterRestart(t *testing.T) {
+	clean := newMemoryDisk()
+	s, err := storage.Open(clean, "id")
+	require.NoError(t, err)
+	_, _, err = script(s)
+	require.NoError(t, err)
+	for failAt := 1; failAt <= clean.done; failAt++ {
+		d := newMemoryDisk()
+		d.failAt, d.fault = failAt, errors.New("killed")
+		if s, err := storage.Open(d, "id"); err == nil {
+			_, _, err = script(s)
+			require.Error(t, err)
+		}
+		d = d.restart()
+		found, err := storage.Open(d, "id")
+		require.NoError(t, err, "operation %d", failAt)
+		after, err := storage.Open(d.losePower(), "other-id")
+		require.NoError(t, err, "operation %d", failAt)
+		require.Equal(t, found.ID(), after.ID(), "operation %d", failAt)
+		requireSame(t, found.Durable(), after.Durable(), failAt)
+	}
+}
+
+// TestRewrite: a sync that fails may lose for good what can still be read. A replica that
+// goes on after it writes everything anew, so that nothing it acts on is lost.
+func TestRewrite(t *testing.T) {
+	clean := newMemoryDisk()
+	s, err := storage.Open(clean, "id")
+	require.NoError(t, err)
+	opened := clean.done
+	_, _, err = script(s)
+	require.NoError(t, err)
+	for failAt := opened + 1; failAt <= clean.done; failAt++ {
+		d := newMemoryDisk()
+		d.forgets = true
+		s, err := storage.Open(d, "id")
+		require.NoError(t, err)
+		d.failAt, d.fault = failAt, errors.New("the disk failed")
+		_, _, err = script(s)
+		require.Error(t, err)
+		d.failAt = 0
+		again, err := storage.Open(d, "id")
+		require.NoError(t, err, "operation %d", failAt)
+		require.NoError(t, again.Rewrite(), "operation %d", failAt)
+		after, err := storage.Open(d.losePower(), "other-id")
+		require.NoError(t, err, "operation %d", failAt)
+		requireSame(t, again.Durable(), after.Durable(), failAt)
+	}
+}
+
+func requireSame(t *testing.T, want, got replog.Durable, operation int) {
+	t.Helper()
+	require.True(t, proto.Equal(want.HardState, got.HardState), "operation %d: state %v, then %v", operation, want.HardState, got.HardState)
+	require.True(t, proto.Equal(want.Snapshot, got.Snapshot), "operation %d: snapshot %v, then %v", operation, want.Snapshot, got.Snapshot)
+	require.Len(t, got.Entries, len(want.Entries), "operation %d", operation)
+	for i, e := range want.Entries {
+		require.True(t, proto.Equal(e, got.Entries[i]), "operation %d: record %v, then %v", operation, e, got.Entries[i])
+	}
+}
+
 // TestDamage tells the remains of a torn write from damage of what was synced.
 func TestDamage(t *testing.T) {
 	cases := []struct {
@@ -201,8 +293,8 @@
 				require.NoError(t, s.Stage(replog.SaveEntries{Entries: []*wire.Entry{entry(i+1, 1)}}))
 				require.NoError(t, s.Sync())
 			}
-			after := d.crash()
-			after.live["log"] = c.damage(after.live["log"])
+			after := d.losePower()
+			after.names["log"].live = c.damage(after.names["log"].live)
 			again, err := storage.Open(after, "other")
 			if c.entries < 0 {
 				require.ErrorIs(t, err, storage.ErrDamaged)
@@ -223,10 +315,10 @@
 	require.NoError(t, err)
 	require.NoError(t, s.Stage(replog.SaveEntries{Entries: []*wire.Entry{entry(1, 1), entry(2, 1), entry(3, 1)}}))
 	require.NoError(t, s.Sync())
-	log := bytes.Clone(d.live["log"])
+	log := bytes.Clone(d.names["log"].live)
 	require.NoError(t, s.Stage(replog.SaveSnapshot{Snapshot: &wire.Snapshot{Index: 2, Term: 5}}))
-	after := d.crash()
-	after.live["log"] = log
+	after := d.losePower()
+	after.names["log"].live = log
 	again, err := storage.Open(after, "id")
 	require.NoError(t, err)
 	require.Empty(t, again.Durable().Entries)
