Hot path and leftovers: sums of uses, followers' count, copies freed by workers, twins

The leader added up what all instances have at all targets at every question (20 a second each) and built the list of watchers to count it; a copy that was done after its request had ended was never freed, and the freeing of others reported its end to nobody.

Change: uses keeps totals and subtracts the asker's own part; followers are counted; freeCopies is a few workers that end with the server; a copy on demand is awaited beyond its request and freed (TestCopyAfterEnd failed before: no copy was freed in 20 s). Without, cloneMembership and withoutReplica are one function; answers of the platform are read in one place; Prober and Follower forget who is gone; the flag in Join is gone.

Ruled out: keeping own suspicions in the totals' maximum (an instance would hear its own suspicion back, aged).

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -177,12 +177,10 @@
 // ChangeReplicas adds or removes one replica.
 func (n *Node) ChangeReplicas(ctx context.Context, change *wire.ReplicaChange) error {
 	_, _, err := n.await(ctx, func() (uint64, []replog.Action, error) {
-		next := cloneMembership(n.core.Membership())
-		if change.GetRemove() != "" {
-			next.Replicas = without(next.Replicas, change.GetRemove())
-		}
+		next := replog.Without(n.core.Membership(), change.GetRemove())
 		if r := change.GetAdd(); r != nil {
-			next.Replicas = append(without(next.Replicas, r.GetId()), &wire.Replica{
+			next = replog.Without(next, r.GetId())
+			next.Replicas = append(next.Replicas, &wire.Replica{
 				Id: r.GetId(), Name: r.GetName(), Address: r.GetAddress(), Learner: true,
 			})
 		}
@@ -191,16 +189,6 @@
 	return err
 }
 
-func without(replicas []*wire.Replica, id string) []*wire.Replica {
-	var out []*wire.Replica
-	for _, r := range replicas {
-		if r.GetId() != id {
-			out = append(out, r)
-		}
-	}
-	return out
-}
-
 // Identity returns who this replica is.
 func (n *Node) Identity(ctx context.Context) (*wire.ReplicaIdentity, error) {
 	out := &wire.ReplicaIdentity{}
@@ -259,20 +247,18 @@
 // Join makes a replica a learner; the leader makes it a voter once it has the
 // log. It returns replog.ErrNotLeader elsewhere.
 func (n *Node) Join(ctx context.Context, r *wire.Replica) error {
-	member := false
 	_, _, err := n.await(ctx, func() (uint64, []replog.Action, error) {
 		if n.core.Role() != replog.Leader {
 			return 0, nil, replog.ErrNotLeader
 		}
 		next := replog.Join(n.core.Membership(), r)
 		if next == nil {
-			member = true
 			return 0, nil, errAlreadyMember
 		}
 		n.log.Info("replica joins", "replica", r.GetId(), "address", r.GetAddress())
 		return n.core.ProposeMembership(n.timers.Now(), next)
 	})
-	if member {
+	if errors.Is(err, errAlreadyMember) {
 		return nil
 	}
 	return err
--- a/internal/control/documents.go
+++ b/internal/control/documents.go
@@ -130,12 +130,24 @@
 	answer.ListEpoch, answer.ListVersion = got.GetListEpoch(), got.GetListVersion()
 	answer.ListChanged, answer.ListAgeMs = got.GetListChanged(), got.GetListAgeMs()
 	answer.Loads, answer.LoadsVersion = got.GetLoads(), got.GetLoadsVersion()
-	answer.Followers = uint32(len(s.listWatchers()))
+	answer.Followers = uint32(s.followers())
 	return nil
 }
 
 func (s *Service) sawFollower(r *wire.FollowRequest) {
+	now := s.timers.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.watchers[r.GetInstance()] = watcher{domain: r.GetFailureDomain(), version: r.GetDocument(), seen: s.timers.Now()}
+	s.watchers[r.GetInstance()] = watcher{domain: r.GetFailureDomain(), version: r.GetDocument(), seen: now}
+	if now-s.pruned > pruneInterval {
+		s.pruned = now
+		s.prune(now)
+	}
+}
+
+// followers returns the number of instances that follow here.
+func (s *Service) followers() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.watchers)
 }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -23,6 +23,8 @@
 	callTimeout = 5 * time.Second
 	// goneAfter is the silence after which an instance is no longer listed.
 	goneAfter = 30 * time.Second
+	// pruneInterval is how often silent instances are looked for among the followers.
+	pruneInterval = time.Second
 )
 
 // ErrNotPermitted is returned to a caller whose certificate does not entitle it
@@ -43,8 +45,9 @@
 	self   string // peer address of this replica
 	domain string // its failure domain, where that is known
 
-	mu       sync.Mutex // guards watchers; never held while another lock is taken
+	mu       sync.Mutex // guards the rest; never held while another lock is taken
 	watchers map[string]watcher
+	pruned   time.Duration // when silent watchers were looked for last
 }
 
 // watcher is an instance that follows the configuration here.
@@ -269,16 +272,22 @@
 	s.watchers[r.GetInstance()] = w
 }
 
+// prune forgets silent watchers. It is called with the lock held.
+func (s *Service) prune(now time.Duration) {
+	for name, w := range s.watchers {
+		if now-w.seen > goneAfter {
+			delete(s.watchers, name)
+		}
+	}
+}
+
 func (s *Service) listWatchers() []*wire.InstanceStatus {
 	now := s.timers.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.prune(now)
 	var out []*wire.InstanceStatus
 	for name, w := range s.watchers {
-		if now-w.seen > goneAfter {
-			delete(s.watchers, name)
-			continue
-		}
 		status := &wire.InstanceStatus{
 			Name: name, FailureDomain: w.domain, Version: w.version, SeenMsAgo: (now - w.seen).Milliseconds(),
 		}
--- a/internal/control/uses_test.go
+++ b/internal/control/uses_test.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -34,3 +36,77 @@
 	require.Len(t, u.others("two", time.Second), 1, "not its own")
 	require.Empty(t, u.others("three", time.Second+2*useValid), "an instance that is silent has nothing")
 }
+
+// TestUsesSums: however often instances come, change and fall silent, the sums are those
+// of what the others told last.
+func TestUsesSums(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		u, now := newUses(), time.Duration(0)
+		last := map[string]told{}
+		for range 300 {
+			now += time.Duration(random.IntN(200)) * time.Millisecond
+			instance := fmt.Sprint("i", random.IntN(6))
+			told := told{at: now, uses: someUses(random)}
+			last[instance] = told
+			for other, l := range last {
+				if now-l.at > useValid {
+					delete(last, other)
+				}
+			}
+			u.expired = -useExpiry // looks for silent instances at every question
+			u.take(instance, told.uses, now)
+			except := fmt.Sprint("i", random.IntN(7))
+			require.Equal(t, sumOf(last, except, now), asMap(u.others(except, now)), "seed %d", seed)
+		}
+	}
+}
+
+func someUses(random *rand.Rand) []*wire.Use {
+	var out []*wire.Use
+	for target := range 4 {
+		if random.IntN(2) == 0 {
+			out = append(out, &wire.Use{
+				Target: fmt.Sprint("t", target), Requests: random.Uint32N(5), Tokens: random.Uint32N(9000),
+				Prefilling: random.Uint32N(3000), CopyTokens: random.Uint32N(9000), SuspectedMs: random.Uint32N(2) * random.Uint32N(1500),
+			})
+		}
+	}
+	return out
+}
+
+// sumOf adds up one by one what the other instances told last.
+func sumOf(last map[string]told, except string, now time.Duration) map[string]string {
+	sums := map[string]*wire.Use{}
+	for instance, l := range last {
+		if instance == except {
+			continue
+		}
+		for _, use := range l.uses {
+			sum := sums[use.GetTarget()]
+			if sum == nil {
+				sum = &wire.Use{Target: use.GetTarget()}
+				sums[use.GetTarget()] = sum
+			}
+			sum.Requests += use.GetRequests()
+			sum.Tokens += use.GetTokens()
+			sum.Prefilling += use.GetPrefilling()
+			sum.CopyTokens += use.GetCopyTokens()
+			left := time.Duration(use.GetSuspectedMs())*time.Millisecond - (now - l.at)
+			sum.SuspectedMs = max(sum.GetSuspectedMs(), uint32(max(0, left).Milliseconds()))
+		}
+	}
+	var list []*wire.Use
+	for _, sum := range sums {
+		list = append(list, sum)
+	}
+	return asMap(list)
+}
+
+func asMap(list []*wire.Use) map[string]string {
+	out := map[string]string{}
+	for _, use := range list {
+		out[use.GetTarget()] = fmt.Sprint(use.GetRequests(), use.GetTokens(), use.GetPrefilling(), use.GetCopyTokens(), use.GetSuspectedMs())
+	}
+	return out
+}
--- a/internal/fleet/prober.go
+++ b/internal/fleet/prober.go
@@ -35,7 +35,7 @@
 	board    LoadBoard
 	readers  Readers
 	interval time.Duration
-	leaving  map[string]bool
+	leaving  map[string]bool // what the last reports said, by engine
 }
 
 // NewProber returns a reader of reports that posts to the board.
@@ -76,12 +76,15 @@
 	}
 	reading.Wait()
 	var loads []*wire.Load
+	leaving := map[string]bool{}
 	for _, l := range read {
 		if l != nil {
 			loads = append(loads, l)
 			p.note(l)
+			leaving[l.GetTarget()] = l.GetLeaving()
 		}
 	}
+	p.leaving = leaving
 	p.board.PostLoads(loads, asked)
 	p.readers.ShareLoads(ctx, loads)
 }
@@ -101,5 +104,4 @@
 	if l.GetLeaving() && !p.leaving[l.GetTarget()] {
 		p.log.Info("engine says that it leaves", "target", l.GetTarget(), "leaves-ms", l.GetLeavesMs(), "running", l.GetRunning(), "used-tokens", l.GetUsedTokens())
 	}
-	p.leaving[l.GetTarget()] = l.GetLeaving()
 }
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -69,6 +70,7 @@
 
 	mu       sync.Mutex // guards the rest; held while the sink is called
 	replicas []string
+	asSeeds  []string        // the seeds, as read last
 	taken    map[string]bool // replicas that are followed now
 	leader   string          // its address, where it is known
 	failed   string          // the leader that failed last
@@ -137,6 +139,7 @@
 	seeds := f.seeds()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.asSeeds = seeds
 	if f.wantsLeader() {
 		f.taken[f.leader] = true
 		return f.leader
@@ -266,6 +269,7 @@
 	}
 	if len(answer.GetReplicas()) > 0 {
 		f.replicas = usable(answer.GetReplicas())
+		f.forgetGone()
 	}
 	f.learnLeader(address, answer)
 	if answer.GetLeader() {
@@ -283,6 +287,16 @@
 	}
 }
 
+// forgetGone drops what is known of replicas that belong to the log no more and are no
+// seeds. It is called with the lock held.
+func (f *Follower) forgetGone() {
+	gone := func(address string) bool {
+		return !f.taken[address] && !slices.Contains(f.replicas, address) && !slices.Contains(f.asSeeds, address)
+	}
+	maps.DeleteFunc(f.lists, func(address string, _ *list) bool { return gone(address) })
+	maps.DeleteFunc(f.heard, func(address, _ string) bool { return gone(address) })
+}
+
 // learnLeader notes who leads. A replica that was taken for the leader and is not one,
 // or cannot show that it still is, is left alone like one that failed: it answers at
 // once, and would keep the instance from the others. It is called with the lock held.
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -153,6 +153,8 @@
 	front := newFrontend(http.HandlerFunc(g.serve), g.currentLimits)
 	done := make(chan error, 1)
 	ended := make(chan struct{})
+	aside, cancel := context.WithCancel(context.WithoutCancel(ctx)) // ends after the last request
+	beside := []<-chan error{g.expireConns(aside), g.freeCopies(aside)}
 	go func() {
 		defer close(ended)
 		g.await(ctx, stop)
@@ -163,8 +165,14 @@
 		front.accept(listener)
 		<-ended
 		front.wait()
-		done <- nil
+		cancel()
+		var failed error
+		for _, end := range beside {
+			if err := <-end; err != nil {
+				failed = err
+			}
+		}
+		done <- failed
 	}()
-	go g.expire(ctx, ended)
 	return done
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -363,6 +363,30 @@
 	require.Equal(t, 1, second.ran())
 }
 
+// TestCopyAfterEnd: a copy that is done after its request has ended is freed: it would
+// fill the memory of an engine for seconds.
+func TestCopyAfterEnd(t *testing.T) {
+	c := configuration(1, route.Stream, 1, 30*time.Second)
+	c.Services[0].Backups = false
+	first := newStandin(t, "target-0", "stream-held:2")
+	second := newStandin(t, "target-1", "stream:")
+	r := newRig(t, c, first, second)
+	r.engines.hold = make(chan struct{})
+	got := make(chan reply, 1)
+	go func() { got <- r.ask(t, http.MethodPost, "/r/x", "", map[string]string{testBudget: "700"}) }()
+	require.Eventually(t, func() bool { return first.ran() == 1 }, 20*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool {
+		r.gateway.UpdateLoads([]*wire.Load{{Target: "target-0", CapacityTokens: 10000, Leaving: true}})
+		return r.engines.asked() > 0
+	}, 20*time.Second, time.Millisecond)
+	<-got
+	require.Empty(t, r.engines.dropped())
+	close(r.engines.hold)
+	require.Eventually(t, func() bool { return len(r.engines.dropped()) == 1 }, 20*time.Second, time.Millisecond)
+	require.Equal(t, []string{"handle"}, r.engines.dropped())
+	close(first.held)
+}
+
 // TestCopyOnNotice: a run without a copy is copied when its engine says that it leaves,
 // and goes on from that copy, from the event after the caller's last one.
 func TestCopyOnNotice(t *testing.T) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -12,8 +12,6 @@
 const (
 	// moveTime bounds the copying of a run on demand.
 	moveTime = 2 * time.Second
-	// dropTime bounds the freeing of a copy that was not needed.
-	dropTime = time.Second
 	// copyMargin is how long before its end a copy made on demand is renewed.
 	copyMargin = 1500 * time.Millisecond
 )
@@ -102,16 +100,9 @@
 	g.mu.Lock()
 	delete(g.runs, r)
 	g.mu.Unlock()
-	if unused == nil || unused.until == 0 {
-		return // engines drop a copy that grew with its run by themselves
+	if unused != nil && unused.until > 0 { // engines drop a copy that grew with its run by themselves
+		g.free(unusedCopy{request: r.request, at: unused.at, name: unused.name})
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), dropTime)
-		defer cancel()
-		if err := g.engines.Drop(ctx, unused.at, unused.name); err != nil {
-			g.base.Log.V(1).Info("copy not freed; its engine drops it in time", "request", r.request, "reason", err.Error())
-		}
-	}()
 }
 
 // backupAddress returns where an engine should copy the run's memory as it grows,
@@ -204,7 +195,9 @@
 func (g *Server) move(r *run, source, destination *balance.Target, ended chan struct{}) {
 	defer close(ended)
 	started := g.base.Timers.Now()
-	ctx, cancel := context.WithTimeout(r.ctx, moveTime)
+	// The copying goes on at the engines when the request ends: only its answer names the
+	// copy that is to be freed then.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), moveTime)
 	defer cancel()
 	got, err := g.engines.Move(ctx, vanillaward.Move{Source: source.Address(), Destination: destination.Address(), Request: r.request})
 	if err == nil {
@@ -220,6 +213,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if _, open := g.runs[r]; !open {
+		g.free(unusedCopy{request: r.request, at: source.Address(), name: handle})
 		return
 	}
 	g.dropCopy(r)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -40,6 +40,7 @@
 	engines  vanillaward.Engines
 	decode   Decoder
 	pool     *upstream.Pool
+	unused   chan unusedCopy
 
 	table    atomic.Pointer[route.Table]
 	open     atomic.Int64 // requests that are being served
@@ -60,8 +61,8 @@
 	g := &Server{
 		base: b, settings: s, dialect: dialect, engines: engines, decode: decode,
 		pool:     upstream.NewPool(s.DialTimeout, maxIdleConns),
-		balancer: balance.New(b.Settings.Instance.FailureDomain, random),
-		budgets:  map[string]*retry.Budget{}, random: random, runs: map[*run]struct{}{},
+		balancer: balance.New(b.Settings.Instance.FailureDomain, random), unused: make(chan unusedCopy, freeQueue),
+		budgets: map[string]*retry.Budget{}, random: random, runs: map[*run]struct{}{},
 	}
 	b.Metrics.Gauge("vanillaward_gateway_open_requests", func() float64 { return float64(g.open.Load()) })
 	b.Metrics.Gauge("vanillaward_gateway_configuration_number", func() float64 { return float64(g.Number()) })
@@ -175,19 +176,17 @@
 	return time.Duration(g.stopped.Load()) - g.base.Timers.Now()
 }
 
-func (g *Server) expire(ctx context.Context, ended <-chan struct{}) {
-	ticks := g.base.Timers.Subscribe(ctx, expireInterval)
-	for {
-		select {
-		case <-ended:
-			return
-		case _, ok := <-ticks:
-			if !ok {
-				return
-			}
+// expireConns closes idle connections to targets in time until the context ends, and
+// reports its end on the returned channel.
+func (g *Server) expireConns(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		for range g.base.Timers.Subscribe(ctx, expireInterval) {
 			g.pool.Expire()
 		}
-	}
+		done <- nil
+	}()
+	return done
 }
 
 // mayRepeat asks the retry budget of a service.
--- a/internal/gateway/standin_test.go
+++ b/internal/gateway/standin_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -71,16 +72,26 @@
 
 // engines counts the copies that were asked for.
 type engines struct {
-	mu    sync.Mutex // guards moves
+	hold chan struct{} // where set, copies take until it is closed
+
+	mu    sync.Mutex // guards the rest
 	moves []vanillaward.Move
+	drops []string
 }
 
 func (*engines) Load(context.Context, string) (*wire.Load, error) { return &wire.Load{}, nil }
 
-func (e *engines) Move(_ context.Context, m vanillaward.Move) (vanillaward.MoveResult, error) {
+func (e *engines) Move(ctx context.Context, m vanillaward.Move) (vanillaward.MoveResult, error) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.moves = append(e.moves, m)
+	e.mu.Unlock()
+	if e.hold != nil {
+		select {
+		case <-e.hold:
+		case <-ctx.Done():
+			return vanillaward.MoveResult{}, ctx.Err()
+		}
+	}
 	return vanillaward.MoveResult{Handle: "handle"}, nil
 }
 
@@ -90,7 +101,18 @@
 	return len(e.moves)
 }
 
-func (*engines) Drop(context.Context, string, string) error { return nil }
+func (e *engines) Drop(_ context.Context, _, handle string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.drops = append(e.drops, handle)
+	return nil
+}
+
+func (e *engines) dropped() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.drops)
+}
 
 // standin is a target that misbehaves as told.
 type standin struct {
--- a/internal/replog/steward.go
+++ b/internal/replog/steward.go
@@ -36,14 +36,14 @@
 		return nil
 	}
 	if gone := c.silentLearner(now, latest); gone != "" {
-		return withoutReplica(latest, gone)
+		return Without(latest, gone)
 	}
 	dead := c.deadVoter(now, latest)
 	learner := c.readyLearner(now, latest)
 	even := len(voterIDs(latest))%2 == 0
 	switch {
 	case dead != "" && (even || learner != "") && len(voterIDs(latest)) > 1:
-		return withoutReplica(latest, dead)
+		return Without(latest, dead)
 	case learner != "":
 		return withVoter(latest, learner)
 	}
@@ -116,7 +116,8 @@
 	return ""
 }
 
-func withoutReplica(m *wire.Membership, id string) *wire.Membership {
+// Without returns a copy of a membership that lacks one replica.
+func Without(m *wire.Membership, id string) *wire.Membership {
 	next := &wire.Membership{}
 	for _, r := range m.GetReplicas() {
 		if r.GetId() != id {
