Streams: a silent engine is let go only once the holder of the copy has accepted the run

The gateway took the engine for lost, closed the connection, and asked the holder of the copy; where that one has none, the stream is cut although its engine would have gone on.

Ruled out: the change itself (connections stay with their server; no timing is changed for open ones), an engine's end (none between 7 s and 23 s), a panic (they were swallowed: net/http's log went nowhere; now they are logged, none seen), an idle connection's end (the request was read). Also weighed: asking the engine's report whether the run is set aside and waiting there. Kept for later: going on from the copy serves the caller sooner.

After 1.5 s the holder is asked while the engine's stream stays open; the engine is closed when the holder has accepted, and goes on when it has not. A run is at work at two engines for the time of one message at most. The run's next copy does not go to the silent engine.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -217,8 +217,8 @@
 
 // ChooseBackup returns the engine that should hold a copy of a run's memory while it
 // grows, or nil when none has room.
-func (b *Balancer) ChooseBackup(run *Target, tokens int, now time.Duration) *Target {
-	return b.chooseHolder(run, tokens, nil, b.copyRoom(run.service, now), now)
+func (b *Balancer) ChooseBackup(run *Target, tokens int, avoid []string, now time.Duration) *Target {
+	return b.chooseHolder(run, tokens, avoid, b.copyRoom(run.service, now), now)
 }
 
 // ChooseRefuge returns the engine that should take a copy of a run whose own engine is
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -113,7 +113,7 @@
 	case "choose":
 		p.expect(p.balancer.Choose("s", tokens, avoided(p.values["avoid"]), p.now))
 	case "copy":
-		p.expect(p.balancer.ChooseBackup(p.named(), tokens, p.now))
+		p.expect(p.balancer.ChooseBackup(p.named(), tokens, nil, p.now))
 	case "refuge":
 		p.expect(p.balancer.ChooseRefuge(p.named(), tokens, avoided(p.values["avoid"]), p.now))
 	case "resumable":
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -138,7 +138,7 @@
 // exchange sends the request and handles the answer.
 func (x *request) exchange(ctx context.Context, t *balance.Target, conn *upstream.Conn, result *attemptResult) balance.Result {
 	result.outcome, result.reason = failed, reasonBroken
-	if err := conn.Send(x.outgoing(t, nil)); err != nil {
+	if err := conn.Send(x.outgoing(t, x.stream.run, nil)); err != nil {
 		conn.Close()
 		return x.broke(ctx, "request not sent whole", t, err)
 	}
@@ -353,13 +353,13 @@
 }
 
 // outgoing returns the request as the target gets it.
-func (x *request) outgoing(t *balance.Target, resume *vanillaward.Resume) *upstream.Request {
+func (x *request) outgoing(t *balance.Target, r *run, resume *vanillaward.Resume) *upstream.Request {
 	h := x.r.Header.Clone()
 	dropConnectionHeaders(h)
 	h.Del("Expect")
 	x.server.dialect.Forward(h, vanillaward.Forwarding{
 		Left: max(time.Millisecond, x.left()), Target: t.ID(), Organisation: x.org,
-		Urgency: x.urgency(), Generation: x.route.Generation(), Backup: x.server.backupAddress(x.stream.run), Resume: resume,
+		Urgency: x.urgency(), Generation: x.route.Generation(), Backup: x.server.backupAddress(r), Resume: resume,
 	})
 	return &upstream.Request{
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -1,14 +1,15 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
-	"io"
 	"log"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
 	"github.com/vanillaward/vanillaward/internal/route"
@@ -35,6 +36,7 @@
 // start, so there is a server for each timing that a configuration has asked for; a
 // connection keeps the one that was in force when it was accepted.
 type frontend struct {
+	log     logr.Logger
 	handler http.Handler
 	limits  func() route.Limits
 	ended   sync.WaitGroup
@@ -44,8 +46,8 @@
 	closed  bool
 }
 
-func newFrontend(handler http.Handler, limits func() route.Limits) *frontend {
-	return &frontend{handler: handler, limits: limits, servers: map[timing]*handover{}}
+func newFrontend(log logr.Logger, handler http.Handler, limits func() route.Limits) *frontend {
+	return &frontend{log: log, handler: handler, limits: limits, servers: map[timing]*handover{}}
 }
 
 // accept serves connections until the listener is closed.
@@ -82,7 +84,7 @@
 	if h == nil {
 		h = newHandover(address, &http.Server{
 			Handler: f.handler, ReadHeaderTimeout: t.head, IdleTimeout: t.idle, MaxHeaderBytes: defaultHeaderBytes,
-			ErrorLog: log.New(io.Discard, "", 0), // requests that cannot be read are answered and counted by net/http alone
+			ErrorLog: log.New(serverErrors{f.log}, "", 0),
 		})
 		f.servers[t] = h
 		f.ended.Go(func() { _ = h.server.Serve(h) }) // it ends with http.ErrServerClosed only
@@ -107,6 +109,22 @@
 // wait returns once no server runs any more.
 func (f *frontend) wait() { f.ended.Wait() }
 
+// serverErrors logs what net/http tells of connections. Most of it is callers who send what
+// is no request; a panic in the serving of one is a fault of the program.
+type serverErrors struct{ log logr.Logger }
+
+var errPanic = errors.New("panic in the serving of a request")
+
+// Write implements io.Writer. Each call is one message.
+func (s serverErrors) Write(message []byte) (int, error) {
+	if bytes.Contains(message, []byte("panic serving")) {
+		s.log.Error(errPanic, "request ended without an answer", "message", string(message))
+	} else {
+		s.log.V(1).Info("caller's connection", "message", string(message))
+	}
+	return len(message), nil
+}
+
 // handover is a listener that gives a server the connections it is handed.
 type handover struct {
 	server  *http.Server
@@ -150,7 +168,7 @@
 // Run serves callers until Stop has ended and reports the end on the returned
 // channel.
 func (g *Server) Run(ctx context.Context, listener net.Listener, stop <-chan struct{}) <-chan error {
-	front := newFrontend(http.HandlerFunc(g.serve), g.currentLimits)
+	front := newFrontend(g.base.Log, http.HandlerFunc(g.serve), g.currentLimits)
 	done := make(chan error, 1)
 	ended := make(chan struct{})
 	aside, cancel := context.WithCancel(context.WithoutCancel(ctx)) // ends after the last request
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -363,6 +363,40 @@
 	require.Equal(t, 1, second.ran())
 }
 
+// fiveEvents is the whole answer of a stand-in's stream.
+const fiveEvents = "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\nid: 3\ndata: event 3\n\nid: 4\ndata: event 4\n\nid: 5\ndata: event 5\n\n"
+
+// TestSilentEngine: a run whose engine is silent goes on from its copy, but its engine is
+// let go only once the holder has accepted it: an engine may only have set the run aside,
+// and the copy be lost. Its stream was cut then (mix, seed 107778455418, once).
+func TestSilentEngine(t *testing.T) {
+	t.Run("the copy is there", func(t *testing.T) {
+		first := newStandin(t, "target-0", "stream-paused:2")
+		second := newStandin(t, "target-1", "stream:")
+		r := newRig(t, configuration(1, route.Stream, 1, 30*time.Second), first, second)
+		got := r.ask(t, http.MethodPost, "/r/x", "", map[string]string{testBudget: "30000"})
+		require.NoError(t, got.err)
+		require.Equal(t, fiveEvents, got.body)
+		require.Equal(t, second.address()+"/request-1", second.header(0).Get(testResume))
+		require.Equal(t, "2", second.header(0).Get(testAfter))
+		require.Empty(t, second.header(0).Get(testBackup), "the silent engine holds no copy")
+		close(first.held)
+	})
+	t.Run("the copy is lost", func(t *testing.T) {
+		first := newStandin(t, "target-0", "stream-paused:2")
+		second := newStandin(t, "target-1", "refuse")
+		r := newRig(t, configuration(1, route.Stream, 1, 30*time.Second), first, second)
+		got := make(chan reply, 1)
+		go func() { got <- r.ask(t, http.MethodPost, "/r/x", "", map[string]string{testBudget: "30000"}) }()
+		require.Eventually(t, func() bool { return second.asked() > 0 }, 20*time.Second, time.Millisecond)
+		close(first.held)
+		answer := <-got
+		require.NoError(t, answer.err)
+		require.Equal(t, fiveEvents, answer.body)
+		require.Zero(t, second.ran())
+	})
+}
+
 // TestCopyAfterEnd: a copy that is done after its request has ended is freed: it would
 // fill the memory of an engine for seconds.
 func TestCopyAfterEnd(t *testing.T) {
@@ -405,7 +439,7 @@
 	close(first.held)
 	answer := <-got
 	require.NoError(t, answer.err)
-	require.Equal(t, "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\nid: 3\ndata: event 3\n\nid: 4\ndata: event 4\n\nid: 5\ndata: event 5\n\n", answer.body)
+	require.Equal(t, fiveEvents, answer.body)
 	require.Equal(t, first.address()+"/handle", second.seen[0].Get(testResume))
 	require.Equal(t, "2", second.seen[0].Get(testAfter))
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -25,11 +25,12 @@
 	movable bool          // its engines copy it when asked to
 	keep    time.Duration // how long they keep such a copy
 
-	engine  *balance.Target
-	started bool // the run has made an event at its engine
-	copy    *heldCopy
-	moving  chan struct{} // closed when a copy on demand is done; nil without one
-	failed  []string      // engines that could not take the run's memory
+	engine   *balance.Target
+	started  bool // the run has made an event at its engine
+	copy     *heldCopy
+	moving   chan struct{} // closed when a copy on demand is done; nil without one
+	failures int           // copies on demand that failed
+	avoid    []string      // engines that could not take the run's memory, or were silent
 }
 
 // heldCopy is a copy of a run's memory at another engine.
@@ -49,12 +50,12 @@
 	g.chooseCopy(r)
 }
 
-// resumeRun puts a run at another engine, where it goes on.
-func (g *Server) resumeRun(r *run, engine *balance.Target) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	r.engine, r.started, r.failed = engine, false, nil
-	g.chooseCopy(r)
+// at returns the run as it goes on at another engine.
+func (r *run) at(engine *balance.Target) *run {
+	return &run{
+		ctx: r.ctx, request: r.request, tokens: r.tokens, backup: r.backup, movable: r.movable, keep: r.keep, engine: engine,
+		avoid: []string{r.engine.ID()},
+	}
 }
 
 // startedRun notes the first event of a run at its engine, and has it copied if that
@@ -78,7 +79,7 @@
 		return
 	}
 	now := g.base.Timers.Now()
-	holder := g.balancer.ChooseBackup(r.engine, r.tokens, now)
+	holder := g.balancer.ChooseBackup(r.engine, r.tokens, r.avoid, now)
 	if holder == nil {
 		g.base.Log.Info("no engine has room for a copy", "request", r.request, "target", r.engine.ID())
 		return
@@ -161,7 +162,7 @@
 	for r := range g.runs {
 		view := rescue.View{
 			EngineLeaving: g.balancer.Leaving(r.engine, now), Started: r.started, CopyUsable: g.usable(r.copy, now),
-			Moving: r.moving != nil, Movable: r.movable, Failures: len(r.failed),
+			Moving: r.moving != nil, Movable: r.movable, Failures: r.failures,
 		}
 		if rescue.Next(view) != rescue.Copy {
 			continue
@@ -187,7 +188,7 @@
 	if r.copy != nil && r.copy.until > 0 && !g.balancer.Leaving(r.copy.holder, now) {
 		return r.copy.holder
 	}
-	return g.balancer.ChooseRefuge(r.engine, r.tokens, r.failed, now)
+	return g.balancer.ChooseRefuge(r.engine, r.tokens, r.avoid, now)
 }
 
 // move copies a run's memory to another engine while the run goes on. It reports its
@@ -228,7 +229,8 @@
 	if err == nil {
 		return
 	}
-	r.failed = append(r.failed, destination.ID())
+	r.failures++
+	r.avoid = append(r.avoid, destination.ID())
 	g.base.Log.Info("run not copied", "request", r.request, "target", r.engine.ID(), "to", destination.ID(), "reason", err.Error())
 	if r.ctx.Err() == nil {
 		g.watchRuns()
--- a/internal/gateway/standin_test.go
+++ b/internal/gateway/standin_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/vanillaward/vanillaward"
@@ -190,7 +191,7 @@
 	}
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(wholeBody))
 	name, argument, _ := strings.Cut(s.behave, ":")
-	if name == "stream" || name == "stream-held" {
+	if name == "stream" || name == "stream-held" || name == "stream-paused" {
 		return s.stream(conn, request, argument)
 	}
 	if s.breakOff(conn, name, head, id) {
@@ -242,7 +243,11 @@
 	return true
 }
 
-// stream sends five events. The argument tells after which one it breaks off, once.
+// errPaused ends the counting of events up to a pause.
+var errPaused = errors.New("it has paused")
+
+// stream sends five events. The argument tells after which one it breaks off, or pauses,
+// once.
 func (s *standin) stream(conn net.Conn, request *http.Request, argument string) bool {
 	const events = 5
 	from := 0
@@ -256,6 +261,10 @@
 		if argument == "skip" && i == 3 {
 			continue
 		}
+		if err == nil && i == cut+1 && strings.HasPrefix(s.behave, "stream-paused") {
+			<-s.held
+			err = errPaused
+		}
 		if err == nil && i == cut+1 {
 			if strings.HasPrefix(s.behave, "stream-held") {
 				<-s.held
@@ -274,3 +283,17 @@
 	defer s.mu.Unlock()
 	return len(s.runs)
 }
+
+// asked returns how many requests reached it, those that it refused included.
+func (s *standin) asked() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.seen)
+}
+
+// header returns the head of a request that reached it.
+func (s *standin) header(i int) http.Header {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen[i]
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -18,9 +18,6 @@
 	streamBuffer = 4 << 10
 	// callerWrite bounds how long a caller may leave an event unread.
 	callerWrite = 10 * time.Second
-	// stallAfter is the silence within a stream after which its engine is taken
-	// for lost, where another one holds a copy of the run.
-	stallAfter = 1500 * time.Millisecond
 )
 
 // errOrder ends a stream whose events are not numbered one after another.
@@ -36,6 +33,7 @@
 	latest  time.Duration // when the last event was passed on
 	gap     time.Duration // the longest time between two events
 	run     *run          // nil for requests that no engine runs
+	next    *resumption   // the run goes on there, after its engine was silent
 }
 
 // relay passes on a stream, event by event. When it breaks off, the run goes on
@@ -44,7 +42,7 @@
 	x.maybeRun = true
 	err := x.startStream(response)
 	if err == nil {
-		err = x.passEvents(conn, response.Body)
+		err = x.passEvents(ctx, conn, response.Body)
 	}
 	if err == nil {
 		x.reason = reasonComplete
@@ -81,14 +79,23 @@
 func (e callerError) Unwrap() error { return e.error }
 
 // passEvents returns nil after the end of a whole stream.
-func (x *request) passEvents(conn *upstream.Conn, body io.Reader) error {
+func (x *request) passEvents(ctx context.Context, conn *upstream.Conn, body io.Reader) error {
+	watch := x.watchSilence(ctx, conn)
+	err := x.readEvents(watch, body)
+	next := watch.stop()
+	if next != nil && (err == nil || isCaller(err)) {
+		x.abandon(next)
+		next = nil
+	}
+	x.stream.next = next
+	return err
+}
+
+func (x *request) readEvents(watch *silence, body io.Reader) error {
 	reader := bufio.NewReaderSize(body, streamBuffer)
 	control := http.NewResponseController(x.w)
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }() // fails only where the connection has ended
 	for first := true; ; first = false {
-		if err := x.boundSilence(conn); err != nil {
-			return err
-		}
 		event, err := readEvent(reader)
 		if first && err == nil && x.stream.run != nil {
 			x.server.startedRun(x.stream.run)
@@ -97,7 +104,7 @@
 			return err
 		}
 		if len(event) > 0 {
-			if err := x.passEvent(control, event, !eventWaits(reader)); err != nil {
+			if err := watch.event(func() error { return x.passEvent(control, event, !eventWaits(reader)) }); err != nil {
 				return err
 			}
 		}
@@ -107,18 +114,6 @@
 	}
 }
 
-// boundSilence bounds the wait for the next event where the run can go on
-// elsewhere.
-func (x *request) boundSilence(conn *upstream.Conn) error {
-	if x.stream.run == nil || x.stream.passed == 0 {
-		return nil
-	}
-	if !x.server.hasCopy(x.stream.run) {
-		return conn.Bound(time.Time{})
-	}
-	return conn.Bound(time.Now().Add(stallAfter))
-}
-
 func (x *request) passEvent(control *http.ResponseController, event []byte, flush bool) error {
 	if number, ok := eventNumber(event); ok {
 		if x.stream.passed > 0 && number != x.stream.last+1 {
