--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -58,6 +58,7 @@
 			return nil, err
 		}
 	}
+	creds.DialFrom(s.Listen.Source)
 	debug.SetMemoryLimit(int64(s.Instance.MemoryTarget))
 	traffic := &peer.Traffic{}
 	logs := telemetry.NewWriter(os.Stdout)
@@ -202,7 +203,7 @@
 }
 
 func (i *Instance) self() inifile.Peer {
-	return inifile.Peer{Name: i.base.Settings.Instance.Name, Address: i.base.Settings.Listen.Peers}
+	return inifile.Peer{Name: i.base.Settings.Instance.Name, Address: i.base.Settings.PeerAddress()}
 }
 
 // startControl runs the replica and the issuer of orders.
@@ -213,7 +214,7 @@
 		return nil, err
 	}
 	log := i.base.Log.WithValues("role", "control")
-	transport := control.NewPeerTransport(ctx, log, s.Listen.Peers.String(), i.base.Credentials, i.base.Traffic)
+	transport := control.NewPeerTransport(ctx, log, s.PeerAddress().String(), i.base.Credentials, i.base.Traffic)
 	published := config.NewStore()
 	timing := replog.Timing{Heartbeat: s.Control.Heartbeat, Election: s.Control.Election, Margin: s.Control.ClockMargin}
 	i.node = control.NewNode(log, disk, i.base.Timers, transport, published, once.NewIdentity()[:replicaIDLength], seed(),
--- a/internal/instance/seeded.go
+++ b/internal/instance/seeded.go
@@ -124,7 +124,7 @@
 	if err != nil {
 		return err
 	}
-	self := set.Listen.Peers.String()
+	self := set.PeerAddress().String()
 	founders := s.founders()
 	id := once.NewIdentity()[:replicaIDLength]
 	for _, r := range founders.GetReplicas() {
@@ -168,7 +168,7 @@
 		defer cancel()
 		standing, err := s.node.Standing(ctx)
 		// A replica that cannot tell, or is cut off from the leader, reads for itself.
-		return err != nil || standing.Leader() == s.base.Settings.Listen.Peers.String() || !standing.Fresh()
+		return err != nil || standing.Leader() == s.base.Settings.PeerAddress().String() || !standing.Fresh()
 	}
 }
 
--- a/internal/once/guard.go
+++ b/internal/once/guard.go
@@ -59,7 +59,7 @@
 	s := b.Settings
 	return &Guard{
 		log: b.Log, timers: b.Timers, store: store, creds: b.Credentials, traffic: b.Traffic, local: local,
-		self:   inifile.Peer{Name: s.Instance.Name, Address: s.Listen.Peers},
+		self:   inifile.Peer{Name: s.Instance.Name, Address: s.PeerAddress()},
 		domain: s.Instance.FailureDomain, timeout: s.Entry.KeeperTimeout,
 		attempts: newAttempts(), clients: map[string]*peer.Client{},
 	}
--- a/internal/peer/credentials.go
+++ b/internal/peer/credentials.go
@@ -11,6 +11,7 @@
 	"encoding/pem"
 	"math/big"
 	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"sync"
@@ -29,6 +30,7 @@
 type Credentials struct {
 	folder string
 	plain  bool
+	dialer net.Dialer
 
 	mu     sync.Mutex // guards the rest; never held while another lock is taken
 	stamp  time.Time
@@ -71,12 +73,20 @@
 // every peer is taken for an instance.
 func PlainCredentials() *Credentials { return &Credentials{plain: true} }
 
+// DialFrom sets the address that connections come from. It must be called before the
+// first of them; an invalid address changes nothing.
+func (c *Credentials) DialFrom(source netip.AddrPort) {
+	if source.IsValid() {
+		c.dialer.LocalAddr = net.TCPAddrFromAddrPort(source)
+	}
+}
+
 // dial connects to a peer.
 func (c *Credentials) dial(ctx context.Context, address string) (net.Conn, error) {
 	if c.plain {
-		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		return c.dialer.DialContext(ctx, "tcp", address)
 	}
-	return (&tls.Dialer{NetDialer: &net.Dialer{}, Config: c.client()}).DialContext(ctx, "tcp", address)
+	return (&tls.Dialer{NetDialer: &c.dialer, Config: c.client()}).DialContext(ctx, "tcp", address)
 }
 
 // accepted makes sure who is at the other side of an incoming connection.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -57,7 +57,10 @@
 	Readiness netip.AddrPort `ini:"readiness" doc:"Address at which the platform's balancer asks whether the instance is ready. Required for the role gateway."`
 	Operators netip.AddrPort `ini:"operators" doc:"Address for the platform's operator. Without it the role control takes changes from the command line only."`
 	Peers     netip.AddrPort `ini:"peers" required:"true" doc:"Address for the system's own processes and for operators."`
-	Health    netip.AddrPort `ini:"health" required:"true" doc:"Address for /healthz, /readyz and /metrics."`
+	// Advertised differs from Peers behind a forwarder of connections.
+	Advertised netip.AddrPort `ini:"advertised-peers" doc:"Address at which the system's own processes reach this one, where that is not the address it listens at."`
+	Source     netip.AddrPort `ini:"source" doc:"Address that connections to the system's own processes come from; port 0 is any port. Empty leaves both to the operating system."`
+	Health     netip.AddrPort `ini:"health" required:"true" doc:"Address for /healthz, /readyz and /metrics."`
 }
 
 // Control names the replicas of the configuration and its timing.
@@ -172,6 +175,14 @@
 	return s, found
 }
 
+// PeerAddress returns the address at which the system's own processes reach this one.
+func (s *Settings) PeerAddress() netip.AddrPort {
+	if s.Listen.Advertised.IsValid() {
+		return s.Listen.Advertised
+	}
+	return s.Listen.Peers
+}
+
 // File returns the path that the settings were read from.
 func (s *Settings) File() string { return s.file }
 
@@ -239,7 +250,7 @@
 
 func (s *Settings) listsSelf() bool {
 	for _, p := range s.Control.Replicas {
-		if p.Name == s.Instance.Name && p.Address == s.Listen.Peers {
+		if p.Name == s.Instance.Name && p.Address == s.PeerAddress() {
 			return true
 		}
 	}
