--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -366,6 +366,19 @@
 // fiveEvents is the whole answer of a stand-in's stream.
 const fiveEvents = "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\nid: 3\ndata: event 3\n\nid: 4\ndata: event 4\n\nid: 5\ndata: event 5\n\n"
 
+// TestLostBeforeStart: a stream whose engine loses it before its first event ends there. It
+// has no copy yet, and the engine that was to hold one may run it anew (seven replicas, own
+// day answers-lost-and-retries, seed 899011821946: one request ran twice).
+func TestLostBeforeStart(t *testing.T) {
+	first := newStandin(t, "target-0", "reset")
+	second := newStandin(t, "target-1", "stream:")
+	r := newRig(t, configuration(1, route.Stream, 1, 30*time.Second), first, second)
+	got := r.ask(t, http.MethodPost, "/r/x", "", map[string]string{testBudget: "30000"})
+	require.Equal(t, http.StatusBadGateway, got.status)
+	require.Equal(t, 1, first.ran())
+	require.Zero(t, second.asked())
+}
+
 // TestSilentEngine: a run whose engine is silent goes on from its copy, but its engine is
 // let go only once the holder has accepted it: an engine may only have set the run aside,
 // and the copy be lost. Its stream was cut then (mix, seed 107778455418, once).
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -124,12 +124,15 @@
 	return r.copy != nil
 }
 
-// takeCopy returns the run's copy, if it has one, and forgets it.
+// takeCopy returns the run's copy, if one exists, and forgets it.
 func (g *Server) takeCopy(r *run) *heldCopy {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c := r.copy
 	g.dropCopy(r)
+	if c == nil || !rescue.CopyExists(c.until > 0, r.started) {
+		return nil
+	}
 	return c
 }
 
--- a/internal/rescue/rescue.go
+++ b/internal/rescue/rescue.go
@@ -37,6 +37,12 @@
 	Copy
 )
 
+// CopyExists reports whether a run can go on from a copy: one that was made on demand is
+// there, one that grows with its run only once the run has started. Before, an engine that
+// is asked to go on has nothing to go on from, and what it does instead, when it is at
+// fault, may be another run.
+func CopyExists(onDemand, started bool) bool { return onDemand || started }
+
 // Next returns the step for a run.
 func Next(v View) Step {
 	if !v.EngineLeaving || !v.Started || v.CopyUsable || v.Moving || !v.Movable || v.Failures >= maxFailures {
--- a/internal/rescue/rescue_test.go
+++ b/internal/rescue/rescue_test.go
@@ -8,6 +8,13 @@
 	"github.com/vanillaward/vanillaward/internal/rescue"
 )
 
+// TestCopyExists: a copy that grows with its run is there once the run has started.
+func TestCopyExists(t *testing.T) {
+	require.True(t, rescue.CopyExists(false, true))
+	require.True(t, rescue.CopyExists(true, false))
+	require.False(t, rescue.CopyExists(false, false))
+}
+
 // TestNext: a copy is made on demand only for a run that needs one and can have one.
 func TestNext(t *testing.T) {
 	needs := rescue.View{EngineLeaving: true, Started: true, Movable: true}
