Entry: the engines' stream and the transport move to where readers look for them

internal/entry was the largest room. The reading of an engine's events goes to engineapi, beside load reports, with accessors; the transport that runs nothing twice goes to upstream, beside the gateway's connections. No change of what the code does; tests moved with their files and pass. Ruled out for now: splitting the life of one request from the callers' side (exchange and generation share their fields).

--- a/internal/engineapi/load.go
+++ b/internal/engineapi/load.go
@@ -1,5 +1,5 @@
-// Package engineapi is the part of the engines' HTTP interface that is not about
-// single generations: load reports.
+// Package engineapi is the engines' HTTP interface: load reports, and the events of a
+// generation.
 package engineapi
 
 import (
--- a/internal/entry/sse.go
+++ b/internal/engineapi/stream.go
@@ -1,4 +1,4 @@
-package entry
+package engineapi
 
 import (
 	"bufio"
@@ -13,38 +13,53 @@
 // maxEventLine bounds one line of an engine's stream.
 const maxEventLine = 1 << 20
 
-// engineEvent is one server-sent event of an engine. Its bytes are valid until
+// Event is one server-sent event of an engine. Its bytes are valid until
 // the next read.
-type engineEvent struct {
-	own   bool // belongs to the expected generation
+type Event struct {
+	own   bool
 	index int
 	data  []byte
-	done  bool // the closing "[DONE]"
+	done  bool
 }
 
-// engineStream reads the server-sent events of one generation. Their id is
+// Own reports whether the event belongs to the expected generation.
+func (e Event) Own() bool { return e.own }
+
+// Index returns the number of the event in its generation, -1 without one.
+func (e Event) Index() int { return e.index }
+
+// Data returns the bytes of the event.
+func (e Event) Data() []byte { return e.data }
+
+// Done reports whether this is the closing "[DONE]".
+func (e Event) Done() bool { return e.done }
+
+// Stream reads the server-sent events of one generation. Their id is
 // "generation:index".
-type engineStream struct {
+type Stream struct {
 	body   io.ReadCloser
 	reader *bufio.Reader
 	prefix []byte // "generation:"
 	long   []byte
 }
 
-func newEngineStream(body io.ReadCloser, generation string) *engineStream {
-	return &engineStream{body: body, reader: bufio.NewReader(body), prefix: []byte(generation + ":")}
+// NewStream returns the reader of a generation's stream.
+func NewStream(body io.ReadCloser, generation string) *Stream {
+	return &Stream{body: body, reader: bufio.NewReader(body), prefix: []byte(generation + ":")}
 }
 
+// DoneData is the data of a stream's closing event.
+var DoneData = []byte("[DONE]")
+
 var (
 	fieldID   = []byte("id:")
 	fieldData = []byte("data:")
-	doneData  = []byte("[DONE]")
 )
 
-// next returns the next event. Fields other than id and data are skipped, and so
+// Next returns the next event. Fields other than id and data are skipped, and so
 // are comments.
-func (s *engineStream) next() (engineEvent, error) {
-	event := engineEvent{index: -1}
+func (s *Stream) Next() (Event, error) {
+	event := Event{index: -1}
 	for {
 		line, err := s.line()
 		if err != nil {
@@ -59,7 +74,7 @@
 			event.own, event.index = s.parseID(bytes.TrimLeft(line[len(fieldID):], " "))
 		case bytes.HasPrefix(line, fieldData):
 			event.data = bytes.TrimLeft(line[len(fieldData):], " ")
-			event.done = bytes.Equal(event.data, doneData)
+			event.done = bytes.Equal(event.data, DoneData)
 			// The engines send one data line an event, so the event ends here;
 			// its blank line is skipped before the next one.
 			return event, nil
@@ -68,7 +83,7 @@
 }
 
 // line returns a line without its end.
-func (s *engineStream) line() ([]byte, error) {
+func (s *Stream) line() ([]byte, error) {
 	line, err := s.reader.ReadSlice('\n')
 	if errors.Is(err, bufio.ErrBufferFull) {
 		s.long = append(s.long[:0], line...)
@@ -87,7 +102,7 @@
 	return bytes.TrimRight(line, "\r\n"), nil
 }
 
-func (s *engineStream) parseID(id []byte) (bool, int) {
+func (s *Stream) parseID(id []byte) (bool, int) {
 	rest, ok := bytes.CutPrefix(id, s.prefix)
 	if !ok {
 		return false, -1
@@ -96,10 +111,11 @@
 	return err == nil, index
 }
 
-// buffered reports whether more was received already.
-func (s *engineStream) buffered() bool { return s.reader.Buffered() > 1 }
+// Buffered reports whether more was received already.
+func (s *Stream) Buffered() bool { return s.reader.Buffered() > 1 }
 
-func (s *engineStream) close() { _ = s.body.Close() } // nothing is left to read
+// Close gives up what was not read.
+func (s *Stream) Close() { _ = s.body.Close() } // nothing is left to read
 
 var (
 	notFinished  = []byte(`"finish_reason":null`)
@@ -107,20 +123,20 @@
 	contentField = []byte(`"content":"`)
 )
 
-// isFinal reports whether the event ends the generation.
-func isFinal(data []byte) bool {
+// IsFinal reports whether the event ends the generation.
+func IsFinal(data []byte) bool {
 	if bytes.Contains(data, notFinished) {
 		return false
 	}
-	var e finalEvent
+	var e FinalEvent
 	if json.Unmarshal(data, &e) != nil || len(e.Choices) == 0 {
 		return false
 	}
 	return e.Choices[0].FinishReason != ""
 }
 
-// finalEvent is what is read of a generation's last event.
-type finalEvent struct {
+// FinalEvent is what is read of a generation's last event.
+type FinalEvent struct {
 	ID      string `json:"id"`
 	Model   string `json:"model"`
 	Created int64  `json:"created"`
@@ -130,8 +146,8 @@
 	Usage json.RawMessage `json:"usage"`
 }
 
-// rawText returns the token's text as it stands in the JSON, still escaped.
-func rawText(data []byte, chat bool) []byte {
+// RawText returns the token's text as it stands in the JSON, still escaped.
+func RawText(data []byte, chat bool) []byte {
 	field := textField
 	if chat {
 		field = contentField
--- a/internal/entry/sse_test.go
+++ b/internal/engineapi/stream_test.go
@@ -1,4 +1,4 @@
-package entry
+package engineapi
 
 import (
 	"bytes"
@@ -27,10 +27,10 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			s := newEngineStream(io.NopCloser(strings.NewReader(c.in)), "g")
+			s := NewStream(io.NopCloser(strings.NewReader(c.in)), "g")
 			var got []string
 			for {
-				e, err := s.next()
+				e, err := s.Next()
 				if err != nil {
 					break
 				}
@@ -54,12 +54,12 @@
 
 // TestRawText takes the text as it stands in the JSON.
 func TestRawText(t *testing.T) {
-	require.Equal(t, `a\"b`, string(rawText([]byte(`{"choices":[{"text":"a\"b","finish_reason":null}]}`), false)))
-	require.Equal(t, `hi`, string(rawText([]byte(`{"choices":[{"delta":{"content":"hi"}}]}`), true)))
-	require.Equal(t, `hi`, string(rawText([]byte(`{ "choices" : [ { "delta" : { "content" : "hi" } } ] }`), true)))
-	require.Empty(t, rawText([]byte(`{}`), false))
-	require.True(t, isFinal([]byte(`{"choices":[{"text":"","finish_reason":"stop"}]}`)))
-	require.False(t, isFinal([]byte(`{"choices":[{"text":"a","finish_reason":null}]}`)))
+	require.Equal(t, `a\"b`, string(RawText([]byte(`{"choices":[{"text":"a\"b","finish_reason":null}]}`), false)))
+	require.Equal(t, `hi`, string(RawText([]byte(`{"choices":[{"delta":{"content":"hi"}}]}`), true)))
+	require.Equal(t, `hi`, string(RawText([]byte(`{ "choices" : [ { "delta" : { "content" : "hi" } } ] }`), true)))
+	require.Empty(t, RawText([]byte(`{}`), false))
+	require.True(t, IsFinal([]byte(`{"choices":[{"text":"","finish_reason":"stop"}]}`)))
+	require.False(t, IsFinal([]byte(`{"choices":[{"text":"a","finish_reason":null}]}`)))
 }
 
 // FuzzEngineStream: no stream of an engine harms the entry.
@@ -67,15 +67,15 @@
 	f.Add([]byte("id: g:0\ndata: {\"choices\":[{\"text\":\"a\\\"\"}]}\n\n"))
 	f.Add([]byte("data: [DONE]\n\nid: g:-9\ndata:\n"))
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		s := newEngineStream(io.NopCloser(bytes.NewReader(data)), "g")
+		s := NewStream(io.NopCloser(bytes.NewReader(data)), "g")
 		for {
-			e, err := s.next()
+			e, err := s.Next()
 			if err != nil {
 				return
 			}
-			rawText(e.data, false)
-			rawText(e.data, true)
-			isFinal(e.data)
+			RawText(e.data, false)
+			RawText(e.data, true)
+			IsFinal(e.data)
 		}
 	})
 }
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -12,6 +12,7 @@
 	"github.com/vanillaward/vanillaward/internal/admission"
 	"github.com/vanillaward/vanillaward/internal/delivery"
 	"github.com/vanillaward/vanillaward/internal/trace"
+	"github.com/vanillaward/vanillaward/internal/upstream"
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
@@ -124,7 +125,7 @@
 	if !ok {
 		return nil, lost(delivery.Unsent, errors.Errorf("target %s is not declared", c.target))
 	}
-	ctx, sent := countSent(ctx)
+	ctx, sent := upstream.CountSent(ctx)
 	url := "http://" + t.Address().String() + c.path
 	if c.r.URL.RawQuery != "" {
 		url += "?" + c.r.URL.RawQuery
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -10,7 +10,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/vanillaward/vanillaward/internal/delivery"
+	"github.com/vanillaward/vanillaward/internal/engineapi"
 	"github.com/vanillaward/vanillaward/internal/trace"
+	"github.com/vanillaward/vanillaward/internal/upstream"
 )
 
 // maxProblemBytes bounds what is read of an engine's refusal.
@@ -90,14 +92,14 @@
 	if err != nil {
 		return err
 	}
-	stream := newEngineStream(response.Body, g.generationID())
-	defer stream.close()
+	stream := engineapi.NewStream(response.Body, g.generationID())
+	defer stream.Close()
 	return g.relay(stream, w)
 }
 
 // open starts the run at the engine.
 func (g *generation) open(ctx context.Context) (*http.Response, error) {
-	ctx, sent := countSent(ctx)
+	ctx, sent := upstream.CountSent(ctx)
 	r, err := g.engineRequest(ctx, g.generationID())
 	if err != nil {
 		return nil, lost(delivery.Unsent, err)
@@ -157,16 +159,16 @@
 }
 
 // relay takes tokens until the run ends.
-func (g *generation) relay(stream *engineStream, w *watched) error {
+func (g *generation) relay(stream *engineapi.Stream, w *watched) error {
 	for {
-		event, err := stream.next()
+		event, err := stream.Next()
 		if err != nil {
 			return lost(delivery.LostLink, errors.Wrap(err, "the link to the target broke"))
 		}
-		if event.done {
+		if event.Done() {
 			return lost(delivery.LostLink, errors.New("the stream ended before its last token"))
 		}
-		if !event.own {
+		if !event.Own() {
 			g.server.metrics.Dropped()
 			continue
 		}
@@ -179,7 +181,7 @@
 		if ended {
 			return nil
 		}
-		if !stream.buffered() {
+		if !stream.Buffered() {
 			if err := g.sink.flush(); err != nil {
 				return lost(delivery.LostGeneration, errors.Wrap(errCallerGone, err.Error()))
 			}
@@ -188,19 +190,19 @@
 }
 
 // take handles one event and reports whether the run is complete.
-func (g *generation) take(now time.Duration, event engineEvent) (bool, error) {
-	if isFinal(event.data) {
+func (g *generation) take(now time.Duration, event engineapi.Event) (bool, error) {
+	if engineapi.IsFinal(event.Data()) {
 		return g.takeFinal(event)
 	}
-	text := rawText(event.data, g.chat)
-	verdict := g.core.Token(g.core.Generation(), event.index, text)
+	text := engineapi.RawText(event.Data(), g.chat)
+	verdict := g.core.Token(g.core.Generation(), event.Index(), text)
 	if g.server.recorder != nil {
-		g.recordToken(event.index, text, verdict)
+		g.recordToken(event.Index(), text, verdict)
 	}
 	switch verdict {
 	case delivery.Pass:
 		g.measure(now)
-		if err := g.sink.token(event.data, text); err != nil {
+		if err := g.sink.token(event.Data(), text); err != nil {
 			return false, lost(delivery.LostGeneration, sinkError(err))
 		}
 	case delivery.Gap:
@@ -224,9 +226,9 @@
 	return errors.Wrap(errCallerGone, err.Error())
 }
 
-func (g *generation) takeFinal(event engineEvent) (bool, error) {
-	g.server.recorder.Record(trace.Event{Kind: trace.Finish, Request: g.id, Generation: g.core.Generation(), Total: event.index})
-	switch g.core.Finished(g.core.Generation(), event.index) {
+func (g *generation) takeFinal(event engineapi.Event) (bool, error) {
+	g.server.recorder.Record(trace.Event{Kind: trace.Finish, Request: g.id, Generation: g.core.Generation(), Total: event.Index()})
+	switch g.core.Finished(g.core.Generation(), event.Index()) {
 	case delivery.Gap:
 		return false, lost(delivery.LostLink, errors.New("tokens are missing"))
 	case delivery.Diverged:
@@ -234,7 +236,7 @@
 	case delivery.Drop:
 		return false, nil
 	}
-	g.final = append([]byte(nil), event.data...)
+	g.final = append([]byte(nil), event.Data()...)
 	return true, nil
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -21,6 +21,7 @@
 	"github.com/vanillaward/vanillaward/internal/settings"
 	"github.com/vanillaward/vanillaward/internal/telemetry"
 	"github.com/vanillaward/vanillaward/internal/trace"
+	"github.com/vanillaward/vanillaward/internal/upstream"
 )
 
 const (
@@ -83,7 +84,7 @@
 		IdleConnTimeout: idleTimeout, ReadBufferSize: relayBufferBytes, WriteBufferSize: relayBufferBytes,
 	}}
 	v.fresh = &http.Client{
-		Transport: newFreshTransport(s.Entry.DialTimeout),
+		Transport: upstream.NewFreshTransport(s.Entry.DialTimeout),
 		// A redirect would be a second request.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/vanillaward/vanillaward/internal/delivery"
+	"github.com/vanillaward/vanillaward/internal/engineapi"
 )
 
 // errAnswerTooLong ends an answer that is over the bound of held answers.
@@ -101,7 +102,7 @@
 		return err
 	}
 	s.w.Header().Set(headerOutcome, string(delivery.Complete))
-	if err := s.token(doneData, nil); err != nil {
+	if err := s.token(engineapi.DoneData, nil); err != nil {
 		return err
 	}
 	return s.flush()
@@ -180,7 +181,7 @@
 	s.w.Header().Set(headerOutcome, string(delivery.Complete))
 	if s.stream {
 		s.w.Header().Set("Content-Type", "text/event-stream")
-		for _, part := range [][]byte{s.buffer, eventStart, final, eventEnd, eventStart, doneData, eventEnd} {
+		for _, part := range [][]byte{s.buffer, eventStart, final, eventEnd, eventStart, engineapi.DoneData, eventEnd} {
 			if _, err := s.w.Write(part); err != nil {
 				return err
 			}
@@ -226,7 +227,7 @@
 }
 
 func (s *heldSink) object(final []byte) ([]byte, error) {
-	var last finalEvent
+	var last engineapi.FinalEvent
 	if err := json.Unmarshal(final, &last); err != nil {
 		return nil, errors.Wrap(err, "last event of the engine")
 	}
--- a/internal/entry/transport.go
+++ b/internal/upstream/fresh.go
@@ -1,4 +1,4 @@
-package entry
+package upstream
 
 import (
 	"context"
@@ -8,13 +8,13 @@
 	"time"
 )
 
-// newFreshTransport returns a transport that opens one connection a request.
+// NewFreshTransport returns a transport that opens one connection a request.
 //
 // http.Transport runs a request again when a kept connection breaks before the
 // answer and the request is idempotent by its method or carries an
 // Idempotency-Key header. It does so for reused connections only, and here none
 // is reused.
-func newFreshTransport(dialTimeout time.Duration) *http.Transport {
+func NewFreshTransport(dialTimeout time.Duration) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
 		DisableKeepAlives: true, DisableCompression: true,
@@ -34,9 +34,9 @@
 // sentKey finds the counter of a request's bytes in its context.
 type sentKey struct{}
 
-// countSent returns a context whose request counts the bytes that it tried to
+// CountSent returns a context whose request counts the bytes that it tried to
 // send. While the count is 0, the request provably did not reach its target.
-func countSent(ctx context.Context) (context.Context, *atomic.Int64) {
+func CountSent(ctx context.Context) (context.Context, *atomic.Int64) {
 	sent := &atomic.Int64{}
 	return context.WithValue(ctx, sentKey{}, sent), sent
 }
--- a/internal/entry/transport_test.go
+++ b/internal/upstream/fresh_test.go
@@ -1,4 +1,4 @@
-package entry
+package upstream
 
 import (
 	"context"
@@ -24,7 +24,7 @@
 		arrivals  int64
 	}{
 		{"a transport that keeps connections runs it twice", &http.Transport{}, 2},
-		{"the transport for non-idempotent requests runs it once", newFreshTransport(time.Second), 1},
+		{"the transport for non-idempotent requests runs it once", NewFreshTransport(time.Second), 1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -69,9 +69,9 @@
 			_ = conn.Close()
 		}
 	}()
-	client := &http.Client{Transport: newFreshTransport(time.Second)}
+	client := &http.Client{Transport: NewFreshTransport(time.Second)}
 	send := func() int64 {
-		ctx, sent := countSent(context.Background())
+		ctx, sent := CountSent(context.Background())
 		r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address, strings.NewReader("slot"))
 		require.NoError(t, err)
 		response, err := client.Do(r)
