--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -30,8 +30,7 @@
 	// stopping is set when the instance was told to stop while it had the request, and
 	// nothing else befell it or the targets.
 	stopping bool
-	// waited is how long the caller waited for the end.
-	waited time.Duration
+	from, to time.Time
 	// undisturbed is set when nothing befell the instance meanwhile.
 	undisturbed bool
 }
@@ -58,8 +57,8 @@
 	if r.stopping && !r.answer.Whole() && runs.Started > 0 {
 		add("cut by a planned stop: %v", r.answer.Err)
 	}
-	if r.undisturbed && r.answer.Status == 0 && r.waited > r.request.Budget+hangTime {
-		add("no answer within %s", r.waited)
+	if r.undisturbed && r.answer.Status == 0 && r.to.Sub(r.from) > r.request.Budget+hangTime {
+		add("no answer within %s", r.to.Sub(r.from))
 	}
 	return out
 }
@@ -136,7 +135,7 @@
 		{"invented", record{kind: kindSafe, answer: platformtest.Answer{Status: 200, Body: plain}}, platformtest.Runs{}, "without a run"},
 		{"stopped", record{kind: kindOnce, stopping: true, answer: platformtest.Answer{Err: broken}}, once, "planned stop"},
 		{"killed", record{kind: kindOnce, answer: platformtest.Answer{Err: broken}}, once, ""},
-		{"held", record{kind: kindOnce, undisturbed: true, waited: time.Minute, answer: platformtest.Answer{Err: broken}}, once, "no answer"},
+		{"held", record{kind: kindOnce, undisturbed: true, to: time.Time{}.Add(time.Minute), answer: platformtest.Answer{Err: broken}}, once, "no answer"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -10,7 +10,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,15 +37,19 @@
 	client  *http.Client
 	process map[string]*process
 
-	troubled atomic.Int64 // targets and their links that are disturbed now
-	troubles atomic.Int64 // disturbances of them since the start
-
 	mu       sync.Mutex // guards the rest
 	targets  map[string]*platformtest.Target
 	started  int // targets
+	troubles []trouble
 	findings []string
 }
 
+// trouble is a disturbance of a target or of the link to it.
+type trouble struct {
+	slot     string
+	from, to time.Time
+}
+
 // process is one program of the system.
 type process struct {
 	name   string
@@ -377,12 +380,28 @@
 // tornBytes is less than any record.
 const tornBytes = 6
 
-// trouble notes that targets or their links are disturbed until the returned function is
-// called.
-func (c *cluster) trouble() func() {
-	c.troubles.Add(1)
-	c.troubled.Add(1)
-	return func() { c.troubled.Add(-1) }
+// trouble notes that the target of a slot or the link to it is disturbed until the returned
+// function is called.
+func (c *cluster) trouble(slot string) func() {
+	from := time.Now()
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.troubles = append(c.troubles, trouble{slot, from, time.Now()})
+	}
+}
+
+// calm reports whether none of some targets was disturbed in a time. It must be called
+// once all disturbances have ended.
+func (c *cluster) calm(targets []string, from, to time.Time) bool {
+	for _, t := range c.troubles {
+		for _, id := range targets {
+			if strings.HasPrefix(id, t.slot+".") && t.from.Before(to) && from.Before(t.to) {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 func (c *cluster) operator(i int) string {
@@ -400,7 +419,7 @@
 
 func (c *cluster) disturb(s step) {
 	if s.on == anyone {
-		defer c.trouble()()
+		defer c.trouble(s.to)()
 	}
 	var links []link
 	if s.fault == faultIsolate {
@@ -435,7 +454,7 @@
 }
 
 func (c *cluster) disturbTarget(s step) {
-	defer c.trouble()()
+	defer c.trouble(s.on)()
 	t := c.target(s.on)
 	switch s.fault {
 	case faultTargetFull:
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -82,17 +82,15 @@
 		r.request.Path = platformtest.StreamPath + "x"
 	}
 	p := l.cluster.process[gateway]
-	before, troubles := p.touches(), l.cluster.troubles.Load()
-	calm := l.cluster.troubled.Load() == 0
-	start := time.Now()
+	before := p.touches()
+	r.from = time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
 	defer cancel()
 	r.answer = platformtest.Send(ctx, client, p.ip+":"+platformtest.CallerPort, r.request)
-	r.waited = time.Since(start)
+	r.to = time.Now()
 	after := p.touches()
 	r.undisturbed = after.number == before.number && !before.paused
-	calm = calm && l.cluster.troubles.Load() == troubles
-	r.stopping = calm && after.number == before.number+1 && after.stopping && !before.paused && !before.stopping
+	r.stopping = after.number == before.number+1 && after.stopping && !before.paused && !before.stopping
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.records = append(l.records, r)
@@ -197,7 +195,9 @@
 	defer l.mu.Unlock()
 	var out []string
 	for _, r := range l.records {
-		out = append(out, checkRecord(r, l.cluster.fleet.Runs(r.request.ID))...)
+		runs := l.cluster.fleet.Runs(r.request.ID)
+		r.stopping = r.stopping && l.cluster.calm(runs.Targets, r.from, r.to)
+		out = append(out, checkRecord(r, runs)...)
 	}
 	return append(out, l.cluster.fleet.Strange()...)
 }
