--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -45,9 +45,10 @@
 	said     vanillaward.TargetAnswer
 }
 
-// goOn goes on with a run whose engine is lost, from the copy of its memory. It
-// reports whether the caller was served, or has left, in the end. The engine that
-// was lost has been let go before: a run is never at work at two engines.
+// goOn goes on with a run whose engine is lost, from the copy of its memory, or where the
+// holder of the copy has accepted it while its engine was silent. It reports whether the
+// caller was served, or has left, in the end. The engine has been let go before: no events
+// of two engines are mixed.
 func (x *request) goOn(ctx context.Context, lost error) bool {
 	if x.stream.run == nil || isCaller(lost) {
 		return false
