Re-read: a copy that is done as its run ends is freed, the replica is built in one place

Reading the whole change again: - removeRun took the copy and forgot the run in two steps, in the wrong order: a copy that was done in between was noted for a run that nobody removes, and counted against its engine for good. The run is forgotten first now, and whoever makes a copy afterwards frees it. Found by reading, not seen; no test forces that moment. - the two ways to start a replica (declared replicas, seeds) built transport, timing and options each; prepareNode does it for both. - balance.contains was slices.Contains.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/vanillaward/vanillaward/internal/wire"
@@ -199,7 +200,7 @@
 	var best *Target
 	bestScore, ties := 0.0, 0
 	for _, t := range b.byName[service] {
-		if t.ends(now) || contains(avoid, t.id) {
+		if t.ends(now) || slices.Contains(avoid, t.id) {
 			continue
 		}
 		score := b.score(t, tokens, now)
@@ -234,7 +235,7 @@
 	var best *Target
 	bestScore := 0.0
 	for _, t := range b.byName[run.service] {
-		if t.ends(now) || t == run || now < t.ejected || t.load.waiting > 0 || contains(avoid, t.id) {
+		if t.ends(now) || t == run || now < t.ejected || t.load.waiting > 0 || slices.Contains(avoid, t.id) {
 			continue
 		}
 		score, known := t.memory(tokens, now)
@@ -296,15 +297,6 @@
 	t.copyTokens -= tokens
 }
 
-func contains(ids []string, id string) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
-
 // score ranks a target; an ejected one comes after all others, so that it is used
 // when there is nothing else.
 func (b *Balancer) score(t *Target, tokens int, now time.Duration) float64 {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -97,10 +97,10 @@
 
 // removeRun ends a run and frees a copy made on demand that was not used.
 func (g *Server) removeRun(r *run) {
-	unused := g.takeCopy(r)
 	g.mu.Lock()
-	delete(g.runs, r)
+	delete(g.runs, r) // from here on a copy that is done is freed by whoever made it
 	g.mu.Unlock()
+	unused := g.takeCopy(r)
 	if unused != nil && unused.until > 0 { // engines drop a copy that grew with its run by themselves
 		g.free(unusedCopy{request: r.request, at: unused.at, name: unused.name})
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -11,6 +11,7 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
 	"github.com/vanillaward/vanillaward/internal/base"
@@ -209,20 +210,15 @@
 // startControl runs the replica and the issuer of orders.
 func (i *Instance) startControl(ctx context.Context) ([]<-chan error, error) {
 	s := i.base.Settings
-	disk, err := storage.NewFolder(s.Instance.DataFolder)
+	log := i.base.Log.WithValues("role", "control")
+	published := config.NewStore()
+	transport, err := i.prepareNode(ctx, log, published, newReplicaID())
 	if err != nil {
 		return nil, err
 	}
-	log := i.base.Log.WithValues("role", "control")
-	transport := control.NewPeerTransport(ctx, log, s.PeerAddress().String(), i.base.Credentials, i.base.Traffic)
-	published := config.NewStore()
-	timing := replog.Timing{Heartbeat: s.Control.Heartbeat, Election: s.Control.Election, Margin: s.Control.ClockMargin}
-	i.node = control.NewNode(log, disk, i.base.Timers, transport, published, once.NewIdentity()[:replicaIDLength], seed(),
-		control.WithTiming(timing), control.WithSnapshotEvery(s.Control.SnapshotEvery),
-		control.WithSnapshotBytes(int64(s.Control.SnapshotBytes)))
 	service := control.NewService(ctx, i.node, published, i.base.Timers, peer.NewPool(i.base.Credentials, i.base.Traffic), i.self())
 	service.Register(i.server)
-	issuer := orders.NewIssuer(log, i.node, i.base.Timers, timing, s.Instance.Name)
+	issuer := orders.NewIssuer(log, i.node, i.base.Timers, i.timing(), s.Instance.Name)
 	sent := make(chan error, 1)
 	nodeEnd := i.node.Run(ctx)
 	go func() {
@@ -233,6 +229,29 @@
 	return []<-chan error{nodeEnd, sent, issuer.Run(ctx)}, nil
 }
 
+// prepareNode sets up the replica on the data folder and returns its transport. ID is its
+// identity if the folder is empty.
+func (i *Instance) prepareNode(ctx context.Context, log logr.Logger, published *config.Store, id string, options ...control.Option) (*control.PeerTransport, error) {
+	s := i.base.Settings
+	disk, err := storage.NewFolder(s.Instance.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	transport := control.NewPeerTransport(ctx, log, s.PeerAddress().String(), i.base.Credentials, i.base.Traffic)
+	options = append(options, control.WithTiming(i.timing()), control.WithSnapshotEvery(s.Control.SnapshotEvery),
+		control.WithSnapshotBytes(int64(s.Control.SnapshotBytes)))
+	i.node = control.NewNode(log, disk, i.base.Timers, transport, published, id, seed(), options...)
+	return transport, nil
+}
+
+// timing returns the time bounds of the log.
+func (i *Instance) timing() replog.Timing {
+	c := i.base.Settings.Control
+	return replog.Timing{Heartbeat: c.Heartbeat, Election: c.Election, Margin: c.ClockMargin}
+}
+
+func newReplicaID() string { return once.NewIdentity()[:replicaIDLength] }
+
 // prepareEntry sets up the keeper, the guard and the role entry.
 func (i *Instance) prepareEntry(ctx context.Context) []<-chan error {
 	i.keeper = once.NewLocalKeeper(i.base, i.store)
--- a/internal/instance/seeded.go
+++ b/internal/instance/seeded.go
@@ -16,11 +16,8 @@
 	"github.com/vanillaward/vanillaward/internal/fleet"
 	"github.com/vanillaward/vanillaward/internal/follow"
 	"github.com/vanillaward/vanillaward/internal/gateway"
-	"github.com/vanillaward/vanillaward/internal/once"
 	"github.com/vanillaward/vanillaward/internal/peer"
-	"github.com/vanillaward/vanillaward/internal/replog"
 	"github.com/vanillaward/vanillaward/internal/settings"
-	"github.com/vanillaward/vanillaward/internal/storage"
 	"github.com/vanillaward/vanillaward/internal/wire"
 	"github.com/vanillaward/vanillaward/platform"
 )
@@ -120,26 +117,19 @@
 
 func (s *seeded) startControl(ctx context.Context) error {
 	set := s.base.Settings
-	disk, err := storage.NewFolder(set.Instance.DataFolder)
-	if err != nil {
-		return err
-	}
-	self := set.PeerAddress().String()
 	founders := s.founders()
-	id := once.NewIdentity()[:replicaIDLength]
+	id := newReplicaID()
 	for _, r := range founders.GetReplicas() {
-		if r.GetAddress() == self {
+		if r.GetAddress() == set.PeerAddress().String() {
 			id = r.GetId()
 		}
 	}
 	log := s.base.Log.WithValues("role", "control")
 	board := control.NewBoard(seed())
 	published := config.NewStore()
-	transport := control.NewPeerTransport(ctx, log, self, s.base.Credentials, s.base.Traffic)
-	timing := replog.Timing{Heartbeat: set.Control.Heartbeat, Election: set.Control.Election, Margin: set.Control.ClockMargin}
-	s.node = control.NewNode(log, disk, s.base.Timers, transport, published, id, seed(),
-		control.WithTiming(timing), control.WithSnapshotEvery(set.Control.SnapshotEvery), control.WithSnapshotBytes(int64(set.Control.SnapshotBytes)),
-		control.WithBoard(board), control.WithFounders(founders))
+	if _, err := s.prepareNode(ctx, log, published, id, control.WithBoard(board), control.WithFounders(founders)); err != nil {
+		return err
+	}
 	service := control.NewService(ctx, s.node, published, s.base.Timers, s.peers, s.self())
 	service.Register(s.server)
 	s.gauges(ctx)
