Re-read, soak: a start that fails leaves no processes, twins in the tests

A cluster is closed by the test's cleanup now, also when its start fails. The check that a log is whole stood in the soak and in TestDeployment; it is platformtest.LogWhole. Errors of the start are returned where they happen. No check or bound was changed.

--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -13,8 +13,6 @@
 	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/vanillaward/vanillaward/platform/platformtest"
 )
 
@@ -36,6 +34,7 @@
 	fleet   *platformtest.Fleet
 	client  *http.Client
 	process map[string]*process
+	closing sync.Once
 
 	mu       sync.Mutex // guards the rest
 	targets  map[string]*platformtest.Target
@@ -79,39 +78,42 @@
 		disks: disks, logs: logs, prefix: prefix, binary: binary, net: newNetwork(), process: map[string]*process{}, targets: map[string]*platformtest.Target{},
 		client: &http.Client{Timeout: callTime, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
-	var err error
-	if c.fleet, err = platformtest.NewFleet(prefix + "200"); err != nil {
-		return nil, err
-	}
-	for i := range engines {
-		err = errors.Wrap(firstOf(err, c.startTarget(engineName(i))), "engine")
-	}
-	for i := range plains {
-		err = errors.Wrap(firstOf(err, c.startTarget(plainName(i))), "plain service")
-	}
 	for i := range controls {
 		p := &process{name: controlName(i), role: "control", ip: fmt.Sprint(prefix, 10+i), fronts: fmt.Sprint(prefix, 110+i)}
 		p.disk = filepath.Join(disks, p.name)
 		c.process[p.name] = p
-		_, failed := c.net.proxy(p.fronts+":"+platformtest.PeerPort, p.name, p.ip+":"+platformtest.PeerPort)
-		err = firstOf(err, failed)
 	}
 	for i := range gateways {
 		p := &process{name: gatewayName(i), role: "gateway", ip: fmt.Sprint(prefix, 20+i)}
 		c.process[p.name] = p
 	}
-	for _, p := range c.process {
-		c.net.name(p.ip, p.name)
-		err = firstOf(err, c.start(p, true))
-	}
+	var err error
+	c.fleet, err = platformtest.NewFleet(prefix + "200")
 	return c, err
 }
 
-func firstOf(a, b error) error {
-	if a != nil {
-		return a
+// open starts the targets and the processes. It must be closed also when it fails.
+func (c *cluster) open() error {
+	for i := range engines {
+		if err := c.startTarget(engineName(i)); err != nil {
+			return err
+		}
 	}
-	return b
+	for i := range plains {
+		if err := c.startTarget(plainName(i)); err != nil {
+			return err
+		}
+	}
+	for _, p := range c.process {
+		c.net.name(p.ip, p.name)
+		if p.fronts == "" {
+			continue
+		}
+		if _, err := c.net.proxy(p.fronts+":"+platformtest.PeerPort, p.name, p.ip+":"+platformtest.PeerPort); err != nil {
+			return err
+		}
+	}
+	return c.startAll(true)
 }
 
 func (c *cluster) found(format string, args ...any) {
@@ -260,8 +262,10 @@
 	}
 }
 
-// close ends everything that the cluster started.
-func (c *cluster) close() {
+// close ends everything that the cluster started. Further calls do nothing.
+func (c *cluster) close() { c.closing.Do(c.end) }
+
+func (c *cluster) end() {
 	var ending sync.WaitGroup
 	for _, p := range c.process {
 		ending.Go(func() { c.stop(p) })
@@ -276,9 +280,9 @@
 func (c *cluster) whole() bool {
 	for i := range controls {
 		ctx, cancel := context.WithTimeout(context.Background(), callTime)
-		text, err := platformtest.Metrics(ctx, c.client, c.process[controlName(i)].ip+":"+platformtest.HealthPort)
+		whole := platformtest.LogWhole(ctx, c.client, c.process[controlName(i)].ip, controls)
 		cancel()
-		if err != nil || !strings.Contains(text, "vanillaward_control_voters 3\n") || !strings.Contains(text, "vanillaward_control_learners 0\n") {
+		if !whole {
 			return false
 		}
 	}
@@ -409,12 +413,13 @@
 }
 
 // startAll starts the processes that are down.
-func (c *cluster) startAll() error {
-	var err error
+func (c *cluster) startAll(bootstrap bool) error {
 	for _, p := range c.process {
-		err = firstOf(err, c.start(p, false))
+		if err := c.start(p, bootstrap); err != nil {
+			return err
+		}
 	}
-	return err
+	return nil
 }
 
 func (c *cluster) disturb(s step) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -88,12 +88,14 @@
 	}
 	c, err := newCluster(disks, logs, binary, prefix)
 	require.NoError(t, err)
+	t.Cleanup(c.close) // also after a start that failed
+	require.NoError(t, c.open())
 	l := newLoad(c)
 	random := rand.New(rand.NewPCG(seed, 1<<34))
 	l.start(t)
 	steps := makePlan(seed, *length)
 	disturb(c, l, seed, steps)
-	require.NoError(t, c.startAll())
+	require.NoError(t, c.startAll(false))
 	last := settle(func() string { return l.recovered(random) }, recoverTime)
 	if last != "" {
 		c.found("not recovered after %s: %s", recoverTime, last)
