Gateway: log how an answer's end was marked and what was left at it

Change: the line "request" states the framing of the last answer and the bytes of an unfinished event at its end; vanillaward_answer_ends_total counts framings by outcome. Nothing is decided by them yet.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -157,7 +157,8 @@
 		return targetResult
 	}
 	info := req.server.dialect.ReadAnswer(response.StatusCode, response.Header)
-	if response.Close && framed(response) {
+	req.framing = upstream.FramingOf(response)
+	if response.Close && req.framing != upstream.FramedByClose {
 		req.handleClosing(t)
 	}
 	if info.NotRun {
@@ -379,9 +380,3 @@
 func (req *request) urgency() int {
 	return min(maxUrgency, urgencyBase+2*req.orgRank+req.route.Rank())
 }
-
-// framed reports whether the end of an answer is marked by its length or by chunks, so that
-// its connection could have been reused.
-func framed(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -11,6 +11,7 @@
 
 	"github.com/vanillaward/vanillaward"
 	"github.com/vanillaward/vanillaward/internal/route"
+	"github.com/vanillaward/vanillaward/internal/upstream"
 )
 
 const (
@@ -36,9 +37,10 @@
 	body     []byte
 	deadline time.Duration // the time limit of the caller or of the route, whichever is earlier
 
-	target   string // ID of the last target
-	sent     int    // number of targets that the request was sent to
-	maybeRun bool   // a target may have run the request
+	target   string           // ID of the last target
+	framing  upstream.Framing // of the last answer; empty without one
+	sent     int              // number of targets that the request was sent to
+	maybeRun bool             // a target may have run the request
 	stream   stream
 	reason   reason
 	status   int
@@ -293,12 +295,16 @@
 		g.base.Metrics.Class(name, req.org).Update(took.Seconds())
 	}
 	g.base.Metrics.Outcome(name, string(req.reason))
+	if req.framing != "" {
+		g.base.Metrics.AnswerEnd(string(req.framing), string(req.reason))
+	}
 	number := uint64(0)
 	if req.table != nil {
 		number = req.table.Number()
 	}
 	g.base.Log.Info("request", "request", req.caller.ID, "route", name, "organisation", req.org, "service", req.service,
 		"target", req.target, "sent", req.sent, "maybe-run", req.maybeRun, "status", req.status, "events", req.stream.passed, "resumed", req.stream.resumed,
+		"framing", string(req.framing), "unfinished-bytes", req.stream.unfinished,
 		"first-ms", req.stream.timeToFirst.Milliseconds(), "longest-gap-ms", req.stream.longestGap.Milliseconds(),
 		"outcome", string(req.reason), "configuration", number, "budget-ms", req.caller.Budget.Milliseconds(),
 		"took-ms", took.Milliseconds())
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,6 +28,7 @@
 type stream struct {
 	passed       int           // events that were passed on to the caller
 	lastEvent    uint64        // number of the last event passed on
+	unfinished   int           // bytes of an unfinished event at the end of the last answer
 	headSent     bool          // the head of the answer was sent to the caller
 	resumed      int           // how often the run was resumed from a copy
 	timeToFirst  time.Duration // from the request's arrival to the first event
@@ -102,6 +103,9 @@
 		if first && err == nil && req.stream.run != nil {
 			req.server.markStarted(req.stream.run)
 		}
+		if err != nil {
+			req.stream.unfinished = len(event)
+		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			return err
 		}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -115,6 +115,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_outcomes_total{class=%q,outcome=%q}", class, outcome)).Inc()
 }
 
+// AnswerEnd counts a request that a target answered, by how the end of the target's last
+// answer was marked and by the request's outcome.
+func (m *Metrics) AnswerEnd(framing, outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_answer_ends_total{framing=%q,outcome=%q}", framing, outcome)).Inc()
+}
+
 // Refusal counts a refusal by its reason.
 func (m *Metrics) Refusal(reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_refusals_total{reason=%q}", reason)).Inc()
