--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -394,9 +394,9 @@
 		got := r.send(t, http.MethodPost, "/r/x", "", map[string]string{testBudget: "30000"})
 		require.NoError(t, got.err)
 		require.Equal(t, fiveEvents, got.body)
-		require.Equal(t, second.address()+"/request-1", second.header(0).Get(testResume))
-		require.Equal(t, "2", second.header(0).Get(testAfter))
-		require.Empty(t, second.header(0).Get(testBackup), "the stalled engine must not hold the new copy")
+		require.Equal(t, second.address()+"/request-1", second.firstHeader().Get(testResume))
+		require.Equal(t, "2", second.firstHeader().Get(testAfter))
+		require.Empty(t, second.firstHeader().Get(testBackup), "the stalled engine must not hold the new copy")
 		close(first.held)
 	})
 	t.Run("holder has lost the copy", func(t *testing.T) {
--- a/internal/gateway/standin_test.go
+++ b/internal/gateway/standin_test.go
@@ -292,9 +292,9 @@
 	return len(s.seen)
 }
 
-// header returns the header of the i-th request that the target received.
-func (s *standin) header(i int) http.Header {
+// firstHeader returns the header of the first request that the target received.
+func (s *standin) firstHeader() http.Header {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.seen[i]
+	return s.seen[0]
 }
