--- a/internal/gateway/event_test.go
+++ b/internal/gateway/event_test.go
@@ -1,40 +1,37 @@
 package gateway
 
 import (
-	"bufio"
-	"bytes"
-	"io"
 	"testing"
 
-	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
 )
 
-// FuzzEvents checks that any byte stream is split into events without loss or change:
-// concatenated they are the bytes received, and only the last one may lack its end.
-func FuzzEvents(f *testing.F) {
-	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), 16)
-	f.Add([]byte("id: 1\r\ndata: a\r\n\r\nid: "), 16)
-	f.Add([]byte("\n\n\n:comment\n\nid:99999999999999999999\n\n"), 64)
-	f.Fuzz(func(t *testing.T, data []byte, size int) {
-		reader := bufio.NewReaderSize(bytes.NewReader(data), max(16, size%4096))
-		var all []byte
-		for {
-			event, err := readEvent(reader)
-			all = append(all, event...)
-			eventBuffered(reader)
-			eventNumber(event)
-			if errors.Is(err, io.EOF) {
-				break
-			}
-			if err != nil {
-				t.Fatal(err)
-			}
-			if !bytes.HasSuffix(event, []byte("\n")) {
-				t.Fatalf("event without its end: %q", event)
-			}
+// TestEventNumber reads the numbers of events.
+func TestEventNumber(t *testing.T) {
+	cases := []struct {
+		event  string
+		number uint64
+		ok     bool
+	}{
+		{"id: 7\ndata: a\n\n", 7, true},
+		{"data: a\r\nid:8\r\n\r\n", 8, true},
+		{"data: id: 1\n\n", 0, false},
+		{"id: x\n\n", 0, false},
+		{"id:99999999999999999999\n\n", 0, false},
+		{": comment\n\n", 0, false},
+	}
+	for _, c := range cases {
+		number, ok := eventNumber([]byte(c.event))
+		require.Equal(t, c.ok, ok, c.event)
+		if ok {
+			require.Equal(t, c.number, number, c.event)
 		}
-		if !bytes.Equal(all, data) {
-			t.Fatalf("%q became %q", data, all)
-		}
-	})
+	}
+}
+
+// FuzzEventNumber checks that no event makes its reader panic.
+func FuzzEventNumber(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\n"))
+	f.Add([]byte("\n\n\n:comment\n\nid:99999999999999999999\n\n"))
+	f.Fuzz(func(_ *testing.T, event []byte) { eventNumber(event) })
 }
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -151,7 +151,7 @@
 	req.stream.run = r.run
 	req.stream.resumed++
 	req.target = r.holder.ID()
-	req.framing = upstream.FramingOf(r.response)
+	req.framing, req.stream.unfinished = upstream.FramingOf(r.response), 0
 	req.server.base.Log.Info("run resumed from its copy", "request", req.caller.ID, "target", r.holder.ID(), "events", req.stream.passed,
 		"took-ms", (req.server.base.Timers.Now() - req.arrived).Milliseconds())
 	targetResult := req.relay(ctx, r.holder, r.conn, r.response, r.info)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net/http"
@@ -11,18 +10,20 @@
 
 	"github.com/vanillaward/vanillaward"
 	"github.com/vanillaward/vanillaward/internal/balance"
+	"github.com/vanillaward/vanillaward/internal/sse"
 	"github.com/vanillaward/vanillaward/internal/upstream"
 )
 
-const (
-	// streamBuffer is the size in bytes of the buffer for reading a stream.
-	streamBuffer = 4 << 10
-	// callerWriteTimeout bounds how long a caller may leave an event unread.
-	callerWriteTimeout = 10 * time.Second
-)
+// callerWriteTimeout bounds how long a caller may leave an event unread.
+const callerWriteTimeout = 10 * time.Second
 
-// errOrder is returned for a stream whose events are not numbered consecutively.
-var errOrder = errors.New("events are not numbered consecutively")
+var (
+	// errOrder is returned for a stream whose events are not numbered consecutively.
+	errOrder = errors.New("events are not numbered consecutively")
+	// errNoEvent is returned for a stream that ends with its connection before its first
+	// event: without an event, such an end is no sign that the answer is complete.
+	errNoEvent = errors.New("connection ended before the first event")
+)
 
 // stream is the state of a request's stream and of its run at an engine.
 type stream struct {
@@ -44,7 +45,7 @@
 	req.maybeRun = true
 	err := req.startStream(response)
 	if err == nil {
-		err = req.passEvents(ctx, conn, response.Body)
+		err = req.passEvents(ctx, conn, response)
 	}
 	if err == nil {
 		req.reason = reasonComplete
@@ -82,9 +83,12 @@
 
 // passEvents passes events on until the stream ends. It returns nil if the stream was
 // complete, and a callerError if the caller's connection failed.
-func (req *request) passEvents(ctx context.Context, conn *upstream.Conn, body io.Reader) error {
+func (req *request) passEvents(ctx context.Context, conn *upstream.Conn, response *http.Response) error {
 	watch := req.watchStall(ctx, conn)
-	err := req.readEvents(watch, body)
+	read, err := req.readEvents(watch, response.Body)
+	if err == nil && read == 0 && upstream.FramingOf(response) == upstream.FramedByClose {
+		err = errNoEvent
+	}
 	accepted := watch.stop()
 	if accepted != nil && (err == nil || isCallerError(err)) {
 		req.cancelResumption(accepted)
@@ -94,28 +98,26 @@
 	return err
 }
 
-func (req *request) readEvents(watch *stallWatch, body io.Reader) error {
-	reader := bufio.NewReaderSize(body, streamBuffer)
+// readEvents passes the events of one engine on until its stream ends. It returns how many
+// there were, and nil if the stream ended after a complete event.
+func (req *request) readEvents(watch *stallWatch, body io.Reader) (int, error) {
+	reader := sse.NewReader(body)
 	control := http.NewResponseController(req.w)
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }() // fails only if the connection is closed
-	for first := true; ; first = false {
-		event, err := readEvent(reader)
-		if first && err == nil && req.stream.run != nil {
-			req.server.markStarted(req.stream.run)
+	for read := 0; ; read++ {
+		event, err := reader.Next()
+		if errors.Is(err, io.EOF) {
+			return read, nil
 		}
 		if err != nil {
-			req.stream.unfinished = len(event)
+			req.stream.unfinished = reader.Unfinished()
+			return read, err
 		}
-		if err != nil && !errors.Is(err, io.EOF) {
-			return err
-		}
-		if len(event) > 0 {
-			if err := watch.event(func() error { return req.passEvent(control, event, !eventBuffered(reader)) }); err != nil {
-				return err
-			}
+		if read == 0 && req.stream.run != nil {
+			req.server.markStarted(req.stream.run)
 		}
-		if err != nil {
-			return nil
+		if err := watch.event(func() error { return req.passEvent(control, event, !reader.Buffered()) }); err != nil {
+			return read, err
 		}
 	}
 }
