--- a/internal/engineapi/stream.go
+++ b/internal/engineapi/stream.go
@@ -1,18 +1,14 @@
 package engineapi
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"io"
 	"strconv"
 
-	"github.com/pkg/errors"
+	"github.com/vanillaward/vanillaward/internal/sse"
 )
 
-// maxEventLineBytes is the largest length of a line of an engine's stream in bytes.
-const maxEventLineBytes = 1 << 20
-
 // Event is one server-sent event of an engine. Its data is valid until the next call
 // of Stream.Next.
 type Event struct {
@@ -37,15 +33,15 @@
 // Stream reads the server-sent events of one generation. Their ids have the form
 // "generation:index".
 type Stream struct {
-	body     io.ReadCloser
-	reader   *bufio.Reader
-	prefix   []byte // "generation:"
-	longLine []byte // line that is longer than the reader's buffer
+	body   io.ReadCloser
+	reader *sse.Reader
+	prefix []byte // "generation:"
+	joined []byte // data of an event that has several data lines
 }
 
 // NewStream returns a Stream that reads the events of the given generation from body.
 func NewStream(body io.ReadCloser, generation string) *Stream {
-	return &Stream{body: body, reader: bufio.NewReader(body), prefix: []byte(generation + ":")}
+	return &Stream{body: body, reader: sse.NewReader(body), prefix: []byte(generation + ":")}
 }
 
 // DoneData is the data of a stream's final event.
@@ -56,51 +52,43 @@
 	fieldData = []byte("data:")
 )
 
-// Next returns the next event. It skips comments and fields other than id and data.
-// The error is io.EOF at the end of the body, even within a line, or describes a line
-// that is too long or a failed read.
+// Next returns the next event that has data. It skips comments and fields other than id and
+// data. The errors are those of sse.Reader; an event without its end is not returned.
 func (s *Stream) Next() (Event, error) {
-	event := Event{index: -1}
 	for {
-		line, err := s.readLine()
+		raw, err := s.reader.Next()
 		if err != nil {
-			return event, err
+			return Event{index: -1}, err
 		}
-		switch {
-		case len(line) == 0:
-			if event.data != nil {
-				return event, nil
-			}
-		case bytes.HasPrefix(line, fieldID):
-			event.matchesGeneration, event.index = s.parseID(bytes.TrimLeft(line[len(fieldID):], " "))
-		case bytes.HasPrefix(line, fieldData):
-			event.data = bytes.TrimLeft(line[len(fieldData):], " ")
-			event.done = bytes.Equal(event.data, DoneData)
-			// Engines send one data line per event, so the event ends here. The
-			// blank line after it is skipped by the next call.
+		if event := s.parse(raw); event.data != nil {
 			return event, nil
 		}
 	}
 }
 
-// readLine returns the next line without its terminator.
-func (s *Stream) readLine() ([]byte, error) {
-	line, err := s.reader.ReadSlice('\n')
-	if errors.Is(err, bufio.ErrBufferFull) {
-		s.longLine = append(s.longLine[:0], line...)
-		for errors.Is(err, bufio.ErrBufferFull) {
-			if len(s.longLine) > maxEventLineBytes {
-				return nil, errors.New("line of an engine's event stream exceeds the length limit")
-			}
-			line, err = s.reader.ReadSlice('\n')
-			s.longLine = append(s.longLine, line...)
+// parse returns the fields of an event. Its data is nil if there is none.
+func (s *Stream) parse(raw []byte) Event {
+	event := Event{index: -1}
+	for line := range bytes.Lines(raw) {
+		line = bytes.TrimRight(line, "\r\n")
+		if value, ok := bytes.CutPrefix(line, fieldID); ok {
+			event.matchesGeneration, event.index = s.parseID(bytes.TrimLeft(value, " "))
+		}
+		if value, ok := bytes.CutPrefix(line, fieldData); ok {
+			event.data = s.join(event.data, bytes.TrimLeft(value, " "))
 		}
-		line = s.longLine
 	}
-	if err != nil {
-		return nil, err
+	event.done = bytes.Equal(event.data, DoneData)
+	return event
+}
+
+// join returns an event's data with one more line.
+func (s *Stream) join(data, line []byte) []byte {
+	if data == nil {
+		return line
 	}
-	return bytes.TrimRight(line, "\r\n"), nil
+	s.joined = append(append(append(s.joined[:0], data...), '\n'), line...)
+	return s.joined
 }
 
 // parseID reports whether an id belongs to the expected generation, and its index.
@@ -113,9 +101,8 @@
 	return err == nil, index
 }
 
-// Buffered reports whether data beyond the blank line of the last event is already
-// buffered.
-func (s *Stream) Buffered() bool { return s.reader.Buffered() > 1 }
+// Buffered reports whether the next event has already been received completely.
+func (s *Stream) Buffered() bool { return s.reader.Buffered() }
 
 // Close closes the body and discards unread data.
 func (s *Stream) Close() { _ = s.body.Close() } // unread data is not needed
--- a/internal/engineapi/stream_test.go
+++ b/internal/engineapi/stream_test.go
@@ -25,6 +25,9 @@
 		{"comments and other fields", ": keep-alive\n\nevent: x\nid: g:1\ndata: a\n\n", []string{"1 own a"}},
 		{"line longer than the buffer", "id: g:1\ndata: " + long + "\n\n", []string{"1 own " + long}},
 		{"truncated in the second event", "id: g:0\ndata: a\n\nid: g:1\nda", []string{"0 own a"}},
+		{"truncated before the empty line", "id: g:0\ndata: a\n\nid: g:1\ndata: b\n", []string{"0 own a"}},
+		{"several data lines", "id: g:0\ndata: a\ndata: b\n\n", []string{"0 own a\nb"}},
+		{"id after the data", "data: a\nid: g:0\n\n", []string{"0 own a"}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -64,6 +67,25 @@
 	require.False(t, IsFinal([]byte(`{"choices":[{"text":"a","finish_reason":null}]}`)))
 }
 
+// TestFinalEventWithoutItsEnd guards against a stream that was broken off inside its final
+// event being taken as complete: the data of the event was used before its end was read.
+func TestFinalEventWithoutItsEnd(t *testing.T) {
+	const stream = "id: g:0\ndata: {\"choices\":[{\"text\":\"a\",\"finish_reason\":null}]}\n\n" +
+		"id: g:1\ndata: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}]}\n\n"
+	for end := range len(stream) + 1 {
+		s := NewStream(io.NopCloser(strings.NewReader(stream[:end])), "g")
+		final := false
+		for {
+			e, err := s.Next()
+			if err != nil {
+				break
+			}
+			final = final || IsFinal(e.Data())
+		}
+		require.Equal(t, end == len(stream), final, "cut after %d of %d bytes", end, len(stream))
+	}
+}
+
 // FuzzEngineStream checks that no stream of an engine makes its reader panic.
 func FuzzEngineStream(f *testing.F) {
 	f.Add([]byte("id: g:0\ndata: {\"choices\":[{\"text\":\"a\\\"\"}]}\n\n"))
