--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -162,3 +163,25 @@
 		})
 	}
 }
+
+// TestCutAnswerToOldCaller guards against an answer that was cut off looking complete to a
+// caller of HTTP/1.0, which has no chunks: for such a caller the end of the connection is the
+// end of the answer, unless the connection is reset.
+func TestCutAnswerToOldCaller(t *testing.T) {
+	c := configuration(1, route.Stream, 1, 30*time.Second)
+	c.Services[0].ContinuousCopies, c.Services[0].Moves = false, false
+	for _, end := range []cut{
+		{upstream.FramedByChunks, endsByClose, len(fiveEvents)},
+		{upstream.FramedByChunks, endsByClose, len(fiveEvents) / 2},
+		{upstream.FramedByClose, endsByClose, len(fiveEvents) / 2},
+	} {
+		t.Run(fmt.Sprintf("%s-%d", end.framing, end.bytes), func(t *testing.T) {
+			r := newRig(t, c, newCutStandin(t, "target-0", end))
+			conn := dial(t, r)
+			_, err := io.WriteString(conn, "POST /r/x HTTP/1.0\r\nHost: example.test\r\nTest-Id: request-1\r\nTest-Key: key\r\nTest-Longest: 1000\r\nContent-Length: 0\r\n\r\n")
+			require.NoError(t, err)
+			_, err = io.ReadAll(conn)
+			require.Equal(t, end.complete(), err == nil, "error: %v", err)
+		})
+	}
+}
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -110,6 +110,14 @@
 // wait returns once Serve has returned for all servers.
 func (f *frontend) wait() { f.serving.Wait() }
 
+// reset closes a connection so that the caller sees an error instead of an orderly end.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed already
+	}
+	_ = conn.Close() // the connection is not used again
+}
+
 // serverErrors logs what net/http reports about connections. Most of it is caused by
 // callers that send malformed requests; a panic while serving one is a fault of the program.
 type serverErrors struct{ log logr.Logger }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -309,6 +309,19 @@
 		"outcome", string(req.reason), "configuration", number, "budget-ms", req.caller.Budget.Milliseconds(),
 		"took-ms", took.Milliseconds())
 	if req.aborted {
-		panic(http.ErrAbortHandler) // net/http closes the connection before the end of the answer
+		req.abortConn()
 	}
 }
+
+// abortConn ends the caller's connection in a way that shows that the answer is truncated. An
+// answer of HTTP/1.1 lacks its last chunk or a part of its length. To a caller of HTTP/1.0 the
+// end of the connection is the end of the answer, unless the connection is reset.
+func (req *request) abortConn() {
+	if !req.r.ProtoAtLeast(1, 1) {
+		if conn, _, err := http.NewResponseController(req.w).Hijack(); err == nil {
+			reset(conn)
+			return
+		}
+	}
+	panic(http.ErrAbortHandler) // net/http closes the connection before the end of the answer
+}
