--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -232,7 +232,12 @@
 
 // complete finishes the answer and returns its outcome.
 func (g *generation) complete() delivery.Outcome {
-	if err := g.sink.finish(g.finalEvent); err != nil {
+	err := g.sink.finish(g.finalEvent)
+	if errors.Is(err, errInvalidAnswer) {
+		g.reason = err.Error()
+		return g.failWith(g.incompleteProblem(codeTargetFailed, err.Error()))
+	}
+	if err != nil {
 		g.reason = "caller-left"
 		g.core.End(delivery.Incomplete)
 		return delivery.Incomplete
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -13,6 +13,9 @@
 	"github.com/vanillaward/vanillaward/internal/engineapi"
 )
 
+// errInvalidAnswer ends an answer whose text is no valid JSON string.
+var errInvalidAnswer = errors.New("the engine's answer cannot be encoded")
+
 // errAnswerTooLong ends an answer that exceeds the size limit of buffered answers.
 var errAnswerTooLong = errors.New("answer is over the bound of held answers")
 
@@ -175,25 +178,46 @@
 
 func (s *bufferedSink) finish(final []byte) error {
 	defer s.release()
+	if s.stream {
+		return s.finishStream(final)
+	}
+	return s.finishObject(final)
+}
+
+// writeHead sends the head of a complete answer.
+func (s *bufferedSink) writeHead(contentType string) error {
 	if err := setWriteTimeout(s.w, s.timeout); err != nil {
 		return err
 	}
-	s.headers(s.w.Header())
-	s.w.Header().Set(headerOutcome, string(delivery.Complete))
-	if s.stream {
-		s.w.Header().Set("Content-Type", "text/event-stream")
-		for _, part := range [][]byte{s.buffer, eventStart, final, eventEnd, eventStart, engineapi.DoneData, eventEnd} {
-			if _, err := s.w.Write(part); err != nil {
-				return err
-			}
+	h := s.w.Header()
+	s.headers(h)
+	h.Set(headerOutcome, string(delivery.Complete))
+	h.Set("Content-Type", contentType)
+	return nil
+}
+
+func (s *bufferedSink) finishStream(final []byte) error {
+	if err := s.writeHead("text/event-stream"); err != nil {
+		return err
+	}
+	for _, part := range [][]byte{s.buffer, eventStart, final, eventEnd, eventStart, engineapi.DoneData, eventEnd} {
+		if _, err := s.w.Write(part); err != nil {
+			return err
 		}
-		return nil
 	}
+	return nil
+}
+
+// finishObject sends the answer as one JSON object. It returns errInvalidAnswer, with nothing
+// sent, if the answer cannot be encoded.
+func (s *bufferedSink) finishObject(final []byte) error {
 	body, err := s.encodeObject(final)
 	if err != nil {
+		return errors.Wrap(errInvalidAnswer, err.Error())
+	}
+	if err := s.writeHead("application/json"); err != nil {
 		return err
 	}
-	s.w.Header().Set("Content-Type", "application/json")
 	s.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, err = s.w.Write(body)
 	return err
--- a/internal/entry/sink_test.go
+++ b/internal/entry/sink_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/vanillaward/vanillaward/internal/declaration"
+	"github.com/vanillaward/vanillaward/internal/delivery"
 )
 
 // TestCallerStopsReading checks that writing to a caller that does not read its
@@ -49,3 +53,29 @@
 	s.fail(&problem{status: 502, code: codeAnswerTooLong, outcome: "incomplete"})
 	require.Zero(t, memory.used.Load())
 }
+
+// recorder is a response recorder that accepts write deadlines.
+type recorder struct{ *httptest.ResponseRecorder }
+
+func (recorder) SetWriteDeadline(time.Time) error { return nil }
+
+// TestAnswerThatCannotBeEncoded guards against an answer whose text is no valid JSON reaching
+// its caller as a complete answer without a body.
+func TestAnswerThatCannotBeEncoded(t *testing.T) {
+	for text, want := range map[string]int{`a`: http.StatusOK, `a\q`: http.StatusBadGateway, "a\x01": http.StatusBadGateway} {
+		w := recorder{httptest.NewRecorder()}
+		g := &generation{
+			exchange:   &exchange{core: delivery.New(delivery.Policy{Buffered: true}), class: &declaration.Class{}},
+			sink:       &bufferedSink{w: w, memory: &answerMemory{limit: 100}, maxBytes: 100, headers: func(http.Header) {}},
+			finalEvent: []byte(`{"choices":[{"finish_reason":"stop"}]}`),
+		}
+		g.core.Begin()
+		g.core.Sent()
+		require.NoError(t, g.sink.token(nil, []byte(text)))
+		outcome := g.complete()
+		require.Equal(t, want, w.Code, text)
+		require.Equal(t, string(outcome), w.Header().Get(headerOutcome), text)
+		require.Equal(t, want == http.StatusOK, outcome == delivery.Complete, text)
+		require.True(t, json.Valid(w.Body.Bytes()), text)
+	}
+}
