--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -78,14 +79,19 @@
 			continue
 		}
 		for c := range conns {
-			if tcp, ok := c.(*net.TCPConn); ok {
-				_ = tcp.SetLinger(0) // close sends a reset instead of a FIN
-			}
-			_ = c.Close() // the connection is abandoned either way
+			resetConn(c)
 		}
 	}
 }
 
+// resetConn closes a connection with a reset instead of a FIN.
+func resetConn(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if it is closed already
+	}
+	_ = c.Close() // the connection is abandoned either way
+}
+
 // state returns the state of a link, including the faults that affect every source.
 func (n *network) state(l link) linkState {
 	n.mu.Lock()
@@ -194,7 +200,7 @@
 		}
 		if size > 0 {
 			if _, writeErr := to.Write(buffer[:size]); writeErr != nil {
-				_ = from.Close() // ends the other direction too
+				resetConn(from) // ends the other direction too
 				return
 			}
 		}
@@ -209,7 +215,7 @@
 func closeWrite(to net.Conn, err error) {
 	tcp, ok := to.(*net.TCPConn)
 	if !ok || err != io.EOF { //nolint:errorlint // Read returns io.EOF unwrapped
-		_ = to.Close() // a reset ends both directions
+		resetConn(to) // an orderly end could pass for the end of an answer
 		return
 	}
 	_ = tcp.CloseWrite() // it may be closed already
@@ -260,3 +266,29 @@
 	n.close()
 	require.NoError(t, server.Close())
 }
+
+// TestProxyPassesResetsOn checks that a connection that its target resets does not end in the
+// orderly way for the other side.
+func TestProxyPassesResetsOn(t *testing.T) {
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() {
+		c, err := server.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.ReadFull(c, make([]byte, 1))
+		resetConn(c)
+	}()
+	n := newNetwork()
+	address, err := n.proxy("127.0.0.1:0", "target", server.Addr().String())
+	require.NoError(t, err)
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	_, err = conn.Write([]byte("x"))
+	require.NoError(t, err)
+	_, err = io.ReadAll(conn)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	n.close()
+	require.NoError(t, server.Close())
+}
