--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -68,18 +68,19 @@
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
-		l.sendRequest(client, gateway, k, random.Uint64())
+		l.sendRequest(client, gateway, k, random.Uint64(), l.acked())
 		time.Sleep(minRequestPause + time.Duration(random.Int64N(int64(maxRequestPause-minRequestPause))))
 	}
 }
 
-func (l *load) sendRequest(client *http.Client, gateway string, k requestKind, id uint64) platformtest.Answer {
+// sendRequest sends a request of a kind to an instance, by the routes of a version.
+func (l *load) sendRequest(client *http.Client, gateway string, k requestKind, id, version uint64) platformtest.Answer {
 	r := requestRecord{kind: k, sentTo: gateway, request: platformtest.Request{ID: fmt.Sprintf("%016x", id), Body: fmt.Sprint("body ", id), Budget: requestBudget}}
 	switch k {
 	case kindSafe:
 		r.request.Path = platformtest.SafePath + "x"
 	case kindOnce:
-		r.request.Path = pathPrefix(l.acked()) + "x"
+		r.request.Path = pathPrefix(version) + "x"
 	case kindStream:
 		r.request.Path = platformtest.StreamPath + "x"
 	}
@@ -183,7 +184,7 @@
 			return gatewayName(i) + " is not ready"
 		}
 		for _, k := range []requestKind{kindSafe, kindOnce, kindStream} {
-			if a := l.sendRequest(l.cluster.client, gatewayName(i), k, random.Uint64()); a.Status != http.StatusOK || !a.Complete() {
+			if a := l.sendRequest(l.cluster.client, gatewayName(i), k, random.Uint64(), version); a.Status != http.StatusOK || !a.Complete() {
 				return fmt.Sprintf("%s answers kind %d with status %d, %v", gatewayName(i), k, a.Status, a.Err)
 			}
 		}
