Gateway: what targets state in their answers, leaving and times to wait

The users' new rules: a target can say in all its answers that it is leaving, and in a refusal for how long it wants nothing. Nothing read either before. Change: the head of every answer (interim, refused, of streams, of other requests, of holders of copies) passes Server.recordStatements. The balancer holds statements with their time until the target starts anew: another id or address, a later start in a report, or the list for longer than it can be out of date. A leaving target gets no new request or copy at once; one that asked to wait gets one probe if nothing else can serve, and comes back by one, then two for each that it accepts. If all leave or wait, callers are refused at once with the earliest time. Reports say it by their headers and carry the engine's start. Targets that leave the list for a moment keep their state: one older list undid a statement.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -114,6 +114,9 @@
 	reportsLeaving bool          // according to the target's own report
 	suspectedUntil time.Duration // until when it is considered to be leaving
 	leavingSince   time.Duration // since when it is known to be leaving
+	startedMs      uint64        // when it started, by its own clock; 0 if unknown
+	stated         statements
+	readySince     time.Duration // since when the list shows it as ready after it was leaving; 0 if it never was
 	warmupUntil    time.Duration // until when it is warming up
 
 	open         int     // requests of this instance
@@ -154,6 +157,8 @@
 	jitter float64
 	// partitionedUntil is the time until which a failure domain is considered partitioned.
 	partitionedUntil map[string]time.Duration
+	// departed holds the targets that were listed shortly before.
+	departed map[targetKey]departedTarget
 }
 
 // pair is the engine of a run and the engine that holds a copy of it.
@@ -166,35 +171,29 @@
 func New(domain string, random *rand.Rand) *Balancer {
 	return &Balancer{
 		domain: domain, random: random, targets: map[string]*Target{}, byService: map[string][]*Target{},
-		pairs: map[pair]int{}, partitionedUntil: map[string]time.Duration{},
+		pairs: map[pair]int{}, partitionedUntil: map[string]time.Duration{}, departed: map[targetKey]departedTarget{},
 	}
 }
 
 // HasList reports whether a list of targets has been received.
 func (b *Balancer) HasList() bool { return b.hasList }
 
-// Update applies a list of targets. The state of a target that stays on the list is
-// kept; a target with the same identity at another address is a new one.
+// Update applies a list of targets. The state of a target that stays on the list, or was on
+// it shortly before, is kept; a target with the same identity at another address is a new one.
 func (b *Balancer) Update(list []*wire.Target, now time.Duration) {
 	b.hasList = true
 	next := make(map[string]*Target, len(list))
 	b.byService = map[string][]*Target{}
 	for _, l := range list {
-		t := b.targets[l.GetId()]
-		if t == nil || t.address != l.GetAddress() || t.service != l.GetService() {
-			t = &Target{id: l.GetId(), service: l.GetService(), address: l.GetAddress()}
-		}
+		t := b.listed(l, now)
 		t.domain = l.GetFailureDomain()
 		t.slots = int(l.GetSlots())
-		leaving := l.GetState() != wire.TargetState_TARGET_STATE_READY
-		if leaving && !t.leaving && !t.reportsLeaving {
-			t.leavingSince = now
-		}
-		t.leaving = leaving
+		t.setListedLeaving(l.GetState() != wire.TargetState_TARGET_STATE_READY, now)
 		t.warmupUntil = now + time.Duration(l.GetColdMs())*time.Millisecond
 		next[t.id] = t
 		b.byService[t.service] = append(b.byService[t.service], t)
 	}
+	b.rememberDeparted(next, now)
 	b.targets = next
 }
 
@@ -203,11 +202,20 @@
 
 // Choose returns the best target of a service that is not among the avoided ones,
 // or nil. Tokens is the memory, in tokens, that a generation needs; 0 for other requests.
+// A target that asked to wait is chosen only if there is no other, and once.
 func (b *Balancer) Choose(service string, tokens int, avoid []string, now time.Duration) *Target {
+	if t := b.best(service, tokens, avoid, now, (*Target).accepts); t != nil {
+		return t
+	}
+	return b.best(service, tokens, avoid, now, (*Target).mayBeProbed)
+}
+
+// best returns the best of the targets for which allowed returns true.
+func (b *Balancer) best(service string, tokens int, avoid []string, now time.Duration, allowed func(*Target, time.Duration) bool) *Target {
 	var best *Target
 	bestScore, ties := 0.0, 0
 	for _, t := range b.byService[service] {
-		if t.isLeaving(now) || slices.Contains(avoid, t.id) {
+		if t.isLeaving(now) || !allowed(t, now) || slices.Contains(avoid, t.id) {
 			continue
 		}
 		score := b.score(t, tokens, now)
@@ -244,7 +252,7 @@
 	var best *Target
 	bestScore := 0.0
 	for _, t := range b.byService[source.service] {
-		if t.isLeaving(now) || t == source || now < t.ejectedUntil || t.load.waiting > 0 || slices.Contains(avoid, t.id) {
+		if t.isLeaving(now) || !t.accepts(now) || t == source || now < t.ejectedUntil || t.load.waiting > 0 || slices.Contains(avoid, t.id) {
 			continue
 		}
 		score, known := t.memory(tokens, now)
@@ -272,7 +280,19 @@
 
 // isLeaving reports whether a target is known or suspected to be leaving.
 func (t *Target) isLeaving(now time.Duration) bool {
-	return t.leaving || t.reportsLeaving || now < t.suspectedUntil || now < t.peerUse.suspectedUntil
+	return t.knownLeaving() || now < t.suspectedUntil || now < t.peerUse.suspectedUntil
+}
+
+// knownLeaving reports whether the list, the target's report or one of its answers shows that it
+// is leaving.
+func (t *Target) knownLeaving() bool { return t.leaving || t.reportsLeaving || t.stated.leaving }
+
+// noteLeaving records since when a target is known to be leaving. It is called before the
+// knowledge is recorded.
+func (t *Target) noteLeaving(now time.Duration) {
+	if !t.knownLeaving() {
+		t.leavingSince = now
+	}
 }
 
 // SuspectLeaving marks an engine as possibly leaving because it closes connections. A leaving
@@ -285,7 +305,10 @@
 // Resumable reports whether a request may still be sent to the holder of its run's copy. An
 // engine is sent no more requests once it has been known to be leaving for leavingGrace.
 func (b *Balancer) Resumable(t *Target, now time.Duration) bool {
-	return b.targets[t.id] == t && (!t.leaving && !t.reportsLeaving || now < t.leavingSince+leavingGrace)
+	if b.targets[t.id] != t || !t.accepts(now) && !t.mayBeProbed(now) {
+		return false
+	}
+	return !t.knownLeaving() || now < t.leavingSince+leavingGrace
 }
 
 // AddCopy counts a copy, held by t, of a run whose engine is source.
@@ -358,6 +381,7 @@
 // needs; 0 for other requests.
 func (b *Balancer) Begin(t *Target, tokens int, now time.Duration) {
 	t.open++
+	t.stated.begin(now)
 	if tokens > 0 {
 		t.tokens += tokens
 		t.load.record(now, tokens, 1)
@@ -368,6 +392,7 @@
 func (b *Balancer) End(t *Target, tokens int, result Result, now time.Duration) {
 	t.open--
 	t.tokens -= tokens
+	t.stated.end()
 	switch result {
 	case Served:
 		t.failures = 0
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -67,7 +68,7 @@
 		words = append(words, w)
 	}
 	r.words = words
-	if !r.update() && !r.check() {
+	if !r.update() && !r.state() && !r.check() {
 		require.Fail(r.t, "unknown command", r.position)
 	}
 }
@@ -80,10 +81,18 @@
 	case "leaving":
 		r.target(r.words[1]).State = wire.TargetState_TARGET_STATE_LEAVING
 		r.balancer.Update(r.list, r.now)
+	case "ready":
+		r.target(r.words[1]).State = wire.TargetState_TARGET_STATE_READY
+		r.balancer.Update(r.list, r.now)
+	case "unlisted":
+		r.unlist(r.words[1])
+	case "moved":
+		r.target(r.words[1]).Address = "10.0.0.2:1"
+		r.balancer.Update(r.list, r.now)
 	case "report":
 		r.balancer.UpdateLoads([]*wire.Load{{
 			Target: r.words[1], Running: r.number("running"), Waiting: r.number("waiting"), UsedTokens: r.number("used"),
-			CapacityTokens: 30000, Leaving: r.values["leaving"] != "",
+			CapacityTokens: 30000, Leaving: r.values["leaving"] != "", StartedMs: uint64(r.number("started")),
 		}}, r.now)
 	case "others":
 		r.balancer.UpdatePeerUses([]*wire.Use{{
@@ -106,6 +115,21 @@
 	return true
 }
 
+// state runs a command by which a target states something.
+func (r *scriptRunner) state() bool {
+	switch r.words[0] {
+	case "accepted":
+		r.balancer.Accepted(r.commandTarget(), r.now)
+	case "states-leaving":
+		r.balancer.StateLeaving(r.commandTarget(), r.now)
+	case "states-wait":
+		r.balancer.StateWait(r.commandTarget(), time.Duration(r.number("ms"))*time.Millisecond, r.now)
+	default:
+		return false
+	}
+	return true
+}
+
 // check runs a command that compares a result with the expected one.
 func (r *scriptRunner) check() bool {
 	tokens := int(r.number("tokens"))
@@ -118,12 +142,20 @@
 		r.expect(r.balancer.ChooseMigrationDestination(r.commandTarget(), tokens, avoided(r.values["avoid"]), r.now))
 	case "resumable":
 		require.Equal(r.t, r.values["is"], strconv.FormatBool(r.balancer.Resumable(r.commandTarget(), r.now)), r.position)
+	case "returns":
+		require.EqualValues(r.t, r.number("ms"), r.balancer.EarliestReturn("s", r.now).Milliseconds(), r.position)
 	default:
 		return false
 	}
 	return true
 }
 
+// unlist removes a target from the list until it is added again.
+func (r *scriptRunner) unlist(id string) {
+	r.list = slices.DeleteFunc(r.list, func(l *wire.Target) bool { return l.GetId() == id })
+	r.balancer.Update(r.list, r.now)
+}
+
 // commandTarget returns the target that is the command's first argument.
 func (r *scriptRunner) commandTarget() *balance.Target { return r.balancer.Target(r.words[1]) }
 
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -51,12 +51,13 @@
 		if t.load.known && at < t.load.at {
 			continue
 		}
+		t.noteStart(l.GetStartedMs(), t.load.at)
 		t.load.known, t.load.at = true, at
 		t.load.running, t.load.waiting = int(l.GetRunning()), int(l.GetWaiting())
 		t.load.used, t.load.capacity = int(l.GetUsedTokens()), int(l.GetCapacityTokens())
 		t.load.discardBefore(at)
-		if l.GetLeaving() && !t.leaving && !t.reportsLeaving {
-			t.leavingSince = now
+		if l.GetLeaving() {
+			t.noteLeaving(now)
 		}
 		t.reportsLeaving = l.GetLeaving()
 	}
@@ -116,7 +117,7 @@
 func (b *Balancer) AtCapacity(service string, tokens int, now time.Duration) bool {
 	known := false
 	for _, t := range b.byService[service] {
-		if t.isLeaving(now) {
+		if t.isLeaving(now) || t.asksToWait(now) {
 			continue
 		}
 		memory, ok := t.memory(tokens, now)
--- /dev/null
+++ b/internal/balance/statements.go
@@ -0,0 +1,185 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+// statements is what a target has said about itself in its answers to this instance. They hold
+// until the target starts anew: under another identity or address, or with a later start in a
+// report, or when the list shows it again for longer than lists are out of date. Silence, and
+// lists and reports from before, do not end them.
+type statements struct {
+	at      time.Duration // when the last one was made
+	leaving bool
+	// waitUntil is until when the target wants no requests; 0 if it has not asked, or has
+	// accepted enough requests since.
+	waitUntil time.Duration
+	// probes counts the requests sent before waitUntil.
+	probes int
+	// credit is the number of requests that may still be sent after waitUntil.
+	credit int
+}
+
+const (
+	// maxProbes is the number of requests that may be sent to a target that asked to wait.
+	maxProbes = 1
+	// returnCredit is the number of requests that may be sent for each one that a target has
+	// accepted after the time for which it asked to get none.
+	returnCredit = 2
+	// staleListDuration bounds how old a list may be that an instance gets after a newer one.
+	staleListDuration = 10 * time.Second
+)
+
+// targetKey identifies a target as long as the list does not show a restart.
+type targetKey struct{ id, address, service string }
+
+func (t *Target) key() targetKey { return targetKey{t.id, t.address, t.service} }
+
+func listedKey(l *wire.Target) targetKey {
+	return targetKey{l.GetId(), l.GetAddress(), l.GetService()}
+}
+
+// departedTarget is a target that is no longer listed.
+type departedTarget struct {
+	target *Target
+	until  time.Duration
+}
+
+// listed returns the state of a target on the list. That of a target which was listed shortly
+// before is used again, since an older list can hide a target for a moment.
+func (b *Balancer) listed(l *wire.Target, now time.Duration) *Target {
+	key := listedKey(l)
+	if t := b.targets[l.GetId()]; t != nil && t.key() == key {
+		return t
+	}
+	if d, ok := b.departed[key]; ok && now <= d.until {
+		delete(b.departed, key)
+		return d.target
+	}
+	return &Target{id: l.GetId(), service: l.GetService(), address: l.GetAddress()}
+}
+
+// rememberDeparted keeps the targets that are not on the next list, and drops those that have
+// been kept long enough.
+func (b *Balancer) rememberDeparted(next map[string]*Target, now time.Duration) {
+	for key, d := range b.departed {
+		if now > d.until {
+			delete(b.departed, key)
+		}
+	}
+	for id, t := range b.targets {
+		if next[id] != t {
+			b.departed[t.key()] = departedTarget{target: t, until: now + staleListDuration}
+		}
+	}
+}
+
+// setListedLeaving records whether the list shows the target as leaving.
+func (t *Target) setListedLeaving(leaving bool, now time.Duration) {
+	switch {
+	case leaving:
+		t.noteLeaving(now)
+		t.readySince = 0
+	case t.leaving:
+		t.readySince = now
+	case t.readySince > 0 && now > t.readySince+staleListDuration:
+		t.stated, t.readySince = statements{}, 0
+	}
+	t.leaving = leaving
+}
+
+// StateLeaving records that a target has stated that it is leaving. It reports whether this is
+// news. Other instances learn of it as of a suspicion, until the report or the list shows it.
+func (b *Balancer) StateLeaving(t *Target, now time.Duration) bool {
+	t.stated.at = now
+	if t.stated.leaving {
+		return false
+	}
+	t.noteLeaving(now)
+	t.stated.leaving = true
+	b.SuspectLeaving(t, now)
+	return true
+}
+
+// StateWait records that a target wants no requests for a time.
+func (b *Balancer) StateWait(t *Target, wait, now time.Duration) {
+	s := &t.stated
+	s.at = now
+	if !s.waiting(now) {
+		s.probes = 0
+	}
+	s.waitUntil = max(s.waitUntil, now+wait)
+	s.credit = 1
+}
+
+// EarliestReturn returns the time after which the first target of a service that asked to wait
+// wants requests again. It is 0 if another target accepts requests, or if none has asked.
+func (b *Balancer) EarliestReturn(service string, now time.Duration) time.Duration {
+	var earliest time.Duration
+	for _, t := range b.byService[service] {
+		if t.isLeaving(now) {
+			continue
+		}
+		if !t.asksToWait(now) {
+			return 0
+		}
+		if wait := t.stated.waitUntil - now; earliest == 0 || wait < earliest {
+			earliest = wait
+		}
+	}
+	return earliest
+}
+
+func (s *statements) waiting(now time.Duration) bool { return now < s.waitUntil }
+
+// begin counts a request that is sent to the target.
+func (s *statements) begin(now time.Duration) {
+	switch {
+	case s.waiting(now):
+		s.probes++
+	case s.waitUntil != 0:
+		s.credit--
+	}
+}
+
+// end is called when a request at the target ends. If it was not accepted, another one may be
+// sent in its place.
+func (s *statements) end() { s.credit = max(1, s.credit) }
+
+// Accepted records that a target has begun to answer a request. After a time for which it asked
+// to get none, more requests may be sent with each one that is accepted, and any number once
+// these are as many as its slots.
+func (b *Balancer) Accepted(t *Target, now time.Duration) {
+	s := &t.stated
+	if s.waitUntil == 0 || s.waiting(now) {
+		return
+	}
+	if s.credit += returnCredit; s.credit >= max(t.slots, defaultSlots) {
+		s.waitUntil = 0
+	}
+}
+
+// asksToWait reports whether the target wants no requests at present.
+func (t *Target) asksToWait(now time.Duration) bool { return t.stated.waiting(now) }
+
+// accepts reports whether another request may be sent to the target, as far as it has said.
+func (t *Target) accepts(now time.Duration) bool {
+	return t.stated.waitUntil == 0 || !t.asksToWait(now) && t.stated.credit > 0
+}
+
+// mayBeProbed reports whether a target that asked to wait may be sent a request nevertheless.
+func (t *Target) mayBeProbed(now time.Duration) bool {
+	return t.asksToWait(now) && t.stated.probes < maxProbes
+}
+
+// noteStart records when the target started, as a report states it. A later start than before
+// ends the statements made until the time that the last report described; later ones may be of
+// the new generation. A report without a start changes nothing.
+func (t *Target) noteStart(startedMs uint64, lastReport time.Duration) {
+	if t.startedMs != 0 && startedMs > t.startedMs && t.stated.at <= lastReport {
+		t.stated = statements{}
+	}
+	t.startedMs = max(t.startedMs, startedMs)
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -146,7 +146,7 @@
 		return req.classifyFailure(ctx, "request not sent completely", t, err)
 	}
 	req.server.addPrefill(t, req.caller.PromptTokens)
-	response, err := conn.ReadAnswer(req.r.Method, req.isAnswer) //nolint:bodyclose // closing the connection or reading to the end releases it
+	response, err := conn.ReadAnswer(req.r.Method, req.inspect(t)) //nolint:bodyclose // closing the connection or reading to the end releases it
 	req.server.addPrefill(t, -req.caller.PromptTokens)
 	if err != nil {
 		conn.Close()
@@ -158,12 +158,13 @@
 	}
 	info := req.server.dialect.ReadAnswer(response.StatusCode, response.Header)
 	req.framing = upstream.FramingOf(response)
-	if response.Close && req.framing != upstream.FramedByClose {
+	if response.Close && req.framing != upstream.FramedByClose && !info.Leaving {
 		req.handleClosing(t)
 	}
 	if info.NotRun {
 		return req.handleNotRun(t, conn, response, info, result)
 	}
+	req.server.accepted(t)
 	if req.route.Kind() == route.Stream && response.StatusCode == http.StatusOK {
 		result.outcome = delivered
 		return req.relay(ctx, t, conn, response, info)
@@ -171,11 +172,15 @@
 	return req.bufferAnswer(ctx, t, conn, response, info, result)
 }
 
-// isAnswer reports whether a response belongs to this request. A response without a request
-// ID does, because a connection carries one request at a time.
-func (req *request) isAnswer(response *http.Response) bool {
-	id := req.server.dialect.ReadAnswer(response.StatusCode, response.Header).RequestID
-	return id == "" || id == req.caller.ID
+// inspect returns a function that records what the head of an answer states about its target,
+// and reports whether the answer belongs to this request. An answer without a request ID does,
+// because a connection carries one request at a time.
+func (req *request) inspect(t *balance.Target) func(*http.Response) bool {
+	return func(response *http.Response) bool {
+		info := req.server.dialect.ReadAnswer(response.StatusCode, response.Header)
+		req.server.recordStatements(t, req.caller.ID, response.StatusCode, info)
+		return info.RequestID == "" || info.RequestID == req.caller.ID
+	}
 }
 
 // classifyFailure logs an attempt without a complete answer and returns the result to
--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -1,7 +1,6 @@
 package gateway_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -82,27 +81,6 @@
 	}
 }
 
-// newCutStandin returns a target whose answers all end as described.
-func newCutStandin(t *testing.T, id string, c cut) *standin {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				c.send(conn, request)
-			}
-			_ = conn.Close()
-		}
-	}()
-	return &standin{id: id, listener: listener}
-}
-
 // cuts returns answers that end at every byte of a stream, by framing and ending. A reset
 // after the last byte is left out where the framing ends the answer before.
 func cuts() []cut {
@@ -129,7 +107,7 @@
 	for _, end := range cuts() {
 		t.Run(fmt.Sprintf("%s-%s-%d", end.framing, end.ending, end.bytes), func(t *testing.T) {
 			t.Parallel()
-			r := newRig(t, c, newCutStandin(t, "target-0", end))
+			r := newRig(t, c, newRawStandin(t, "target-0", end.send))
 			got := r.send(t, http.MethodPost, "/r/x", "", nil)
 			if end.bytes > 0 {
 				require.Equal(t, end.complete(), got.err == nil, "error: %v, body: %q", got.err, got.body)
@@ -155,7 +133,7 @@
 		t.Run(strconv.Itoa(end.bytes), func(t *testing.T) {
 			t.Parallel()
 			holder := newStandin(t, "target-1", "stream:")
-			r := newRig(t, configuration(1, route.Stream, 1, 30*time.Second), newCutStandin(t, "target-0", end), holder)
+			r := newRig(t, configuration(1, route.Stream, 1, 30*time.Second), newRawStandin(t, "target-0", end.send), holder)
 			got := r.send(t, http.MethodPost, "/r/x", "", nil)
 			require.NoError(t, got.err)
 			require.Equal(t, fiveEvents, got.body)
@@ -176,7 +154,7 @@
 		{upstream.FramedByClose, endsByClose, len(fiveEvents) / 2},
 	} {
 		t.Run(fmt.Sprintf("%s-%d", end.framing, end.bytes), func(t *testing.T) {
-			r := newRig(t, c, newCutStandin(t, "target-0", end))
+			r := newRig(t, c, newRawStandin(t, "target-0", end.send))
 			conn := dial(t, r)
 			_, err := io.WriteString(conn, "POST /r/x HTTP/1.0\r\nHost: example.test\r\nTest-Id: request-1\r\nTest-Key: key\r\nTest-Longest: 1000\r\nContent-Length: 0\r\n\r\n")
 			require.NoError(t, err)
--- a/internal/gateway/reason.go
+++ b/internal/gateway/reason.go
@@ -28,10 +28,11 @@
 	reasonTooLate      reason = "too-late" // the deadline passed before the first attempt
 	reasonStopping     reason = "stopping" // the request might not end before the gateway stops
 	reasonNoTarget     reason = "no-target"
-	reasonUnreachable  reason = "unreachable" // no connection to the last target could be made
-	reasonFull         reason = "full"        // the last target stated that it did not run the request
-	reasonCrowded      reason = "crowded"     // no engine has enough free memory
-	reasonMisdirected  reason = "misdirected" // another target answered at the address of the last one
+	reasonUnreachable  reason = "unreachable"  // no connection to the last target could be made
+	reasonFull         reason = "full"         // the last target stated that it did not run the request
+	reasonTargetsWait  reason = "targets-wait" // all targets asked to get no requests for a time
+	reasonCrowded      reason = "crowded"      // no engine has enough free memory
+	reasonMisdirected  reason = "misdirected"  // another target answered at the address of the last one
 )
 
 // refusal is the answer to a caller whose request no target has answered.
@@ -60,6 +61,7 @@
 	reasonNoTarget:     {status: http.StatusServiceUnavailable, retryAfter: 400 * time.Millisecond},
 	reasonUnreachable:  {status: http.StatusServiceUnavailable, retryAfter: 150 * time.Millisecond},
 	reasonFull:         {status: http.StatusServiceUnavailable, retryAfter: 150 * time.Millisecond},
+	reasonTargetsWait:  {status: http.StatusServiceUnavailable, retryAfter: 150 * time.Millisecond},
 	reasonCrowded:      {status: http.StatusServiceUnavailable, retryAfter: 800 * time.Millisecond},
 	reasonMisdirected:  {status: http.StatusServiceUnavailable, retryAfter: 50 * time.Millisecond},
 }
@@ -70,8 +72,8 @@
 	answer := refusals[why]
 	req.reason, req.status = why, answer.status
 	h := req.w.Header()
-	if answer.retryAfter > 0 {
-		req.server.dialect.SetRetryAfter(h, answer.retryAfter)
+	if after := max(answer.retryAfter, req.targetsReturn); after > 0 {
+		req.server.dialect.SetRetryAfter(h, after)
 	}
 	if answer.closing {
 		h.Set("Connection", "close")
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -45,6 +45,9 @@
 	reason   reason
 	status   int
 	aborted  bool // the caller's connection must be closed before the end of the answer
+	// targetsReturn is when the first target wants requests again, if all asked to get none and
+	// the request is refused for that.
+	targetsReturn time.Duration
 }
 
 // serve handles one request.
@@ -276,12 +279,16 @@
 }
 
 // refuseUnserved refuses a request that no target has served: with the given reason, or as
-// broken if a target may have run it.
+// broken if a target may have run it. If all targets asked to get no requests for a time, that
+// is the reason and the caller learns when to come back.
 func (req *request) refuseUnserved(why reason) {
 	if req.maybeRun {
 		req.refuse(reasonBroken)
 		return
 	}
+	if req.targetsReturn = req.server.earliestReturn(req.service); req.targetsReturn > 0 {
+		why = reasonTargetsWait
+	}
 	req.refuse(why)
 }
 
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -123,6 +123,7 @@
 		req.server.base.Log.Info("holder did not resume the run", "request", req.caller.ID, "target", holder.ID(), "status", response.StatusCode, "after", lastEvent)
 		return nil, balance.Abandoned
 	}
+	req.server.accepted(holder)
 	return &resumption{run: resumed, holder: holder, conn: conn, response: response, info: info}, balance.Served
 }
 
@@ -131,7 +132,7 @@
 	if err := conn.Send(req.outgoing(held.holder, resumed, resume)); err != nil {
 		return nil, err
 	}
-	return conn.ReadAnswer(req.r.Method, req.isAnswer)
+	return conn.ReadAnswer(req.r.Method, req.inspect(held.holder))
 }
 
 // cancelResumption cancels a resumption that is not needed, because the run's engine has sent
--- a/internal/gateway/standin_test.go
+++ b/internal/gateway/standin_test.go
@@ -34,6 +34,8 @@
 	testAfter   = "Test-After"
 	testNotRun  = "Test-Not-Run"
 	testLongest = "Test-Longest"
+	testLeaving = "Test-Leaving"
+	testWait    = "Test-Wait-Ms"
 )
 
 // dialect is a dialect with header names that only the tests use.
@@ -64,7 +66,11 @@
 }
 
 func (dialect) ReadAnswer(_ int, h http.Header) vanillaward.TargetAnswer {
-	return vanillaward.TargetAnswer{RequestID: h.Get(testID), NotRun: h.Get(testNotRun) != "", Closing: h.Get("Connection") == "close"}
+	wait, _ := strconv.Atoi(h.Get(testWait))
+	return vanillaward.TargetAnswer{
+		RequestID: h.Get(testID), NotRun: h.Get(testNotRun) != "", Closing: h.Get("Connection") == "close",
+		Leaving: h.Get(testLeaving) != "", Wait: time.Duration(wait) * time.Millisecond,
+	}
 }
 
 func (dialect) SetRetryAfter(h http.Header, after time.Duration) {
@@ -115,6 +121,38 @@
 	return slices.Clone(e.drops)
 }
 
+// newRawStandin returns a target that answers each request by a function and closes the
+// connection then.
+func newRawStandin(t *testing.T, id string, answer func(net.Conn, *http.Request)) *standin {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &standin{id: id, listener: listener}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serveRaw(conn, answer)
+		}
+	}()
+	return s
+}
+
+func (s *standin) serveRaw(conn net.Conn, answer func(net.Conn, *http.Request)) {
+	defer func() { _ = conn.Close() }()
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.seen = append(s.seen, request.Header)
+	s.mu.Unlock()
+	answer(conn, request)
+}
+
 // standin is a target with a given behaviour, such as a fault.
 type standin struct {
 	id        string
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -31,6 +31,9 @@
 	// fault affected the instance or the targets.
 	stopping bool
 	from, to time.Time
+	// signalsBefore and signalsAfter count the signals that the instance had received when the
+	// request was sent and when its answer had arrived.
+	signalsBefore, signalsAfter int
 	// undisturbed is set when no fault affected the instance during the request.
 	undisturbed bool
 }
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -466,12 +466,11 @@
 	t := c.target(s.subject)
 	switch s.fault {
 	case faultTargetFull:
-		t.SetFull(true)
+		t.RefuseFor(s.duration)
 		time.Sleep(s.duration)
-		t.SetFull(false)
 		return
 	case faultTargetEnd:
-		t.Leave()
+		t.Leave(s.duration%2 == 0)
 		time.Sleep(noticePeriod)
 	}
 	t.Kill()
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -92,6 +92,7 @@
 	r.answer = platformtest.Send(ctx, client, p.ip+":"+platformtest.CallerPort, r.request)
 	r.to = time.Now()
 	after := p.signalState()
+	r.signalsBefore, r.signalsAfter = before.count, after.count
 	r.undisturbed = after.count == before.count && !before.paused
 	r.stopping = after.count == before.count+1 && after.stopping && !before.paused && !before.stopping
 	l.mu.Lock()
@@ -203,6 +204,7 @@
 		r.stopping = r.stopping && l.cluster.noTargetFault(runs.Targets, r.from, r.to)
 		out = append(out, checkRecord(r, runs)...)
 	}
+	out = append(out, checkStatements(l.records, l.cluster.fleet.Statements(), l.cluster.fleet.Arrivals())...)
 	return append(out, l.cluster.fleet.Violations()...)
 }
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -121,6 +121,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_answer_ends_total{framing=%q,outcome=%q}", framing, outcome)).Inc()
 }
 
+// Statement counts a target's statement about itself in an answer.
+func (m *Metrics) Statement(statement string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_target_statements_total{statement=%q}", statement)).Inc()
+}
+
 // Refusal counts a refusal by its reason.
 func (m *Metrics) Refusal(reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_refusals_total{reason=%q}", reason)).Inc()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -110,16 +110,17 @@
 	return err
 }
 
-// ReadAnswer reads the head of the answer to the request. The function belongs
-// reports whether an answer belongs to the request; other answers are skipped. The
-// error matches ErrUnrelatedAnswer if only other answers were received.
-func (c *Conn) ReadAnswer(method string, belongs func(*http.Response) bool) (*http.Response, error) {
+// ReadAnswer reads the head of the answer to the request. The function inspect is called
+// with every head that is read, informational ones included, and reports whether an answer
+// belongs to the request; other answers are skipped. The error matches ErrUnrelatedAnswer if
+// only other answers were received.
+func (c *Conn) ReadAnswer(method string, inspect func(*http.Response) bool) (*http.Response, error) {
 	for range maxSkippedAnswers {
-		response, err := c.readHead(method)
+		response, belongs, err := c.readHead(method, inspect)
 		if err != nil {
 			return nil, err
 		}
-		if belongs(response) {
+		if belongs {
 			return response, nil
 		}
 		if _, err := io.CopyN(io.Discard, response.Body, maxSkippedBytes); !errors.Is(err, io.EOF) {
@@ -133,18 +134,19 @@
 }
 
 // readHead reads the head of the next final response and skips informational
-// responses.
-func (c *Conn) readHead(method string) (*http.Response, error) {
+// responses. It returns what inspect reports of the final one.
+func (c *Conn) readHead(method string, inspect func(*http.Response) bool) (*http.Response, bool, error) {
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, err
+			return nil, false, err
 		}
+		belongs := inspect(response)
 		if response.StatusCode >= http.StatusOK {
-			return response, nil
+			return response, belongs, nil
 		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("target switched protocols, which is not supported")
+			return nil, false, errors.New("target switched protocols, which is not supported")
 		}
 	}
 }
--- a/vanillaward.go
+++ b/vanillaward.go
@@ -237,4 +237,9 @@
 	// KeepFor is how long the target keeps the connection open while idle; 0 when the
 	// header is absent.
 	KeepFor time.Duration
+	// Leaving is true when the target states that it is leaving.
+	Leaving bool
+	// Wait is how long the target wants no further request from this instance; 0 for no such
+	// wish. Only refusals state it.
+	Wait time.Duration
 }
