Trace: compare all tokens of a later run, one was left out

Cause: the check let the last token of the first run go uncompared in a later run, so a trace that joins two runs after it passed. The line at which a stop began was kept and never read. Before: broken-one-token-not-compared.jsonl, no violation found. After: found at its line; all other traces as before (a recorded run withholds and compares every token delivered).

--- a/internal/trace/check.go
+++ b/internal/trace/check.go
@@ -51,7 +51,7 @@
 func Check(events []Event) []Violation {
 	c := &checker{
 		requests: map[string]*requestState{}, runsByKey: map[string]int{}, leaving: map[string]int64{},
-		versions: map[string]uint64{}, accepted: map[uint64]*Event{}, stopping: map[string]int{},
+		versions: map[string]uint64{}, accepted: map[uint64]*Event{},
 	}
 	for i := range events {
 		c.step(&events[i])
@@ -79,7 +79,6 @@
 	leaving    map[string]int64  // time in milliseconds at which a target began to leave
 	versions   map[string]uint64 // version in force, by instance
 	accepted   map[uint64]*Event
-	stopping   map[string]int // line of the event that began the stop, by instance
 	violations []Violation
 }
 
@@ -148,7 +147,7 @@
 	if e.Index != r.delivered {
 		c.report(e.line, OneGeneration, "token %d follows %d tokens", e.Index, r.delivered)
 	}
-	if !r.buffered && r.generation != 0 && e.Generation != r.generation && r.compared[e.Generation] < r.delivered-1 {
+	if !r.buffered && r.generation != 0 && e.Generation != r.generation && r.compared[e.Generation] < r.delivered {
 		c.report(e.line, OneGeneration, "run %d follows run %d without comparison of the first %d tokens", e.Generation, r.generation, r.delivered)
 	}
 	r.generation = e.Generation
@@ -202,7 +201,6 @@
 // stop checks that every request of an instance has an outcome when its stop ends.
 func (c *checker) stop(e *Event) {
 	if e.Note != "end" {
-		c.stopping[e.Instance] = e.line
 		return
 	}
 	for _, id := range c.arrivals {
--- a/internal/trace/names.go
+++ b/internal/trace/names.go
@@ -5,7 +5,7 @@
 var (
 	lossNames    = []string{"link", "generation", "refused", "unsent"}
 	stepNames    = []string{"resume", "restart", "end"}
-	verdictNames = []string{"pass", "drop", "withhold", "gap", "diverged"}
+	verdictNames = []string{"pass", "drop", "withhold", "gap", "diverged", "excess"}
 )
 
 // LossName returns the name of a loss as written in traces.
