--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -75,6 +75,8 @@
 	// Diverged means that a later run differs from the tokens that the caller
 	// already has.
 	Diverged
+	// Excess means that more tokens were received than the target says the run has.
+	Excess
 )
 
 // Policy bounds the attempts at one request.
@@ -195,6 +197,8 @@
 		return Drop
 	case total > c.next:
 		return Gap
+	case total < c.next:
+		return Excess
 	case c.next < c.passed:
 		c.diverged = true // the caller already has more tokens than this run produced
 		return Diverged
--- a/internal/engineapi/load.go
+++ b/internal/engineapi/load.go
@@ -42,7 +42,10 @@
 // ReadLoad reads the load report of the engine at an address.
 func ReadLoad(ctx context.Context, client *http.Client, address string) (*Load, error) {
 	out := &Load{}
-	return out, GetJSON(ctx, client, "http://"+address+"/load", maxLoadBytes, out)
+	if err := GetJSON(ctx, client, "http://"+address+"/load", maxLoadBytes, out); err != nil {
+		return nil, err
+	}
+	return out, nil
 }
 
 // GetJSON reads a JSON document of at most limit bytes into to. It returns an error if
--- a/internal/engineapi/stream.go
+++ b/internal/engineapi/stream.go
@@ -98,7 +98,10 @@
 		return false, -1
 	}
 	index, err := strconv.Atoi(string(rest))
-	return err == nil, index
+	if err != nil || index < 0 {
+		return false, -1
+	}
+	return true, index
 }
 
 // Buffered reports whether the next event has already been received completely.
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -235,6 +235,8 @@
 		return false, newLossError(delivery.LostLink, errors.New("tokens are missing"))
 	case delivery.Diverged:
 		return false, newLossError(delivery.LostGeneration, errDiverged)
+	case delivery.Excess:
+		return false, newLossError(delivery.LostGeneration, errors.New("the target counts fewer tokens than it sent"))
 	case delivery.Drop:
 		return false, nil
 	}
