Control: a call of a caller that has left is not run

Cause: a call queued at a replica ran after its caller's context had ended, and wrote variables that the caller used (Identity, LogStatus, validate); a proposal of a caller that had left was still put into the log. Change: the replica takes the call or the caller leaves, whichever is first; after an error the call has not run and never will. Before: TestCancelledCall, the identity "only" written after the caller had its error. After: green 50 times with the race detector.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -14,12 +15,23 @@
 )
 
 // do runs a function in the goroutine that owns the replica and waits until it has run.
-// It returns ErrStopped if the replica stops before that, or the error of the context.
+// It returns ErrStopped if the replica stops before that, or the error of the context. After an
+// error the function has not run and never will, so that it may write variables of the caller.
 func (n *Node) do(ctx context.Context, call func()) error {
 	done := make(chan struct{})
+	var taken atomic.Bool // by the replica, which runs the call, or by the caller, which leaves
 	wrapped := func() {
-		call()
-		close(done)
+		if taken.CompareAndSwap(false, true) {
+			call()
+			close(done)
+		}
+	}
+	leave := func(err error) error {
+		if taken.CompareAndSwap(false, true) {
+			return err
+		}
+		<-done // the call is running or has run
+		return nil
 	}
 	select {
 	case n.inbox <- wrapped:
@@ -32,9 +44,9 @@
 	case <-done:
 		return nil
 	case <-n.stopped:
-		return ErrStopped
+		return leave(ErrStopped)
 	case <-ctx.Done():
-		return ctx.Err()
+		return leave(ctx.Err())
 	}
 }
 
