Balance: a target that comes back on the list is not left out for good

Cause: a plain service that had stated that it is leaving, was never listed so, and started anew under its id and address within 10 s stayed left out as long as it was listed. And a statement that a target made after it was listed again was ended when that had lasted 10 s. Change: a target that is listed again counts as listed since then, and only statements from before end after 10 s.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -116,7 +116,7 @@
 	leavingSince   time.Duration // since when it is known to be leaving
 	startedMs      uint64        // when it started, by its own clock; 0 if unknown
 	stated         statements
-	readySince     time.Duration // since when the list shows it as ready after it was leaving; 0 if it never was
+	readySince     time.Duration // since when the list shows it as ready again, after it was leaving or not listed; 0 for all along
 	warmupUntil    time.Duration // until when it is warming up
 
 	open         int     // requests of this instance
--- a/internal/balance/statements.go
+++ b/internal/balance/statements.go
@@ -56,6 +56,7 @@
 	}
 	if d, ok := b.departed[key]; ok && now <= d.until {
 		delete(b.departed, key)
+		d.target.readySince = now // it may have started anew
 		return d.target
 	}
 	return &Target{id: l.GetId(), service: l.GetService(), address: l.GetAddress()}
@@ -85,7 +86,8 @@
 	case t.leaving:
 		t.readySince = now
 	case t.readySince > 0 && now > t.readySince+staleListDuration:
-		t.stated, t.readySince = statements{}, 0
+		t.endStatements(t.readySince)
+		t.readySince = 0
 	}
 	t.leaving = leaving
 }
@@ -174,12 +176,20 @@
 	return t.asksToWait(now) && t.stated.probes < maxProbes
 }
 
+// endStatements ends the statements of an earlier generation: if the last one was made after a
+// time at which that generation may have been over, all are kept.
+func (t *Target) endStatements(over time.Duration) {
+	if t.stated.at <= over {
+		t.stated = statements{}
+	}
+}
+
 // noteStart records when the target started, as a report states it. A later start than before
 // ends the statements made until the time that the last report described; later ones may be of
 // the new generation. A report without a start changes nothing.
 func (t *Target) noteStart(startedMs uint64, lastReport time.Duration) {
-	if t.startedMs != 0 && startedMs > t.startedMs && t.stated.at <= lastReport {
-		t.stated = statements{}
+	if t.startedMs != 0 && startedMs > t.startedMs {
+		t.endStatements(lastReport)
 	}
 	t.startedMs = max(t.startedMs, startedMs)
 }
