--- a/internal/telemetry/writer.go
+++ b/internal/telemetry/writer.go
@@ -22,7 +22,7 @@
 )
 
 // Writer writes lines without blocking its caller. Lines beyond its bounds
-// are dropped and counted; the count is written with the next line.
+// are dropped and counted; the count is written with the next line, or at the end.
 type Writer struct {
 	out     io.Writer
 	limit   *rate.Limiter
@@ -72,11 +72,17 @@
 func (w *Writer) run() {
 	defer close(w.done)
 	for line := range w.lines {
-		if n := w.dropped.Swap(0); n > 0 {
-			_, _ = fmt.Fprintf(w.out, "{\"level\":0,\"msg\":\"log lines dropped\",\"lines\":%d}\n", n) // the error cannot be reported anywhere
-		}
+		w.reportDropped()
 		_, _ = w.out.Write(line) // the error cannot be reported anywhere
 	}
+	w.reportDropped()
+}
+
+// reportDropped writes how many lines were dropped since the last report, if any were.
+func (w *Writer) reportDropped() {
+	if n := w.dropped.Swap(0); n > 0 {
+		_, _ = fmt.Fprintf(w.out, "{\"level\":0,\"msg\":\"log lines dropped\",\"lines\":%d}\n", n) // the error cannot be reported anywhere
+	}
 }
 
 // Close writes the queued lines, for at most closeTimeout. Later lines are dropped.
--- a/internal/telemetry/writer_test.go
+++ b/internal/telemetry/writer_test.go
@@ -1,7 +1,9 @@
 package telemetry_test
 
 import (
+	"encoding/json"
 	"io"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -26,6 +28,35 @@
 	return w.text.Write(b)
 }
 
+// TestDropsAfterLastLine guards against dropped lines that no line reports, since none followed.
+func TestDropsAfterLastLine(t *testing.T) {
+	out := &blockedWriter{release: make(chan struct{})}
+	close(out.release)
+	w := telemetry.NewWriter(out)
+	const lines = 5000 // more than the limit admits at once
+	for range lines {
+		_, _ = io.WriteString(w, "line\n")
+		runtime.Gosched() // lets the line be written before the next one is dropped
+	}
+	w.Close()
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	written, reported := 0, int64(0)
+	for line := range strings.Lines(out.text.String()) {
+		if line == "line\n" {
+			written++
+			continue
+		}
+		var report struct {
+			Lines int64 `json:"lines"`
+		}
+		require.NoError(t, json.Unmarshal([]byte(line), &report))
+		reported += report.Lines
+	}
+	require.Positive(t, reported)
+	require.EqualValues(t, lines, int64(written)+reported)
+}
+
 // TestWriterNeverBlocks checks that an output that blocks causes dropped lines but does
 // not delay the caller, and that the number of dropped lines is logged with the next line.
 func TestWriterNeverBlocks(t *testing.T) {
