Settings: a size that is too large is refused; replog: an unused field goes

Cause: a size such as 8589934592GiB overflowed into a negative one. The time of an election was written and never read. Before: TestSizes, no error for three of the texts. After: green. No setting in use changes.

--- a/internal/inifile/decode.go
+++ b/internal/inifile/decode.go
@@ -1,6 +1,7 @@
 package inifile
 
 import (
+	"math"
 	"net/netip"
 	"reflect"
 	"slices"
@@ -197,6 +198,9 @@
 		if err != nil || n < 0 {
 			break
 		}
+		if n > math.MaxInt64/u.size {
+			return 0, errors.Errorf("%q is too large", text)
+		}
 		return Bytes(n * u.size), nil
 	}
 	return 0, errors.Errorf("%q is not a size with a unit, such as 64KiB or 8MiB", text)
--- a/internal/replog/core.go
+++ b/internal/replog/core.go
@@ -61,7 +61,6 @@
 	round           uint64
 	roundTime       map[uint64]time.Duration
 	nextHeartbeat   time.Duration
-	electedAt       time.Duration
 	leaseStart      time.Duration
 	hasLease        bool
 
--- a/internal/replog/election.go
+++ b/internal/replog/election.go
@@ -123,7 +123,6 @@
 func (c *Core) becomeLeader() {
 	c.become(Leader, c.term)
 	c.leader = c.id
-	c.electedAt = c.now
 	c.replicaProgress = map[string]*progress{}
 	c.roundTime = map[uint64]time.Duration{}
 	c.hasLease = false
