Soak: no two locks are held in opposite orders

Cause: the watcher of a process took the cluster's lock while it held the process's, and the loss of a disk the other way round, for as long as the process was down; recorded times of other faults waited for it. Change: the watcher records after it has let its lock go; losses of disks have a lock of their own.

--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -35,6 +35,7 @@
 	client    *http.Client
 	processes map[string]*process
 	closeOnce sync.Once
+	wipeMu    sync.Mutex // held while a replica loses its disk, so that one does at a time; taken before the other locks
 
 	mu             sync.Mutex // guards the rest
 	targets        map[string]*platformtest.Target
@@ -212,11 +213,12 @@
 	err := command.Wait()
 	_ = log.Close() // no check reads the log
 	p.mu.Lock()
-	if !p.exitExpected {
-		c.addFinding("%s exited unexpectedly: %v", p.name, err)
-	}
+	expected := p.exitExpected
 	p.command = nil
 	p.mu.Unlock()
+	if !expected {
+		c.addFinding("%s exited unexpectedly: %v", p.name, err)
+	}
 	close(exited)
 }
 
@@ -350,18 +352,18 @@
 // guarantees to survive the loss of one disk once the log has recovered from the previous
 // loss.
 func (c *cluster) wipe(p *process, downtime time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock() // one disk loss at a time
+	c.wipeMu.Lock()
+	defer c.wipeMu.Unlock()
 	if !c.hasAllVoters() {
 		return
 	}
 	p.kill()
 	if err := os.RemoveAll(p.dataFolder); err != nil {
-		c.findings = append(c.findings, err.Error())
+		c.addFinding("cannot remove the disk of %s: %v", p.name, err)
 	}
 	time.Sleep(downtime)
 	if err := c.start(p, false); err != nil {
-		c.findings = append(c.findings, err.Error())
+		c.addFinding("cannot start %s: %v", p.name, err)
 	}
 	for range 100 { // the next loss waits until the log has recovered from this one, or is skipped
 		if c.hasAllVoters() {
