--- a/internal/entry/relay_bench_test.go
+++ b/internal/entry/relay_bench_test.go
@@ -9,8 +9,10 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
 
 	"github.com/vanillaward/vanillaward/internal/base"
 	"github.com/vanillaward/vanillaward/internal/config"
@@ -40,38 +42,51 @@
 	return mux
 }
 
-// BenchmarkRelay relays one stream over loopback; one operation is one token. Engine,
-// entry and caller share the process, so the result is the cost of all three;
-// scripts/capacity.sh measures the entry alone.
-func BenchmarkRelay(b *testing.B) {
-	engine := httptest.NewServer(benchEngine(b.N))
-	defer engine.Close()
+// startServer starts a server before one engine that serves the model m to the key k, with a
+// deadline for requests. The returned function ends it.
+func startServer(tb testing.TB, engineAddress string, deadline time.Duration) (address string, stop func()) {
+	tb.Helper()
 	store := config.NewStore()
 	texts := []*wire.SectionEdit{
 		{Id: "failure-domain d", Text: "[failure-domain d]\nkeepers = k@127.0.0.1:1\n"},
-		{Id: "class c", Text: "[class c]\nidempotent = true\n"},
+		{Id: "class c", Text: "[class c]\nidempotent = true\ndeadline = " + deadline.String() + "\n"},
 		{Id: "service s", Text: "[service s]\nkind = generation\nmodel = m\ndefault-class = c\n"},
 		{Id: "organisation o", Text: "[organisation o]\nkey-hashes = " + declaration.HashKey("k") + "\n"},
-		{Id: "target t", Text: "[target t]\nkind = engine\nfailure-domain = d\nmodel = m\naddress = " + engine.Listener.Addr().String() + "\n"},
+		{Id: "target t", Text: "[target t]\nkind = engine\nfailure-domain = d\nmodel = m\naddress = " + engineAddress + "\n"},
 	}
-	if err := store.Reset(1, texts); err != nil {
-		b.Fatal(err)
-	}
-	s, _ := settings.Parse("bench", []byte("[instance]\nname = i\n[entry]\nload-interval = 10ms\nreadiness-delay = 0s\n"))
+	require.NoError(tb, store.Reset(1, texts))
+	s, _ := settings.Parse("test", []byte("[instance]\nname = i\n[entry]\nload-interval = 10ms\nreadiness-delay = 0s\n"))
 	shared := base.Base{Log: logr.Discard(), Settings: s, Timers: timer.New(), Metrics: telemetry.NewMetrics()}
 	server := New(shared, store, nil, nil, 1)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
+	require.NoError(tb, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := server.Run(ctx, listener)
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+listener.Addr().String()+"/v1/completions",
-		strings.NewReader(`{"model":"m","prompt":"p","stream":true}`))
-	if err != nil {
-		b.Fatal(err)
+	return listener.Addr().String(), func() {
+		cancel()
+		_ = server.httpServer.Close() // the test is over
+		require.NoError(tb, <-done)
 	}
+}
+
+// completionRequest returns a caller's request for a completion.
+func completionRequest(tb testing.TB, address string, stream bool) *http.Request {
+	tb.Helper()
+	body := fmt.Sprintf(`{"model":"m","prompt":"p","stream":%t}`, stream)
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+address+"/v1/completions", strings.NewReader(body))
+	require.NoError(tb, err)
 	r.Header.Set("Authorization", "Bearer k")
+	return r
+}
+
+// BenchmarkRelay relays one stream over loopback; one operation is one token. Engine,
+// entry and caller share the process, so the result is the cost of all three;
+// scripts/capacity.sh measures the entry alone.
+func BenchmarkRelay(b *testing.B) {
+	engine := httptest.NewServer(benchEngine(b.N))
+	defer engine.Close()
+	address, stop := startServer(b, engine.Listener.Addr().String(), time.Minute)
+	r := completionRequest(b, address, true)
 	b.ReportAllocs()
 	b.ResetTimer()
 	response, err := http.DefaultClient.Do(r)
@@ -88,9 +103,5 @@
 	if err := response.Body.Close(); err != nil || tokens != b.N {
 		b.Fatalf("%d of %d tokens: %v", tokens, b.N, err)
 	}
-	cancel()
-	_ = server.httpServer.Close() // the benchmark is over
-	if err := <-done; err != nil {
-		b.Fatal(err)
-	}
+	stop()
 }
