--- a/internal/gateway/statements_test.go
+++ b/internal/gateway/statements_test.go
@@ -16,7 +16,8 @@
 
 const (
 	statedLeaving = testLeaving + ": 1\r\n"
-	refusedHead   = "HTTP/1.1 503 X\r\n" + testNotRun + ": 1\r\nContent-Length: 0\r\n"
+	// refusedHead is the beginning of a refusal by a target that closes the connection then.
+	refusedHead = "HTTP/1.1 503 X\r\nConnection: close\r\n" + testNotRun + ": 1\r\nContent-Length: 0\r\n"
 )
 
 // TestLeavingStatedInAnyAnswer guards against requests to a target that has stated, in whatever
@@ -40,7 +41,8 @@
 			t.Parallel()
 			leaving := newRawStandin(t, "target-0", func(conn net.Conn, _ *http.Request) { _, _ = conn.Write([]byte(c.answer)) })
 			other := newRawStandin(t, "target-1", func(conn net.Conn, _ *http.Request) {
-				_, _ = conn.Write([]byte("HTTP/1.1 200 X\r\nContent-Length: " + strconv.Itoa(len(fiveEvents)) + "\r\n\r\n" + fiveEvents))
+				// Without a length, since it closes the connection, which must not be used again.
+				_, _ = conn.Write([]byte("HTTP/1.1 200 X\r\n\r\n" + fiveEvents))
 			})
 			config := configuration(1, c.kind, 1, 3*time.Second)
 			config.Services[0].ContinuousCopies, config.Services[0].Moves = false, false
