Peer: bytes are counted as they pass, and a call that is not answered says how many did

Change: connections count in both directions as bytes pass; a call whose context ends names them. Credentials take a dial function, for a network in memory with narrow links (peertest). Ruled out: counting in the codec at each message's start, which says nothing of how far it came.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"net/rpc"
 	"sync"
@@ -32,9 +33,24 @@
 
 type connection struct {
 	rpc      *rpc.Client
+	conn     *meteredConn
 	answered atomic.Int64 // number of calls that were answered
 }
 
+// UnansweredError is returned for a call whose context ended before the response was complete.
+type UnansweredError struct {
+	passed int64
+	err    error
+}
+
+// Error implements error.
+func (e *UnansweredError) Error() string {
+	return fmt.Sprintf("%v, %d bytes passed meanwhile", e.err, e.passed)
+}
+
+// Unwrap returns the context's error.
+func (e *UnansweredError) Unwrap() error { return e.err }
+
 // NewClient returns a client for the peer at the address.
 func NewClient(address netip.AddrPort, creds *Credentials, traffic *Traffic) *Client {
 	return &Client{address: address, creds: creds, traffic: traffic}
@@ -45,14 +61,14 @@
 
 // Call sends the request and waits for the response or the end of the context. It returns
 // an error that matches ErrUnreachable if no connection could be made, an
-// rpc.ServerError if the peer answered with an error, and the context's error if the
+// rpc.ServerError if the peer answered with an error, and an UnansweredError if the
 // context ended first. After any other error the call may or may not have arrived.
 func (c *Client) Call(ctx context.Context, method string, request, response proto.Message) error {
 	conn, err := c.connect(ctx)
 	if err != nil {
 		return err
 	}
-	answeredBefore := conn.answered.Load()
+	answeredBefore, passedBefore := conn.answered.Load(), conn.conn.passed()
 	call := conn.rpc.Go(method, request, response, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
@@ -63,7 +79,7 @@
 		if conn.answered.Load() == answeredBefore {
 			c.drop(conn)
 		}
-		return ctx.Err()
+		return &UnansweredError{passed: conn.conn.passed() - passedBefore, err: ctx.Err()}
 	}
 }
 
@@ -83,11 +99,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := c.creds.dial(ctx, c.address.String())
+	conn, err := c.creds.connect(ctx, c.address.String())
 	if err != nil {
 		return nil, errors.Wrapf(ErrUnreachable, "%s: %v", c.address, err)
 	}
-	c.current = &connection{rpc: rpc.NewClientWithCodec(&clientCodec{newFramer(conn, c.traffic)})}
+	metered := newMeteredConn(conn, c.traffic)
+	c.current = &connection{conn: metered, rpc: rpc.NewClientWithCodec(&clientCodec{newFramer(metered, c.traffic)})}
 	return c.current, nil
 }
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/rpc"
 	"sync/atomic"
-	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -22,10 +21,6 @@
 
 const lengthBytes = 4
 
-// writeTimeout bounds writing one message. A call waits for its write regardless of its
-// context, and a peer behind a network partition reads nothing.
-const writeTimeout = 5 * time.Second
-
 // ErrTooLarge is returned for a message over MaxMessageBytes.
 var ErrTooLarge = errors.New("message is over the size bound")
 
@@ -38,6 +33,7 @@
 }
 
 // Sent returns the bytes written to connections, without the overhead of encryption.
+// Bytes of messages that were not complete count too, here and in Received.
 func (t *Traffic) Sent() int64 { return t.sent.Load() }
 
 // Received returns the bytes read from connections, without the overhead of encryption.
@@ -48,14 +44,14 @@
 
 // framer reads and writes length-prefixed protobuf messages.
 type framer struct {
-	conn    io.ReadWriteCloser
+	conn    *meteredConn
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	traffic *Traffic
 	buffer  []byte
 }
 
-func newFramer(conn io.ReadWriteCloser, traffic *Traffic) *framer {
+func newFramer(conn *meteredConn, traffic *Traffic) *framer {
 	return &framer{
 		conn: conn, traffic: traffic,
 		reader: bufio.NewReader(conn), writer: bufio.NewWriter(conn),
@@ -76,7 +72,6 @@
 	if _, err := f.writer.Write(length[:]); err != nil {
 		return err
 	}
-	f.traffic.sent.Add(int64(lengthBytes + len(body)))
 	f.traffic.messages.Add(1)
 	_, err = f.writer.Write(body)
 	return err
@@ -95,7 +90,6 @@
 	if _, err := io.ReadFull(f.reader, body); err != nil {
 		return err
 	}
-	f.traffic.received.Add(int64(lengthBytes) + int64(n))
 	return errors.Wrap(proto.Unmarshal(body, m), "malformed message")
 }
 
@@ -160,11 +154,6 @@
 	if !ok {
 		m = &wire.Empty{}
 	}
-	if bounded, ok := f.conn.(interface{ SetWriteDeadline(time.Time) error }); ok {
-		if err := bounded.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-			return err
-		}
-	}
 	if err := f.write(header); err != nil {
 		return err
 	}
--- a/internal/peer/credentials.go
+++ b/internal/peer/credentials.go
@@ -32,6 +32,7 @@
 	folder string
 	plain  bool
 	dialer net.Dialer
+	dial   Dial
 
 	mu      sync.Mutex // guards the rest; never held while another lock is taken
 	modTime time.Time
@@ -69,10 +70,26 @@
 	return c, nil
 }
 
+// Dial opens a connection to an address.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Option configures credentials.
+type Option func(*Credentials)
+
+// WithDial sets how connections are opened, instead of by the operating system.
+func WithDial(dial Dial) Option { return func(c *Credentials) { c.dial = dial } }
+
 // PlainCredentials returns credentials for a deployment on an isolated network:
 // connections between its processes are neither encrypted nor authenticated, and
 // every peer is treated as an instance.
-func PlainCredentials() *Credentials { return &Credentials{plain: true} }
+func PlainCredentials(options ...Option) *Credentials {
+	c := &Credentials{plain: true}
+	c.dial = c.dialer.DialContext
+	for _, option := range options {
+		option(c)
+	}
+	return c
+}
 
 // SetSourceAddress sets the source address of outgoing connections. It must be called
 // before the first connection is opened. An invalid address changes nothing.
@@ -82,10 +99,10 @@
 	}
 }
 
-// dial connects to a peer.
-func (c *Credentials) dial(ctx context.Context, address string) (net.Conn, error) {
+// connect connects to a peer.
+func (c *Credentials) connect(ctx context.Context, address string) (net.Conn, error) {
 	if c.plain {
-		return c.dialer.DialContext(ctx, "tcp", address)
+		return c.dial(ctx, "tcp", address)
 	}
 	return (&tls.Dialer{NetDialer: &c.dialer, Config: c.client()}).DialContext(ctx, "tcp", address)
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -102,7 +102,7 @@
 		_ = conn.Close()
 		return
 	}
-	rpcServer.ServeCodec(&serverCodec{newFramer(secure, s.traffic)})
+	rpcServer.ServeCodec(&serverCodec{newFramer(newMeteredConn(secure, s.traffic), s.traffic)})
 }
 
 // newRPCServer returns an RPC server for one connection, whose receivers know the
