Follow: documents come from one replica, piece by piece, as what changed

Cause: each of the three replicas that an instance follows sent it each whole document in the answer to a poll of at most 1.2 s. Three copies took 1.33 s, all polls ended before that, and all began again. The class: a transfer that is slower than its call begins again from the beginning, and one fact is sent by all who know it. Change: a replica names the number of its document; the instance fetches it from one replica, in pieces of 8 KB between which lists pass, as the difference to the document that it holds (internal/difference, knows no format), compressed. A transfer that was interrupted goes on, at another replica too; a digest proves the result, one that does not match leads to the whole. Polls and pieces have no fixed time any more but end when nothing passes. Documents are decoded outside the lock that lists need. Instances and replicas of before work with those of now: they get whole documents as they did. Weighed: only a longer time for polls (three copies still take 1.33 s and lists wait behind them); one replica that sends whole documents (1 KB of news costs 552 KB); sections as in declared deployments (the product does not know the parts of an operator's document).

--- a/internal/control/documents.go
+++ b/internal/control/documents.go
@@ -24,9 +24,11 @@
 const (
 	// MethodFollow is the method that returns the updates that an instance lacks.
 	MethodFollow = "Control.Follow"
-	methodOffer  = "Control.Offer"
-	methodRead   = "Control.ReadDocument"
-	methodJoin   = "Control.Join"
+	// MethodFetch is the method that returns a piece of the transfer of a document.
+	MethodFetch = "Control.Fetch"
+	methodOffer = "Control.Offer"
+	methodRead  = "Control.ReadDocument"
+	methodJoin  = "Control.Join"
 	// forwardedReason is the error text that the peer receives if its forwarded join
 	// request reaches a replica that does not lead.
 	forwardedReason = "the question was handed on once already"
@@ -133,6 +135,7 @@
 	answer.Others = s.uses.sumsExcluding(request.GetInstance(), s.timers.Now())
 	answer.Fresh, answer.Replicas = status.LeaderReachable(), status.Addresses()
 	answer.Document, answer.Targets = got.GetDocument(), got.GetTargets()
+	answer.DocumentNumber = got.GetDocumentNumber()
 	answer.ListEpoch, answer.ListVersion = got.GetListEpoch(), got.GetListVersion()
 	answer.ListChanged, answer.ListAgeMs = got.GetListChanged(), got.GetListAgeMs()
 	answer.Loads, answer.LoadsVersion = got.GetLoads(), got.GetLoadsVersion()
@@ -141,6 +144,20 @@
 	return nil
 }
 
+// Fetch returns a piece of the transfer of a document.
+func (c *controlCalls) Fetch(request *wire.FetchRequest, answer *wire.FetchResponse) error {
+	if err := c.instanceOnly(); err != nil {
+		return err
+	}
+	got, err := c.service.publisher.Fetch(request)
+	if err != nil {
+		return err
+	}
+	answer.Number, answer.Base, answer.Digest = got.GetNumber(), got.GetBase(), got.GetDigest()
+	answer.TransferBytes, answer.Offset, answer.Data = got.GetTransferBytes(), got.GetOffset(), got.GetData()
+	return nil
+}
+
 func (s *Service) recordFollower(r *wire.FollowRequest) {
 	now := s.timers.Now()
 	s.mu.Lock()
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -14,9 +14,10 @@
 // configuration document in force, the platform's list of targets and the engines'
 // reports. It is safe for concurrent use.
 type Publisher struct {
-	epoch uint64
+	epoch   uint64
+	archive archive
 
-	mu           sync.Mutex // guards the rest; never held while another lock is taken
+	mu           sync.Mutex // guards the rest; taken before the archive's lock
 	document     *wire.Document
 	targets      []*wire.Target
 	version      uint64                // version of the list of targets, incremented when the list changes
@@ -40,10 +41,16 @@
 	if d.GetNumber() <= p.document.GetNumber() {
 		return
 	}
+	p.archive.add(d)
 	p.document = d
 	p.notifyFollowers()
 }
 
+// Fetch returns a piece of the transfer of a document.
+func (p *Publisher) Fetch(r *wire.FetchRequest) (*wire.FetchResponse, error) {
+	return p.archive.piece(r)
+}
+
 // PublishTargets publishes a complete reading of the list of targets. Changed reports
 // whether it differs from the previous reading.
 func (p *Publisher) PublishTargets(targets []*wire.Target, changed bool, now time.Duration) {
@@ -107,7 +114,8 @@
 	defer timeout.Stop()
 	for {
 		answer, changed := p.updatesFor(r, now())
-		if answer.GetDocument() != nil || answer.GetListChanged() {
+		unheard := r.GetFetchesDocuments() && answer.GetDocumentNumber() > r.GetDocumentHeard()
+		if unheard || answer.GetDocument() != nil || answer.GetListChanged() {
 			return answer
 		}
 		select {
@@ -126,8 +134,8 @@
 func (p *Publisher) updatesFor(r *wire.FollowRequest, now time.Duration) (*wire.FollowResponse, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	answer := &wire.FollowResponse{ListEpoch: p.epoch, ListVersion: p.version}
-	if p.document.GetNumber() > r.GetDocument() {
+	answer := &wire.FollowResponse{ListEpoch: p.epoch, ListVersion: p.version, DocumentNumber: p.document.GetNumber()}
+	if p.document.GetNumber() > r.GetDocument() && !r.GetFetchesDocuments() {
 		answer.Document = p.document
 	}
 	if p.version > 0 {
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -34,8 +34,10 @@
 	// leaderRetryDelay is the time for which a replica that failed as the leader is not
 	// preferred as the leader again.
 	leaderRetryDelay = time.Second
-	// responseMargin is added to longPollWait to get the timeout of a poll.
+	// responseMargin is added to longPollWait to get the time for which a connection may be silent
+	// during a poll. maxPollTime bounds a poll over a connection that is slow.
 	responseMargin = 300 * time.Millisecond
+	maxPollTime    = 30 * time.Second
 	// retryDelay is the delay before the next replica is tried after a failure.
 	retryDelay = 100 * time.Millisecond
 	// lostAfter is the time without a current replica after which the loss of control is
@@ -50,8 +52,9 @@
 type Sink interface {
 	// Number returns the number of the current document, or 0 if there is none.
 	Number() uint64
-	// Install puts a document in force. It is not called concurrently. An error is logged, and
-	// the previous document stays in force.
+	// Install puts a document in force. It is not called concurrently, and while no lock of the
+	// follower is held that other updates need. An error is logged, and the previous document stays
+	// in force.
 	Install(d *wire.Document) error
 	// UpdateTargets replaces the list of targets.
 	UpdateTargets(list []*wire.Target)
@@ -80,14 +83,17 @@
 	seeds  func() []string
 	sink   Sink
 
-	mu             sync.Mutex // guards the fields below; held while the sink is called
+	documents documents
+
+	mu             sync.Mutex // guards the fields below; held while the sink is called, except for Install
 	replicas       []string
 	lastSeeds      []string        // result of the last call of seeds
 	followed       map[string]bool // replicas that are followed at present
 	leader         string          // address of the leader, empty if unknown
 	failedLeader   string          // address of the leader that failed last
 	leaderFailedAt time.Duration
-	usesInterval   time.Duration // interval at which the leader receives the uses
+	usesInterval   time.Duration     // interval at which the leader receives the uses
+	heard          map[string]uint64 // number of the document that each replica has
 	lists          map[string]*targetList
 	exchanges      map[string]*exchange
 	statuses       map[string]string // last logged status by replica: current, behind or lost
@@ -110,7 +116,8 @@
 	return &Follower{
 		log: log, timers: timers, peers: peers, name: name, domain: domain, seeds: seeds, sink: sink,
 		usesInterval: minUsesInterval, followed: map[string]bool{}, lists: map[string]*targetList{}, exchanges: map[string]*exchange{},
-		statuses: map[string]string{}, currentAt: timers.Now(),
+		statuses: map[string]string{}, currentAt: timers.Now(), heard: map[string]uint64{},
+		documents: documents{news: make(chan struct{}, 1)},
 	}
 }
 
@@ -123,6 +130,7 @@
 		for i := range followedReplicas {
 			wg.Go(func() { f.followLoop(ctx, i) })
 		}
+		wg.Go(func() { f.fetchLoop(ctx) })
 		wg.Wait()
 		done <- nil
 	}()
@@ -197,6 +205,9 @@
 			return
 		}
 		f.handleResponse(address, resp)
+		if d := resp.GetDocument(); d != nil { // of a replica that cannot send pieces
+			f.install(d)
+		}
 		if !resp.GetFresh() || f.needsLeader() {
 			return
 		}
@@ -222,8 +233,10 @@
 func (f *Follower) poll(ctx context.Context, client *peer.Client, address string, first bool) (*wire.FollowResponse, error) {
 	request := &wire.FollowRequest{
 		Instance: f.name, FailureDomain: f.domain, Document: f.sink.Number(), WaitMs: uint64(longPollWait.Milliseconds()),
+		FetchesDocuments: true,
 	}
 	f.mu.Lock()
+	request.DocumentHeard = f.heard[address]
 	isLeader := address == f.leader
 	if first || isLeader {
 		request.WaitMs = 0
@@ -242,10 +255,10 @@
 		request.Uses = f.sink.LocalUses()
 	}
 	sent := f.addEvidence(address, request)
-	ctx, cancel := context.WithTimeout(ctx, longPollWait+responseMargin)
+	ctx, cancel := context.WithTimeout(ctx, maxPollTime)
 	defer cancel()
 	resp := &wire.FollowResponse{}
-	if err := client.Call(ctx, control.MethodFollow, request, resp); err != nil {
+	if err := client.CallUntilSilent(ctx, longPollWait+responseMargin, control.MethodFollow, request, resp); err != nil {
 		return nil, err
 	}
 	f.handleEvidence(address, sent, resp)
@@ -300,11 +313,7 @@
 		f.usesInterval = max(minUsesInterval, time.Duration(resp.GetFollowers())*usesIntervalPerFollower)
 		f.sink.UpdatePeerUses(resp.GetOthers(), int(resp.GetFollowers()))
 	}
-	if d := resp.GetDocument(); d != nil {
-		if err := f.sink.Install(d); err != nil {
-			f.log.Error(err, "cannot put document in force", "number", d.GetNumber())
-		}
-	}
+	f.noteDocument(address, resp.GetDocumentNumber())
 	f.updateList(address, resp)
 	if len(resp.GetLoads()) > 0 {
 		f.sink.UpdateLoads(resp.GetLoads())
@@ -318,6 +327,7 @@
 		return !f.followed[address] && !slices.Contains(f.replicas, address) && !slices.Contains(f.lastSeeds, address)
 	}
 	maps.DeleteFunc(f.lists, func(address string, _ *targetList) bool { return removed(address) })
+	maps.DeleteFunc(f.heard, func(address string, _ uint64) bool { return removed(address) })
 	maps.DeleteFunc(f.exchanges, func(address string, _ *exchange) bool { return removed(address) })
 	maps.DeleteFunc(f.statuses, func(address, _ string) bool { return removed(address) })
 }
--- a/internal/follow/spread_test.go
+++ b/internal/follow/spread_test.go
@@ -140,7 +140,6 @@
 	at      time.Duration
 	body    []byte
 	leaving time.Duration // when a leaving target was first seen
-	loads   time.Duration // when loads came last
 }
 
 func (s *recordingSink) Number() uint64 {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"net/rpc"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,12 +31,14 @@
 }
 
 type connection struct {
-	rpc      *rpc.Client
-	conn     *meteredConn
-	answered atomic.Int64 // number of calls that were answered
+	rpc  *rpc.Client
+	conn *meteredConn
 }
 
-// UnansweredError is returned for a call whose context ended before the response was complete.
+// errSilent is why a call was given up on whose connection carried nothing for too long.
+var errSilent = errors.New("connection is silent")
+
+// UnansweredError is returned for a call that was given up before the response was complete.
 type UnansweredError struct {
 	passed int64
 	err    error
@@ -48,7 +49,7 @@
 	return fmt.Sprintf("%v, %d bytes passed meanwhile", e.err, e.passed)
 }
 
-// Unwrap returns the context's error.
+// Unwrap returns why the call was given up.
 func (e *UnansweredError) Unwrap() error { return e.err }
 
 // NewClient returns a client for the peer at the address.
@@ -68,18 +69,54 @@
 	if err != nil {
 		return err
 	}
-	answeredBefore, passedBefore := conn.answered.Load(), conn.conn.passed()
-	call := conn.rpc.Go(method, request, response, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-		conn.answered.Add(1)
-		return c.finish(conn, call.Error)
-	case <-ctx.Done():
-		// No call was answered meanwhile, so the connection is considered dead.
-		if conn.answered.Load() == answeredBefore {
+	return c.await(ctx, conn, conn.call(method, request, response), 0)
+}
+
+// CallUntilSilent is like Call, but it also gives up, with an UnansweredError, once no byte has passed
+// on the connection for the given time: what is slow to arrive is not lost. A call that takes long in
+// any case states how long in its request, and the time must be longer.
+func (c *Client) CallUntilSilent(ctx context.Context, silence time.Duration, method string, request, response proto.Message) error {
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return err
+	}
+	return c.await(ctx, conn, conn.call(method, request, response), silence)
+}
+
+func (c *connection) call(method string, request, response proto.Message) *rpc.Call {
+	return c.rpc.Go(method, request, response, make(chan *rpc.Call, 1))
+}
+
+// silenceChecks is how often during the time that a connection may be silent it is checked.
+const silenceChecks = 2
+
+// await waits for the response to a call. A silence of 0 stands for any time.
+func (c *Client) await(ctx context.Context, conn *connection, call *rpc.Call, silence time.Duration) error {
+	begun, received := conn.conn.passed(), conn.conn.received.Load()
+	passed, silentChecks := begun, 0
+	var check <-chan time.Time
+	for {
+		if silence > 0 {
+			check = time.After(silence / silenceChecks)
+		}
+		select {
+		case <-call.Done:
+			return c.finish(conn, call.Error)
+		case <-ctx.Done():
+			if conn.conn.received.Load() == received {
+				c.drop(conn) // considered dead
+			}
+			return &UnansweredError{passed: conn.conn.passed() - begun, err: ctx.Err()}
+		case <-check:
+		}
+		silentChecks++
+		if now := conn.conn.passed(); now != passed {
+			passed, silentChecks = now, 0
+		}
+		if silentChecks == silenceChecks {
 			c.drop(conn)
+			return &UnansweredError{passed: passed - begun, err: errSilent}
 		}
-		return &UnansweredError{passed: conn.conn.passed() - passedBefore, err: ctx.Err()}
 	}
 }
 
