Config: a response with all declarations may take as long as it goes on

An instance that starts behind a narrow link never gets the declarations when they take longer than one call may last. Cause: the response to a watch had 2 s, or 6 s with its wait, whatever its size; then it began again. Evidence: TestLargeDeclarationsOverNarrowLink, 0.53 MB of sections (0.91 MB encoded) over 0.6 Mbit/s: 4.5 MB received in a minute and no version before; 0.91 MB and in force now. Change: a call ends when its connection is silent for that time; after a start only the question for the versions has a fixed time. Ruled out: a longer time, which moves the bound only.

--- a/internal/config/subscriber.go
+++ b/internal/config/subscriber.go
@@ -17,9 +17,10 @@
 const (
 	// retryDelay is the delay before the sources are tried again after a failure.
 	retryDelay = 200 * time.Millisecond
-	// responseMargin is added to the requested wait to get the timeout of the call.
+	// responseMargin is added to the requested wait to get the time for which the connection may be
+	// silent.
 	responseMargin = 2 * time.Second
-	// initialSyncTimeout bounds the first round of requests after a start.
+	// initialSyncTimeout bounds the question for the versions after a start.
 	initialSyncTimeout = 2 * time.Second
 )
 
@@ -115,14 +116,14 @@
 // initialSync queries all sources concurrently for their versions and applies the
 // highest.
 func (s *Subscriber) initialSync(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, initialSyncTimeout)
+	versionCtx, cancel := context.WithTimeout(ctx, initialSyncTimeout)
 	defer cancel()
 	versions := make([]uint64, len(s.sources))
 	var wg sync.WaitGroup
 	for i, src := range s.sources {
 		wg.Go(func() {
 			resp := &wire.WatchResponse{}
-			if src.client.Call(ctx, src.method, &wire.WatchRequest{VersionOnly: true}, resp) == nil {
+			if src.client.Call(versionCtx, src.method, &wire.WatchRequest{VersionOnly: true}, resp) == nil {
 				versions[i] = resp.GetVersion()
 			}
 		})
@@ -160,14 +161,12 @@
 }
 
 func (s *Subscriber) fetch(ctx context.Context, src source, wait time.Duration) (*wire.WatchResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+responseMargin)
-	defer cancel()
 	request := &wire.WatchRequest{
 		Instance: s.instance, FailureDomain: s.domain, Address: s.address,
 		Version: s.store.Version(), WaitMs: uint64(wait.Milliseconds()),
 	}
 	resp := &wire.WatchResponse{}
-	err := src.client.Call(ctx, src.method, request, resp)
+	err := src.client.CallUntilSilent(ctx, wait+responseMargin, src.method, request, resp)
 	return resp, err
 }
 
