Control: the time for a message between replicas grows with its size

Cause: a batch had one second whatever its size; after that it was given up and sent again. Ruled out: ending only when the connection is silent, as for responses: what a sender has written may wait in its own buffers for long without a byte that passes.

--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/vanillaward/vanillaward/internal/peer"
 	"github.com/vanillaward/vanillaward/internal/wire"
@@ -17,8 +18,10 @@
 	// sendQueueSize bounds the queued messages for one replica; further messages are
 	// dropped, which the log tolerates.
 	sendQueueSize = 256
-	// sendTimeout bounds the delivery of a batch.
-	sendTimeout = time.Second
+	// sendTimeout bounds the delivery of a batch, beside the time that its bytes take at
+	// minBytesPerSecond: a large batch that is given up would begin again.
+	sendTimeout       = time.Second
+	minBytesPerSecond = 64 << 10
 	// addressInterval is the interval, in messages to one replica, at which a message
 	// carries the sender's address. Only a replica that has no membership yet needs the
 	// address.
@@ -120,7 +123,7 @@
 }
 
 func (t *PeerTransport) deliver(client *peer.Client, batch *wire.MessageBatch) {
-	ctx, cancel := context.WithTimeout(t.ctx, sendTimeout)
+	ctx, cancel := context.WithTimeout(t.ctx, sendTimeout+time.Duration(proto.Size(batch))*time.Second/minBytesPerSecond)
 	defer cancel()
 	if err := client.Call(ctx, methodDeliver, batch, &wire.Empty{}); err != nil {
 		t.log.V(1).Info("cannot deliver messages to replica; dropping them", "address", client.Address().String(), "reason", err.Error())
