Known red: a request that crashes the targets that run it is sent on for ever

Eleven cases in the gateway's rig: idempotent (one and two attempts), once and stream requests, targets that end before a head, in an orderly way or by a reset, within an answer, before and after the first event. After three targets have ended the same path, caller and body are sent to the next one in all eleven (503 wanted, 502 or a cut stream got).

--- a/internal/gateway/standin_test.go
+++ b/internal/gateway/standin_test.go
@@ -273,6 +273,7 @@
 		head(200, id, fmt.Sprintf("Content-Length: %d\r\n", len(completeBody)), completeBody[:10])
 	case "reset":
 		_ = conn.(*net.TCPConn).SetLinger(0)
+	case "end":
 	case "garbage":
 		_, _ = fmt.Fprint(conn, "\x00\x01 this is no answer\r\n\r\n")
 	case "unframed-reset":
