Quarantine: a request on which each target crashes is held back, of any kind

Cause: the ledger of crashes knew parts of prompts only, and heard only of answers that had begun. A request without a prompt, and a target that ends before a head, left no trace. The class: evidence is recorded where one kind of damage was seen, not where a target ends. Ruled out: the product's retries (with one attempt a request the test fails alike); targets that end by themselves (three of three within 0.2 s, each 44 to 110 ms after the lookup). Change: the ledger also remembers, under a name of caller, method, host, path and body, which targets ended when they had begun to run a request or were about to: connection ends without a reason, before a head, within an answer that is buffered, or in the first 500 ms of a stream; on attempts, resumptions and holders of copies. After three targets, or five since it was last answered, the request is refused as not run with when to come back, before each attempt and each resumption. Hold, trial by one instance, exchange, and disk are those of parts. A complete answer of any status clears it. Requests that differ in their prompts' shared parts only are told apart, unless the crashes differ in them too. A replica tells instances only of requests with two crashes or more, so that single failures of many requests cost no bytes there. Bounds: 128 names, 16 crashes each. Weighed: the name as one more part of prompts (requests that waited at a crashed engine would then outweigh what it had begun to answer); routes or callers (sound requests share them); the body alone.

--- a/internal/control/evidence.go
+++ b/internal/control/evidence.go
@@ -16,7 +16,7 @@
 )
 
 // evidence holds what all instances that follow this replica have told it about parts of prompts
-// that may crash engines. Each instance tells every replica that it follows, so that instances
+// and of requests that may crash targets. Each instance tells every replica that it follows, so that instances
 // which still reach a replica learn from each other without a leader. It is safe for concurrent use.
 type evidence struct {
 	epoch uint64 // of this process
@@ -122,6 +122,12 @@
 	for _, s := range saved.GetEvidence().GetSound() {
 		s.AgeMs += since
 	}
+	for _, c := range saved.GetEvidence().GetRequestCrashes() {
+		c.AgeMs += since
+	}
+	for _, s := range saved.GetEvidence().GetSoundRequests() {
+		s.AgeMs += since
+	}
 	e.merge(saved.GetEvidence(), now)
 	return nil
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -46,7 +46,7 @@
 	notRun
 	// failed means that the target may have run the request.
 	failed
-	// heldBack means that the prompt has a part that crashes engines.
+	// heldBack means that targets crash on the request, or on a part of its prompt.
 	heldBack
 )
 
@@ -61,7 +61,7 @@
 	target  string
 	reason  reason
 	tried   int           // targets tried so far, including this one
-	wait    time.Duration // how long the prompt is held back, for the outcome heldBack
+	wait    time.Duration // how long the request is held back, for the outcome heldBack
 	// failureAnswer is a complete answer with an error status, which the caller gets
 	// when no other attempt follows.
 	failureAnswer *answer
@@ -84,8 +84,8 @@
 
 // attempt sends the request to one target.
 func (req *request) attempt(ctx context.Context, avoid []string) attemptResult {
-	if wait := req.heldBack(); wait > 0 {
-		return attemptResult{outcome: heldBack, wait: wait}
+	if why, wait := req.heldBack(); wait > 0 {
+		return attemptResult{outcome: heldBack, reason: why, wait: wait}
 	}
 	t, state := req.server.begin(req.service, req.tokens(), avoid)
 	if t == nil {
@@ -156,6 +156,7 @@
 	req.server.addPrefill(t, -req.caller.PromptTokens)
 	if err != nil {
 		conn.Close()
+		req.noteCrash(ctx, t, err)
 		targetResult := req.classifyFailure(ctx, "no answer", t, err)
 		if req.resumeFromCopy(ctx, nil) {
 			result.outcome = delivered
@@ -257,6 +258,7 @@
 	if len(body) > maxBufferedBytes {
 		return req.passThrough(ctx, t, conn, response, info, body, result)
 	}
+	req.noteAnswered()
 	req.releaseConn(conn, response, info)
 	buffered := &answer{status: response.StatusCode, header: response.Header, body: body}
 	if response.StatusCode >= http.StatusInternalServerError {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,38 +15,63 @@
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
-// heldBack returns how long the request must not be sent to an engine, because engines crash on a
-// part of its prompt; 0 if it may. It is asked before each attempt and each resumption.
-func (req *request) heldBack() time.Duration {
-	held := req.server.checkParts(req.caller.SharedParts)
+// heldBack returns why the request must not be sent to a target and for how long: targets crash on it, or
+// on a part of its prompt. It returns 0 if it may be sent. It is asked before each attempt and each
+// resumption.
+func (req *request) heldBack() (reason, time.Duration) {
+	why, held := reasonPartHeldBack, req.server.checkParts(req.caller.SharedParts)
+	if held == nil && req.server.knowsCrashes() {
+		why, held = reasonHeldBack, req.server.checkRequest(req.identity)
+	}
 	if held == nil {
-		return 0
+		return "", 0
 	}
-	req.server.base.Log.Info("part of the prompt held back: engines crashed on it", "request", req.caller.ID, "part", held.Part,
+	req.server.base.Log.Info("held back: targets crashed on it", "request", req.caller.ID, "what", string(why), "part", held.Part,
 		"crashes", held.Crashes, "last-crash-ms", held.Age.Milliseconds(), "wait-ms", held.Wait.Milliseconds())
-	return held.Wait
+	return why, held.Wait
 }
 
-// noteCrash records the crash of an engine that had just begun to answer the request. An end of
-// the answer that the caller, a deadline or a notice to leave explains is no crash.
+// noteCrash records the crash of a target that had just begun to answer the request, or had not begun yet.
+// An end of the answer that the caller, a deadline or a notice to leave explains is no crash. What an
+// engine had not begun to answer may have waited there, so that it speaks against the whole request only,
+// which counts if each of several targets crashed on it.
 func (req *request) noteCrash(ctx context.Context, t *balance.Target, err error) {
 	explained := ctx.Err() != nil || isCallerError(err) || errors.Is(err, errStalled) || errors.Is(err, errOrder)
-	if explained || len(req.caller.SharedParts) == 0 || req.answeringTime() > quarantine.JustBegun {
+	if explained || req.answeringTime() > quarantine.JustBegun || req.server.isLeaving(t) {
 		return
 	}
-	held, ok := req.server.recordCrash(req, t)
-	if !ok {
+	if isConnectionEnd(err) {
+		crashes := req.server.recordRequestCrash(req, t)
+		req.server.base.Log.Info("target crashed when it began to run the request", "request", req.caller.ID, "target", t.ID(),
+			"name", req.identity.Name(), "crashes", crashes)
+	}
+	if req.answerBegan == 0 || len(req.caller.SharedParts) == 0 {
 		return
 	}
+	held := req.server.recordCrash(req, t)
 	req.server.base.Log.Info("engine crashed when it began to answer", "request", req.caller.ID, "target", t.ID(),
 		"answering-ms", req.answeringTime().Milliseconds(), "parts", strings.Join(req.caller.SharedParts, ","), "held-back", held)
 }
 
-// noteWholeAnswer records that the request was answered whole. An answer that ended with its
-// connection shows nothing: a crash can look the same.
+// isConnectionEnd reports whether an error is the end of a connection, by which the end of a process is seen.
+func isConnectionEnd(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errNoEvent) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// noteWholeAnswer records that the request was answered whole, with success.
 func (req *request) noteWholeAnswer() {
-	if len(req.caller.SharedParts) > 0 && req.framing != upstream.FramedByClose {
-		req.server.recordWholeAnswer(req.caller.SharedParts)
+	if req.framing == upstream.FramedByClose {
+		return // a crash can look the same
+	}
+	req.server.recordWholeAnswer(req.caller.SharedParts)
+	req.noteAnswered()
+}
+
+// noteAnswered records that the request was answered completely, so that its target did not crash on it.
+func (req *request) noteAnswered() {
+	if req.framing != upstream.FramedByClose {
+		req.server.recordAnswered(req.identity)
 	}
 }
 
@@ -69,6 +96,9 @@
 	if held != before {
 		g.base.Log.Info("parts held back", "groups", held, "before", before, "crashes", len(e.GetCrashes()))
 	}
+	for _, c := range e.GetRequestCrashes() {
+		g.base.Log.Info("told of a target that crashed when it began to run a request", "name", c.GetRequest(), "target", c.GetTarget(), "age-ms", c.GetAgeMs())
+	}
 }
 
 func (g *Server) partsHeldBack() int {
@@ -83,21 +113,50 @@
 	return g.ledger.Check(parts, g.base.Timers.Now())
 }
 
+// knowsCrashes reports whether any request is known on which targets crashed.
+func (g *Server) knowsCrashes() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ledger.Requests() > 0
+}
+
+func (g *Server) checkRequest(r quarantine.Request) *quarantine.Held {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ledger.CheckRequest(r, g.base.Timers.Now())
+}
+
 func (g *Server) recordWholeAnswer(parts []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.ledger.Answered(parts, g.base.Timers.Now())
 }
 
-// recordCrash records a crash unless the engine is known to be leaving. It returns the number of
-// groups of parts that are held back, and whether the crash was recorded.
-func (g *Server) recordCrash(req *request, t *balance.Target) (int, bool) {
+func (g *Server) recordAnswered(r quarantine.Request) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.base.Timers.Now()
-	if g.balancer.Leaving(t, now) {
-		return 0, false
-	}
-	g.ledger.Crashed(req.caller.ID, t.ID(), req.caller.SharedParts, req.answeringTime(), now)
-	return g.ledger.Parts(), true
+	g.ledger.RequestAnswered(r, g.base.Timers.Now())
+}
+
+// isLeaving reports whether a target is known to be leaving.
+func (g *Server) isLeaving(t *balance.Target) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.balancer.Leaving(t, g.base.Timers.Now())
+}
+
+// recordRequestCrash records a crash that speaks against the whole request, and returns the number of these.
+func (g *Server) recordRequestCrash(req *request, t *balance.Target) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ledger.RequestCrashed(req.identity, req.caller.ID, t.ID(), g.base.Timers.Now())
+}
+
+// recordCrash records a crash that speaks against the parts of the prompt. It returns the number of groups
+// of parts that are held back.
+func (g *Server) recordCrash(req *request, t *balance.Target) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ledger.Crashed(req.caller.ID, t.ID(), req.caller.SharedParts, req.answeringTime(), g.base.Timers.Now())
+	return g.ledger.Parts()
 }
--- a/internal/gateway/reason.go
+++ b/internal/gateway/reason.go
@@ -28,12 +28,13 @@
 	reasonTooLate      reason = "too-late" // the deadline passed before the first attempt
 	reasonStopping     reason = "stopping" // the request might not end before the gateway stops
 	reasonNoTarget     reason = "no-target"
-	reasonUnreachable  reason = "unreachable"    // no connection to the last target could be made
-	reasonFull         reason = "full"           // the last target stated that it did not run the request
-	reasonTargetsWait  reason = "targets-wait"   // all targets asked to get no requests for a time
-	reasonCrowded      reason = "crowded"        // no engine has enough free memory
-	reasonPartHeldBack reason = "part-held-back" // engines crash on a part of the prompt
-	reasonMisdirected  reason = "misdirected"    // another target answered at the address of the last one
+	reasonUnreachable  reason = "unreachable"       // no connection to the last target could be made
+	reasonFull         reason = "full"              // the last target stated that it did not run the request
+	reasonTargetsWait  reason = "targets-wait"      // all targets asked to get no requests for a time
+	reasonCrowded      reason = "crowded"           // no engine has enough free memory
+	reasonPartHeldBack reason = "part-held-back"    // engines crash on a part of the prompt
+	reasonHeldBack     reason = "request-held-back" // targets crash on the request
+	reasonMisdirected  reason = "misdirected"       // another target answered at the address of the last one
 )
 
 // refusal is the answer to a caller whose request no target has answered.
@@ -65,6 +66,7 @@
 	reasonTargetsWait:  {status: http.StatusServiceUnavailable, retryAfter: 150 * time.Millisecond},
 	reasonCrowded:      {status: http.StatusServiceUnavailable, retryAfter: 800 * time.Millisecond},
 	reasonPartHeldBack: {status: http.StatusServiceUnavailable, retryAfter: 10 * time.Second},
+	reasonHeldBack:     {status: http.StatusServiceUnavailable, retryAfter: 10 * time.Second},
 	reasonMisdirected:  {status: http.StatusServiceUnavailable, retryAfter: 50 * time.Millisecond},
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -10,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/vanillaward/vanillaward"
+	"github.com/vanillaward/vanillaward/internal/quarantine"
 	"github.com/vanillaward/vanillaward/internal/route"
 	"github.com/vanillaward/vanillaward/internal/upstream"
 )
@@ -41,6 +43,7 @@
 	framing upstream.Framing // of the last answer; empty without one
 	// answerBegan is when the head of the last target's answer arrived; 0 without an answer.
 	answerBegan time.Duration
+	identity    quarantine.Request
 	sent        int  // number of targets that the request was sent to
 	maybeRun    bool // a target may have run the request
 	stream      stream
@@ -208,6 +211,7 @@
 func (req *request) run() {
 	ctx, cancel := context.WithTimeout(req.r.Context(), req.left())
 	defer cancel()
+	req.identity = quarantine.NewRequest(cmp.Or(req.org, req.caller.Key), req.r.Method, req.r.Host, req.r.RequestURI, req.body, req.caller.SharedParts)
 	var avoid []string
 	for {
 		a := req.attempt(ctx, avoid)
@@ -218,7 +222,7 @@
 			req.refuseUnserved(reasonNoTarget)
 			return
 		case heldBack:
-			req.refuseHeldBack(a.wait)
+			req.refuseHeldBack(a.reason, a.wait)
 			return
 		}
 		avoid = append(avoid, a.target)
@@ -286,15 +290,15 @@
 	req.refuse(why)
 }
 
-// refuseHeldBack refuses a request because of a part of its prompt, or as broken if a target may
-// have run it. The caller learns when the part may be tried again.
-func (req *request) refuseHeldBack(wait time.Duration) {
+// refuseHeldBack refuses a request that is held back, or as broken if a target may have run it. The
+// caller learns when it may be tried again.
+func (req *request) refuseHeldBack(why reason, wait time.Duration) {
 	if req.maybeRun {
 		req.refuse(reasonBroken)
 		return
 	}
 	req.comeBack = wait
-	req.refuse(reasonPartHeldBack)
+	req.refuse(why)
 }
 
 // finish logs and counts the outcome.
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -82,7 +82,10 @@
 // with the number lastEvent. It returns nil if the run cannot be resumed; the copy is no
 // longer available then.
 func (req *request) requestResumption(ctx context.Context, lastEvent uint64) *resumption {
-	if req.stream.resumed >= maxResumes || req.heldBack() > 0 {
+	if req.stream.resumed >= maxResumes {
+		return nil
+	}
+	if _, wait := req.heldBack(); wait > 0 {
 		return nil
 	}
 	held := req.server.takeCopy(req.stream.run)
@@ -116,6 +119,9 @@
 	if err != nil {
 		conn.Close()
 		req.server.removeRun(resumed)
+		if isConnectionEnd(err) && ctx.Err() == nil && !req.server.isLeaving(holder) {
+			req.server.recordRequestCrash(req, holder)
+		}
 		return nil, req.classifyFailure(ctx, "no answer from the holder of the copy", holder, err)
 	}
 	info := req.server.dialect.ReadAnswer(response.StatusCode, response.Header)
--- a/internal/quarantine/claim.go
+++ b/internal/quarantine/claim.go
@@ -18,8 +18,8 @@
 	settleTime = 5 * time.Second
 )
 
-// claim is an instance's claim to send the one request that tries whether a part still crashes
-// engines. Of several at the same time, the one of the lowest rank holds: all instances that exchange
+// claim is an instance's claim to send the one request that tries whether a part, or
+// a request, still crashes targets. Of several at the same time, the one of the lowest rank holds: all instances that exchange
 // evidence agree on it without asking anyone.
 type claim struct {
 	instance string
@@ -70,10 +70,10 @@
 	return h.Sum64()
 }
 
-// dropClaims drops the claims that no longer hold, and those for parts that are not held back.
+// dropClaims drops the claims that no longer hold, and those for what is not held back.
 func (l *Ledger) dropClaims(now time.Duration) {
 	maps.DeleteFunc(l.claims, func(part string, c claim) bool {
 		held := slices.ContainsFunc(l.held, func(g *group) bool { return g.parts[0] == part })
-		return !held || !c.holds(now)
+		return !held && l.heldName(part) == nil || !c.holds(now)
 	})
 }
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -36,8 +36,8 @@
 	besideMargin = 20 * time.Millisecond
 )
 
-// group is a set of parts that the same crashes speak against equally. Only a request with all of
-// them is held back; one with some of them shows which it is.
+// group is a set of parts that the same crashes speak against equally, or one request. Only a request
+// with all of the parts is held back; one with some of them shows which it is.
 type group struct {
 	parts     []string // sorted
 	crashes   int      // of different targets
@@ -46,7 +46,7 @@
 
 // Held is why a request is held back.
 type Held struct {
-	// Part is one of the request's parts that crashed engines.
+	// Part is one of the request's parts that crashed engines, or the name of the request.
 	Part string
 	// Crashes is the number of engines that crashed.
 	Crashes int
@@ -68,15 +68,23 @@
 		if !containsAll(has, g.parts) {
 			continue
 		}
-		wait := g.lastCrash + g.hold() - now
-		if wait <= 0 && l.mayTry(g, now) {
-			continue
+		if held := l.checkGroup(g, now); held != nil {
+			return held
 		}
-		return &Held{Part: g.parts[0], Crashes: g.crashes, Age: now - g.lastCrash, Wait: max(wait, claimTime)}
 	}
 	return nil
 }
 
+// checkGroup returns why a request with all parts of a group is held back, or nil if it is let through as
+// a trial.
+func (l *Ledger) checkGroup(g *group, now time.Duration) *Held {
+	wait := g.lastCrash + g.hold() - now
+	if wait <= 0 && l.mayTry(g, now) {
+		return nil
+	}
+	return &Held{Part: g.parts[0], Crashes: g.crashes, Age: now - g.lastCrash, Wait: max(wait, claimTime)}
+}
+
 // Parts returns the number of groups of parts that are held back.
 func (l *Ledger) Parts() int { return len(l.held) }
 
@@ -229,18 +237,31 @@
 // against counts the crashes that speak against a part: those of different targets under requests
 // with it, since it was last answered whole. It also returns when the last one was.
 func against(part string, crashes []crash, sound time.Duration) (int, time.Duration) {
-	count, last := 0, time.Duration(0)
-	lastOf := map[string]time.Duration{}
+	var counter crashCounter
 	for _, c := range crashes {
-		if c.at <= sound || !slices.Contains(c.parts, part) {
-			continue
-		}
-		if before, seen := lastOf[c.target]; !seen || c.at-before > restartTime {
-			count++
+		if c.at > sound && slices.Contains(c.parts, part) {
+			counter.add(c.target, c.at)
 		}
-		lastOf[c.target], last = c.at, c.at
 	}
-	return count, last
+	return counter.count, counter.last
+}
+
+// crashCounter counts crashes, in the order of their times. Two of the same target within restartTime are
+// one.
+type crashCounter struct {
+	count  int
+	last   time.Duration
+	lastOf map[string]time.Duration // by target
+}
+
+func (c *crashCounter) add(target string, at time.Duration) {
+	if c.lastOf == nil {
+		c.lastOf = map[string]time.Duration{}
+	}
+	if before, seen := c.lastOf[target]; !seen || at-before > restartTime {
+		c.count++
+	}
+	c.lastOf[target], c.last = at, at
 }
 
 // containsAll reports whether the sorted list has holds all of the parts.
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -1,5 +1,6 @@
 // Package quarantine decides which parts of prompts are kept from engines because engine after
-// engine crashed when it began to answer requests with these parts. It uses neither clocks nor
+// engine crashed when it began to answer requests with these parts, and which requests are kept from
+// targets because each that began to run them crashed. It uses neither clocks nor
 // sockets: the caller passes the current time. Instances exchange what they have seen as
 // wire.Evidence, and each decides by itself.
 package quarantine
@@ -38,7 +39,9 @@
 	sound     recent
 	soundNews map[string]news // by part that was in the request of a crash
 	held      []*group
-	claims    map[string]claim // by the first part of a group
+	requests  map[string]*repeated // by name
+	answered  recent               // requests that this instance saw answered
+	claims    map[string]claim     // by the first part of a group
 	latest    news
 }
 
@@ -62,7 +65,7 @@
 
 // New returns an empty ledger of an instance.
 func New(instance string) *Ledger {
-	return &Ledger{instance: instance, soundNews: map[string]news{}, claims: map[string]claim{}, latest: news{own: 1}}
+	return &Ledger{instance: instance, soundNews: map[string]news{}, claims: map[string]claim{}, requests: map[string]*repeated{}, latest: news{own: 1}}
 }
 
 // record returns the number of a new record. Own is true for one of this instance.
@@ -167,7 +170,7 @@
 // OwnVersion returns a number that grows whenever Evidence has news that did not come from Merge.
 // It is 0 if there is no evidence.
 func (l *Ledger) OwnVersion() uint64 {
-	if len(l.crashes) == 0 && len(l.soundNews) == 0 {
+	if len(l.crashes) == 0 && len(l.soundNews) == 0 && len(l.requests) == 0 {
 		return 0
 	}
 	return l.latest.own
@@ -175,23 +178,25 @@
 
 // Evidence returns what this instance knows, from others too.
 func (l *Ledger) Evidence(now time.Duration) *wire.Evidence {
-	return l.evidence(func(news) bool { return true }, now)
+	return l.evidence(func(news) bool { return true }, 1, now)
 }
 
-// News returns what has become known since the given Version.
+// News returns what has become known since the given Version, for an instance: of requests those on
+// which targets crashed more than once.
 func (l *Ledger) News(version uint64, now time.Duration) *wire.Evidence {
-	return l.evidence(func(n news) bool { return n.version > version }, now)
+	return l.evidence(func(n news) bool { return n.version > version }, tellCrashes, now)
 }
 
 // OwnNews returns what this instance has seen since the given OwnVersion, or all that it knows if
 // that is 0.
 func (l *Ledger) OwnNews(own uint64, now time.Duration) *wire.Evidence {
-	return l.evidence(func(n news) bool { return own == 0 || n.own > own }, now)
+	return l.evidence(func(n news) bool { return own == 0 || n.own > own }, 1, now)
 }
 
-// evidence returns the records that are wanted.
-func (l *Ledger) evidence(wanted func(news) bool, now time.Duration) *wire.Evidence {
+// evidence returns the records that are wanted, of requests those with at least requestCrashes.
+func (l *Ledger) evidence(wanted func(news) bool, requestCrashes int, now time.Duration) *wire.Evidence {
 	out := &wire.Evidence{}
+	l.addRequestEvidence(out, wanted, requestCrashes, now)
 	for _, c := range l.crashes {
 		if wanted(c.news) {
 			out.Crashes = append(out.Crashes, &wire.EngineCrash{Id: c.id, Target: c.target, Parts: c.parts, AgeMs: uint64((now - c.at).Milliseconds()), AnsweringMs: uint32(c.answering.Milliseconds())})
@@ -218,6 +223,7 @@
 	for _, c := range e.GetCrashes()[:min(maxCrashes, len(e.GetCrashes()))] {
 		l.add(crash{id: c.GetId(), target: c.GetTarget(), parts: names(c.GetParts()), at: now - age(c.GetAgeMs()), answering: time.Duration(c.GetAnsweringMs()) * time.Millisecond}, false, now)
 	}
+	l.mergeRequests(e, now)
 	for _, c := range e.GetClaims()[:min(maxCrashes, len(e.GetClaims()))] {
 		l.addClaim(name(c.GetPart()), claim{instance: c.GetInstance(), at: now - age(c.GetAgeMs())}, now)
 	}
