Entry: requests on which each target crashes are held back in declared deployments too

Cause: as in the gateway; plain calls had no ledger, and generations none for engines that end before a head. Change: both use the ledger's rule for whole requests, checked before each attempt; one function says what the end of a connection is, for both ways. TestPromptThatCrashesEnginesIsHeldBack is stricter: 3 in place of 5 for a request and its repeats, and 5 in place of 7 with others that begin alike, since a repeat is now known as such.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/vanillaward/vanillaward/internal/declaration"
 	"github.com/vanillaward/vanillaward/internal/delivery"
 	"github.com/vanillaward/vanillaward/internal/idempotency"
+	"github.com/vanillaward/vanillaward/internal/quarantine"
 	"github.com/vanillaward/vanillaward/internal/telemetry"
 	"github.com/vanillaward/vanillaward/internal/trace"
 )
@@ -41,7 +42,9 @@
 	target  string // target of the current run, as named by the dispatcher
 	avoid   string // target of the lost run, which the next run should avoid
 	key     string // record key of a non-idempotent request
-	reason  string // why a request was refused or ended early, for the log
+	// identity is the same for repeats of the request
+	identity quarantine.Request
+	reason   string // why a request was refused or ended early, for the log
 }
 
 // begin authenticates the caller and counts the request as open. It returns nil if
@@ -167,6 +170,20 @@
 	}
 }
 
+// correctOutcome sets the outcome of a request that may have run before another run
+// was refused.
+func (ex *exchange) correctOutcome(p *problem) *problem {
+	if ex.core.Outcome() != "" || !ex.core.MayHaveRun() {
+		return p
+	}
+	p.outcome = delivery.Incomplete
+	p.tokens = ex.core.Delivered()
+	if !ex.class.Idempotent() {
+		p.outcome = delivery.Unknown
+	}
+	return p
+}
+
 // handleLoss decides the next step after the loss of a run, and traces it.
 func (ex *exchange) handleLoss(loss delivery.Loss) (delivery.Step, delivery.Outcome) {
 	granted := false
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -13,6 +13,7 @@
 
 	"github.com/vanillaward/vanillaward/internal/admission"
 	"github.com/vanillaward/vanillaward/internal/delivery"
+	"github.com/vanillaward/vanillaward/internal/quarantine"
 	"github.com/vanillaward/vanillaward/internal/trace"
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
@@ -122,6 +123,7 @@
 		g.prefix = hash(g.input[:prefixBytes])
 	}
 	g.parts = g.promptParts()
+	g.identity = quarantine.NewRequest(g.org.Name(), g.r.Method, "", g.path, g.input, nil)
 	return g.prepare(fields.Stream)
 }
 
@@ -167,7 +169,7 @@
 // run makes attempts until the request has an outcome, and answers the caller.
 func (g *generation) run(ctx context.Context) delivery.Outcome {
 	for {
-		if p := g.heldBack(); p != nil {
+		if p := g.heldBack(g.parts); p != nil {
 			return g.failWith(p)
 		}
 		p, admissionID := g.admitRun(ctx)
@@ -177,7 +179,7 @@
 		g.admissionID = admissionID
 		loss, err := g.attempt(ctx)
 		if err == nil {
-			g.server.parts.answered(g.parts)
+			g.server.crashes.answered(g.identity, g.parts)
 			g.server.dispatch.release(admissionID, g.core.Next(), admission.Finished)
 			return g.complete()
 		}
@@ -224,20 +226,6 @@
 	return p, id
 }
 
-// correctOutcome sets the outcome of a request that may have run before another run
-// was refused.
-func (g *generation) correctOutcome(p *problem) *problem {
-	if g.core.Outcome() != "" || !g.core.MayHaveRun() {
-		return p
-	}
-	p.outcome = delivery.Incomplete
-	p.tokens = g.core.Delivered()
-	if !g.class.Idempotent() {
-		p.outcome = delivery.Unknown
-	}
-	return p
-}
-
 // complete finishes the answer and returns its outcome.
 func (g *generation) complete() delivery.Outcome {
 	err := g.sink.finish(g.finalEvent)
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -6,11 +6,13 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 
 	"github.com/pkg/errors"
 
 	"github.com/vanillaward/vanillaward/internal/admission"
 	"github.com/vanillaward/vanillaward/internal/delivery"
+	"github.com/vanillaward/vanillaward/internal/quarantine"
 	"github.com/vanillaward/vanillaward/internal/trace"
 	"github.com/vanillaward/vanillaward/internal/upstream"
 	"github.com/vanillaward/vanillaward/internal/wire"
@@ -56,6 +58,7 @@
 		return p
 	}
 	c.body = data
+	c.identity = quarantine.NewRequest(c.org.Name(), c.r.Method, "", c.r.URL.RequestURI(), data, nil)
 	c.core = delivery.New(c.policy(true))
 	c.server.recorder.Record(trace.Event{Kind: trace.Arrive, Request: c.id, Idempotent: c.class.Idempotent(), Whole: true})
 	return nil
@@ -70,6 +73,9 @@
 // run makes attempts until the request has an outcome, and answers the caller.
 func (c *plainCall) run(ctx context.Context) (delivery.Outcome, *wire.Answer) {
 	for {
+		if p := c.heldBack(nil); p != nil {
+			return c.answerProblem(p), nil
+		}
 		request := c.admissionRequest(servicePoolPrefix + c.service.Name())
 		request.PromptTokens, request.KnownLength = 1, 1
 		admissionID, p := c.admit(ctx, request)
@@ -84,11 +90,13 @@
 		answer, err := c.forward(ctx)
 		var lossErr *lossError
 		if !errors.As(err, &lossErr) {
+			c.server.crashes.answered(c.identity, nil)
 			c.server.dispatch.release(admissionID, 1, admission.Finished)
 			c.core.End(delivery.Complete)
 			c.writeAnswer(answer)
 			return delivery.Complete, c.storedAnswer(answer)
 		}
+		c.noteRequestCrash(ctx, c.id+"."+strconv.Itoa(c.core.Generation()), err)
 		c.server.dispatch.release(admissionID, 0, resultOf(ctx, lossErr.loss))
 		step, outcome := c.handleLoss(lossErr.loss)
 		if step != delivery.Restart {
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -39,6 +39,7 @@
 	codeOpenLimit            Code = "too_many_open_requests"
 	codeMemoryBound          Code = "memory_bound"
 	codePromptHeldBack       Code = "prompt_held_back"
+	codeRequestHeldBack      Code = "request_held_back"
 	codeTargetFailed         Code = "target_failed"
 	codeAnswerTooLong        Code = "answer_over_bound"
 	codeDiverged             Code = "second_run_differs"
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -11,36 +11,81 @@
 
 	"github.com/vanillaward/vanillaward"
 	"github.com/vanillaward/vanillaward/internal/quarantine"
+	"github.com/vanillaward/vanillaward/internal/upstream"
 )
 
-// partLedger is the ledger of parts of prompts that crash engines. It is safe for concurrent use.
-type partLedger struct {
+// crashLedger is the ledger of parts of prompts that crash engines, and of requests that crash targets.
+// It is safe for concurrent use.
+type crashLedger struct {
 	timers vanillaward.Timers
 
 	mu     sync.Mutex // guards ledger; never held while another lock is taken
 	ledger *quarantine.Ledger
 }
 
-func newPartLedger(timers vanillaward.Timers, instance string) *partLedger {
-	return &partLedger{timers: timers, ledger: quarantine.New(instance)}
+func newCrashLedger(timers vanillaward.Timers, instance string) *crashLedger {
+	return &crashLedger{timers: timers, ledger: quarantine.New(instance)}
 }
 
-func (p *partLedger) check(parts []string) *quarantine.Held {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.ledger.Check(parts, p.timers.Now())
+func (c *crashLedger) checkParts(parts []string) *quarantine.Held {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.Check(parts, c.timers.Now())
 }
 
-func (p *partLedger) crashed(request, target string, parts []string, answering time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.ledger.Crashed(request, target, parts, answering, p.timers.Now())
+func (c *crashLedger) checkRequest(r quarantine.Request) *quarantine.Held {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.CheckRequest(r, c.timers.Now())
 }
 
-func (p *partLedger) answered(parts []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.ledger.Answered(parts, p.timers.Now())
+func (c *crashLedger) crashed(attempt, target string, parts []string, answering time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ledger.Crashed(attempt, target, parts, answering, c.timers.Now())
+}
+
+func (c *crashLedger) requestCrashed(r quarantine.Request, attempt, target string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.RequestCrashed(r, attempt, target, c.timers.Now())
+}
+
+// answered records a request that was answered whole, and the parts of its prompt if it has any.
+func (c *crashLedger) answered(r quarantine.Request, parts []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.timers.Now()
+	c.ledger.Answered(parts, now)
+	c.ledger.RequestAnswered(r, now)
+}
+
+// heldBack returns the problem for a request that targets crash on, or on a part of its prompt, or nil. It
+// is asked before each attempt.
+func (ex *exchange) heldBack(parts []string) *problem {
+	code, message, held := codePromptHeldBack, "engines crashed on a part of the prompt", ex.server.crashes.checkParts(parts)
+	if held == nil {
+		code, message, held = codeRequestHeldBack, "targets crashed on the request", ex.server.crashes.checkRequest(ex.identity)
+	}
+	if held == nil {
+		return nil
+	}
+	ex.reason = string(code)
+	ex.server.metrics.Refusal(string(code))
+	ex.server.log.Info("held back: targets crashed on it", "request", ex.id, "what", string(code), "part", held.Part,
+		"crashes", held.Crashes, "last-crash-ms", held.Age.Milliseconds(), "wait-ms", held.Wait.Milliseconds())
+	return ex.correctOutcome(refusal(http.StatusServiceUnavailable, code, message, held.Wait))
+}
+
+// noteRequestCrash records the crash of a target that had begun to run the request, or was about to. Attempt
+// identifies the attempt.
+func (ex *exchange) noteRequestCrash(ctx context.Context, attempt string, err error) {
+	if ctx.Err() != nil || !upstream.IsConnectionEnd(err) {
+		return
+	}
+	crashes := ex.server.crashes.requestCrashed(ex.identity, attempt, ex.target)
+	ex.server.log.Info("target crashed when it began to run the request", "request", ex.id, "target", ex.target,
+		"name", ex.identity.Name(), "crashes", crashes)
 }
 
 // promptParts returns names for what the prompt may have in common with others: its beginning, and
@@ -53,27 +98,17 @@
 	return parts
 }
 
-// heldBack returns the problem for a request whose prompt has a part that crashes engines, or nil.
-// It is asked before each attempt.
-func (g *generation) heldBack() *problem {
-	held := g.server.parts.check(g.parts)
-	if held == nil {
-		return nil
-	}
-	g.reason = string(codePromptHeldBack)
-	g.server.metrics.Refusal(string(codePromptHeldBack))
-	g.server.log.Info("prompt held back: engines crashed on a part of it", "request", g.id, "part", held.Part,
-		"crashes", held.Crashes, "last-crash-ms", held.Age.Milliseconds(), "wait-ms", held.Wait.Milliseconds())
-	return g.correctOutcome(refusal(http.StatusServiceUnavailable, codePromptHeldBack, "engines crashed on a part of the prompt", held.Wait))
-}
-
-// noteCrash records the loss of a run whose engine had just begun to answer.
+// noteCrash records the loss of a run whose engine had just begun to answer, or had not begun yet.
 func (g *generation) noteCrash(ctx context.Context, lostAfter time.Duration, err error) {
 	explained := ctx.Err() != nil || errors.Is(err, errCallerGone) || errors.Is(err, errDiverged) || errors.Is(err, errAnswerTooLong)
-	if explained || g.answerBegan == 0 || lostAfter > quarantine.JustBegun {
+	if explained || g.answerBegan != 0 && lostAfter > quarantine.JustBegun {
+		return
+	}
+	g.noteRequestCrash(ctx, g.generationID(), err)
+	if g.answerBegan == 0 {
 		return
 	}
-	g.server.parts.crashed(g.generationID(), g.target, g.parts, lostAfter)
+	g.server.crashes.crashed(g.generationID(), g.target, g.parts, lostAfter)
 	g.server.log.Info("engine crashed when it began to answer", "request", g.id, "target", g.target,
 		"answering-ms", lostAfter.Milliseconds(), "parts", g.parts)
 }
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -61,11 +61,11 @@
 	for range 3 {
 		_, _ = send(t, ask(crashing+"one")) //nolint:bodyclose // send closes it
 	}
-	require.EqualValues(t, 5, crashes.Load(), "a request and its repeats, of which nothing was answered whole")
+	require.EqualValues(t, 3, crashes.Load(), "a request and its repeats")
 	for _, end := range []string{"two", "three", "four"} {
 		_, _ = send(t, ask(crashing+end)) //nolint:bodyclose // send closes it
 	}
-	require.EqualValues(t, 7, crashes.Load(), "others that begin alike")
+	require.EqualValues(t, 5, crashes.Load(), "others that begin alike")
 	response, body := send(t, ask(crashing+"five")) //nolint:bodyclose // send closes it
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode, body)
 	require.Equal(t, "not-run", response.Header.Get(headerOutcome))
--- a/internal/entry/relay_bench_test.go
+++ b/internal/entry/relay_bench_test.go
@@ -42,8 +42,8 @@
 	return mux
 }
 
-// startServer starts a server before engines that serve the model m to the key k, with a
-// deadline for requests. The returned function ends it.
+// startServer starts a server before engines that serve the model m, and as targets of the plain
+// service p, to the key k, with a deadline for requests. The returned function ends it.
 func startServer(tb testing.TB, deadline time.Duration, engines ...string) (address string, stop func()) {
 	tb.Helper()
 	store := config.NewStore()
@@ -53,11 +53,18 @@
 		{Id: "service s", Text: "[service s]\nkind = generation\nmodel = m\ndefault-class = c\n"},
 		{Id: "organisation o", Text: "[organisation o]\nkey-hashes = " + declaration.HashKey("k") + "\n"},
 	}
+	var plain []string // targets of the plain service
 	for i, engine := range engines {
 		id := fmt.Sprint("target t", i)
 		text := "[" + id + "]\nkind = engine\nfailure-domain = d\nmodel = m\naddress = " + engine + "\n"
 		texts = append(texts, &wire.SectionEdit{Id: id, Text: text})
+		id = fmt.Sprint("target p", i)
+		text = "[" + id + "]\nkind = plain\nfailure-domain = d\naddress = " + engine + "\n"
+		texts = append(texts, &wire.SectionEdit{Id: id, Text: text})
+		plain = append(plain, fmt.Sprint("p", i))
 	}
+	text := "[service p]\nkind = plain\ntargets = " + strings.Join(plain, ", ") + "\ndefault-class = c\n"
+	texts = append(texts, &wire.SectionEdit{Id: "service p", Text: text})
 	require.NoError(tb, store.Reset(1, texts))
 	s, _ := settings.Parse("test", []byte("[instance]\nname = i\n[entry]\nload-interval = 10ms\nreadiness-delay = 0s\n"))
 	shared := base.Base{Log: logr.Discard(), Settings: s, Timers: timer.New(), Metrics: telemetry.NewMetrics()}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -55,7 +55,7 @@
 	watchdog   *watchdog
 	loads      *loadReader
 	memory     answerMemory
-	parts      *partLedger
+	crashes    *crashLedger
 	pooled     *http.Client // reuses connections; for idempotent requests, resumes and cancellations
 	unpooled   *http.Client // one connection per request, never retried; for non-idempotent requests
 	httpServer *http.Server
@@ -77,7 +77,7 @@
 		log: b.Log.WithValues("role", "entry"), settings: s, timers: b.Timers, store: store, guard: guard,
 		metrics: metrics, recorder: recorder,
 		dispatch: newDispatcher(b.Timers, s.Entry.MaxQueue, seed),
-		watchdog: newWatchdog(b.Timers), parts: newPartLedger(b.Timers, s.Instance.Name), openByOrg: map[string]int{},
+		watchdog: newWatchdog(b.Timers), crashes: newCrashLedger(b.Timers, s.Instance.Name), openByOrg: map[string]int{},
 	}
 	srv.memory.limit = int64(s.Entry.BufferMemory)
 	srv.pooled = &http.Client{Transport: &http.Transport{
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"io"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,7 +38,7 @@
 	if explained || req.answeringTime() > quarantine.JustBegun || req.server.isLeaving(t) {
 		return
 	}
-	if isConnectionEnd(err) {
+	if upstream.IsConnectionEnd(err) || errors.Is(err, errNoEvent) {
 		crashes := req.server.recordRequestCrash(req, t)
 		req.server.base.Log.Info("target crashed when it began to run the request", "request", req.caller.ID, "target", t.ID(),
 			"name", req.identity.Name(), "crashes", crashes)
@@ -53,12 +51,6 @@
 		"answering-ms", req.answeringTime().Milliseconds(), "parts", strings.Join(req.caller.SharedParts, ","), "held-back", held)
 }
 
-// isConnectionEnd reports whether an error is the end of a connection, by which the end of a process is seen.
-func isConnectionEnd(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errNoEvent) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
-
 // noteWholeAnswer records that the request was answered whole, with success.
 func (req *request) noteWholeAnswer() {
 	if req.framing == upstream.FramedByClose {
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		conn.Close()
 		req.server.removeRun(resumed)
-		if isConnectionEnd(err) && ctx.Err() == nil && !req.server.isLeaving(holder) {
+		if upstream.IsConnectionEnd(err) && ctx.Err() == nil && !req.server.isLeaving(holder) {
 			req.server.recordRequestCrash(req, holder)
 		}
 		return nil, req.classifyFailure(ctx, "no answer from the holder of the copy", holder, err)
