--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,12 +1,13 @@
 #!/usr/bin/env bash
-# Runs the README's test command. Tests that KNOWN-RED.txt lists by name may
-# fail; each is printed. Any other failure fails the run.
+# Runs all tests with the race detector. Tests that KNOWN-RED.txt lists by name are passed over and
+# printed; any other failure fails the run.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-if make test; then exit 0; fi
-[ -s KNOWN-RED.txt ] || exit 1
-names=$(grep -oE '^test: [A-Za-z0-9_/]+' KNOWN-RED.txt | cut -d' ' -f2 | paste -sd'|')
-[ -n "$names" ] || exit 1
-echo "tests that are known to fail, skipped in this run:"
-cat KNOWN-RED.txt
-CGO_ENABLED=1 go test -race -skip "^($names)\$" ./...
+skip=()
+if [ -s KNOWN-RED.txt ]; then
+  names=$(sed -n 's|^test: \([A-Za-z0-9_]*\)$|\1|p' KNOWN-RED.txt | paste -sd'|')
+  [ -z "$names" ] || skip=(-skip "^($names)\$")
+  echo "tests that are known to fail, passed over in this run:"
+  cat KNOWN-RED.txt
+fi
+CGO_ENABLED=1 ${GO:-go} test -race "${skip[@]}" ./...
