Quarantine: what ran beside a request that is held back does not speak against other parts

Cause: the crash of an engine under a repeated request also cut sound streams there, whose shared parts were blamed; only crashes under parts that are held back explained what ran beside them, not those under requests. Change: crashes of other requests that ended with one under a request that is held back do not count; its own do, since other requests may have its part. Evidence: TestPartsBesideRepeatedRequest, red before (the shared part held for 639 s after 8 crashes).

--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -97,7 +97,7 @@
 // next one is sought among the others.
 func (l *Ledger) decide(now time.Duration) {
 	l.crashes = slices.DeleteFunc(l.crashes, func(c crash) bool { return !l.matters(c, now) })
-	unexplained := begunLast(l.crashes)
+	unexplained := besideRequests(begunLast(l.crashes), l.heldCrashes())
 	l.held = nil
 	for {
 		suspects := l.suspects(unexplained)
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -160,6 +160,9 @@
 	l.addNamedCrash(c.exact, c, own)
 	count, _ := l.requests[c.exact].against()
 	l.forgetRequests(now)
+	if count >= minCrashes {
+		l.decide(now)
+	}
 	return count
 }
 
@@ -185,6 +188,26 @@
 	}
 }
 
+// heldCrashes returns the crashes under requests that are held back.
+func (l *Ledger) heldCrashes() []requestCrash {
+	var out []requestCrash
+	for name, r := range l.requests {
+		if l.heldName(name) != nil {
+			out = append(out, r.crashes...)
+		}
+	}
+	return out
+}
+
+// besideRequests returns the crashes without those of requests that ran beside one that is held back, and
+// ended with it: that one explains them. Its own stay, since another request may have the same parts.
+func besideRequests(crashes []crash, held []requestCrash) []crash {
+	return slices.DeleteFunc(crashes, func(c crash) bool {
+		own := slices.ContainsFunc(held, func(h requestCrash) bool { return h.id == c.id })
+		return !own && slices.ContainsFunc(held, func(h requestCrash) bool { return h.target == c.target && (h.at-c.at).Abs() <= restartTime })
+	})
+}
+
 // renew makes all that is known of a request news for those who have not been told of it yet.
 func (l *Ledger) renew(r *repeated) {
 	for i := range r.crashes {
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -156,3 +156,24 @@
 	}
 	require.Equal(t, quarantine.NewRequest("c", "GET", "h", "/", nil, nil), quarantine.NewRequest("c", "GET", "h", "/", []byte{}, []string{}))
 }
+
+// TestPartsBesideRepeatedRequest guards against blaming the parts of sound prompts for crashes beside which they
+// ran, when it is one request that crashes the engines; and against clearing the parts of that request itself.
+func TestPartsBesideRepeatedRequest(t *testing.T) {
+	for _, parts := range [][]string{nil, {"own"}} {
+		l := quarantine.New("i")
+		bad := quarantine.NewRequest("caller", "POST", "host", "/", []byte("bad"), parts)
+		for n := range 8 {
+			now := time.Duration(n+1) * time.Second
+			target := fmt.Sprint("target-", n)
+			l.Crashed(fmt.Sprint("sound-", n), target, []string{"system", "topic"}, 0, now)
+			l.RequestCrashed(bad, fmt.Sprint("bad-", n), target, now)
+			l.Crashed(fmt.Sprint("bad-", n), target, parts, 0, now)
+		}
+		require.NotNil(t, l.CheckRequest(bad, 9*time.Second))
+		require.Nil(t, l.Check([]string{"system", "topic"}, 9*time.Second), "they ran beside")
+		if parts != nil {
+			require.NotNil(t, l.Check(parts, 9*time.Second), "others with the part crash engines, for all that is known")
+		}
+	}
+}
