Quarantine: what is sent to a target that crashed before says nothing of the request

Cause: each connection that ended counted as a crash, also when the target had ended before the request was sent. Evidence: TestRequestSentToDeadTarget; it does not compile before, since the time of sending was not passed.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -44,7 +44,8 @@
 	key     string // record key of a non-idempotent request
 	// identity is the same for repeats of the request
 	identity quarantine.Request
-	reason   string // why a request was refused or ended early, for the log
+	sentAt   time.Duration // when the last attempt began
+	reason   string        // why a request was refused or ended early, for the log
 }
 
 // begin authenticates the caller and counts the request as open. It returns nil if
@@ -153,7 +154,7 @@
 		s.metrics.Refusal(string(decision.Reason))
 		return id, refusal(http.StatusServiceUnavailable, Code(decision.Reason), "the request was refused before it ran: "+string(decision.Reason), decision.RetryAfter)
 	}
-	ex.target = decision.Target
+	ex.target, ex.sentAt = decision.Target, s.timers.Now()
 	return id, nil
 }
 
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -45,19 +45,20 @@
 	c.ledger.Crashed(attempt, target, parts, answering, c.timers.Now())
 }
 
-func (c *crashLedger) requestCrashed(r quarantine.Request, attempt, target string) int {
+func (c *crashLedger) requestCrashed(r quarantine.Request, attempt, target string, sentAt time.Duration) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ledger.RequestCrashed(r, attempt, target, c.timers.Now())
+	now := c.timers.Now()
+	return c.ledger.RequestCrashed(r, attempt, target, now-sentAt, now)
 }
 
 // answered records a request that was answered whole, and the parts of its prompt if it has any.
-func (c *crashLedger) answered(r quarantine.Request, parts []string) {
+func (c *crashLedger) answered(r quarantine.Request, target string, parts []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.timers.Now()
 	c.ledger.Answered(parts, now)
-	c.ledger.RequestAnswered(r, now)
+	c.ledger.RequestAnswered(r, target, now)
 }
 
 // heldBack returns the problem for a request that targets crash on, or on a part of its prompt, or nil. It
@@ -83,7 +84,7 @@
 	if ctx.Err() != nil || !upstream.IsConnectionEnd(err) {
 		return
 	}
-	crashes := ex.server.crashes.requestCrashed(ex.identity, attempt, ex.target)
+	crashes := ex.server.crashes.requestCrashed(ex.identity, attempt, ex.target, ex.sentAt)
 	ex.server.log.Info("target crashed when it began to run the request", "request", ex.id, "target", ex.target,
 		"name", ex.identity.Name(), "crashes", crashes)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -103,6 +103,7 @@
 		return result
 	}
 	req.sent++
+	req.sentAt = req.server.base.Timers.Now()
 	attemptCtx, cancel := req.boundAttempt(ctx)
 	defer cancel()
 	defer conn.CloseOnDone(attemptCtx)()
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -63,7 +63,7 @@
 // noteAnswered records that the request was answered completely, so that its target did not crash on it.
 func (req *request) noteAnswered() {
 	if req.framing != upstream.FramedByClose {
-		req.server.recordAnswered(req.identity)
+		req.server.recordAnswered(req.identity, req.target)
 	}
 }
 
@@ -124,10 +124,10 @@
 	g.ledger.Answered(parts, g.base.Timers.Now())
 }
 
-func (g *Server) recordAnswered(r quarantine.Request) {
+func (g *Server) recordAnswered(r quarantine.Request, target string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.ledger.RequestAnswered(r, g.base.Timers.Now())
+	g.ledger.RequestAnswered(r, target, g.base.Timers.Now())
 }
 
 // isLeaving reports whether a target is known to be leaving.
@@ -141,7 +141,8 @@
 func (g *Server) recordRequestCrash(req *request, t *balance.Target) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.ledger.RequestCrashed(req.identity, req.caller.ID, t.ID(), g.base.Timers.Now())
+	now := g.base.Timers.Now()
+	return g.ledger.RequestCrashed(req.identity, req.caller.ID, t.ID(), now-req.sentAt, now)
 }
 
 // recordCrash records a crash that speaks against the parts of the prompt. It returns the number of groups
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -43,6 +43,7 @@
 	framing upstream.Framing // of the last answer; empty without one
 	// answerBegan is when the head of the last target's answer arrived; 0 without an answer.
 	answerBegan time.Duration
+	sentAt      time.Duration // when the request was sent to the last target
 	identity    quarantine.Request
 	sent        int  // number of targets that the request was sent to
 	maybeRun    bool // a target may have run the request
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -39,9 +39,10 @@
 	sound     recent
 	soundNews map[string]news // by part that was in the request of a crash
 	held      []*group
-	requests  map[string]*repeated // by name
-	answered  recent               // requests that this instance saw answered
-	claims    map[string]claim     // by the first part of a group
+	requests  map[string]*repeated     // by name
+	answered  recent                   // requests that this instance saw answered
+	ended     map[string]time.Duration // when targets ended connections last
+	claims    map[string]claim         // by the first part of a group
 	latest    news
 }
 
@@ -65,7 +66,7 @@
 
 // New returns an empty ledger of an instance.
 func New(instance string) *Ledger {
-	return &Ledger{instance: instance, soundNews: map[string]news{}, claims: map[string]claim{}, requests: map[string]*repeated{}, latest: news{own: 1}}
+	return &Ledger{instance: instance, soundNews: map[string]news{}, claims: map[string]claim{}, requests: map[string]*repeated{}, ended: map[string]time.Duration{}, latest: news{own: 1}}
 }
 
 // record returns the number of a new record. Own is true for one of this instance.
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 
@@ -75,15 +76,42 @@
 	news   news
 }
 
-// RequestCrashed records that a target crashed when it had begun to run a request, or was about to.
-// Attempt identifies the attempt. It returns the number of crashes that speak against the request.
-func (l *Ledger) RequestCrashed(r Request, attempt, target string, now time.Duration) int {
+// RequestCrashed records that a target crashed when it had begun to run a request, or was about to, a time
+// took after the request was sent. Attempt identifies the attempt. It returns the number of crashes that speak
+// against the request. A request that was sent to a target which had crashed shortly before says nothing.
+func (l *Ledger) RequestCrashed(r Request, attempt, target string, took, now time.Duration) int {
+	before, seen := l.ended[target]
+	l.noteEnd(target, now)
+	if sent := now - took; seen && sent >= before && sent-before <= restartTime {
+		return l.against(r)
+	}
 	return l.addRequestCrash(requestCrash{id: attempt + "@" + target, target: target, name: r.name, exact: r.exact, at: now}, true, now)
 }
 
-// RequestAnswered records that a request was answered completely, whatever the answer: its target did
-// not crash.
-func (l *Ledger) RequestAnswered(r Request, now time.Duration) {
+// noteEnd records when a target's connections ended last.
+func (l *Ledger) noteEnd(target string, now time.Duration) {
+	if len(l.ended) >= maxRequests {
+		maps.DeleteFunc(l.ended, func(_ string, at time.Duration) bool { return now-at > restartTime })
+	}
+	if _, known := l.ended[target]; known || len(l.ended) < maxRequests {
+		l.ended[target] = now
+	}
+}
+
+// against returns the number of crashes that speak against a request.
+func (l *Ledger) against(r Request) int {
+	known := l.requests[r.exact]
+	if known == nil {
+		return 0
+	}
+	count, _ := known.against()
+	return count
+}
+
+// RequestAnswered records that a target answered a request completely, whatever the answer: it did not
+// crash.
+func (l *Ledger) RequestAnswered(r Request, target string, now time.Duration) {
+	delete(l.ended, target)
 	for _, name := range r.names() {
 		l.answered.put(name, now)
 		l.addSoundRequest(name, now, true)
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -26,9 +26,9 @@
 	}
 	if crashes {
 		d.crashes = append(d.crashes, d.now)
-		instance.RequestCrashed(plain(name), fmt.Sprint(d.requests), fmt.Sprint("target-", d.requests), d.now)
+		instance.RequestCrashed(plain(name), fmt.Sprint(d.requests), fmt.Sprint("target-", d.requests), 0, d.now)
 	} else {
-		instance.RequestAnswered(plain(name), d.now)
+		instance.RequestAnswered(plain(name), "t", d.now)
 	}
 	return true
 }
@@ -72,10 +72,10 @@
 func TestAnsweredRequestIsSentAgain(t *testing.T) {
 	a, b := quarantine.New("a"), quarantine.New("b")
 	for n := range 3 {
-		a.RequestCrashed(plain("r"), fmt.Sprint(n), fmt.Sprint("target-", n), time.Second)
+		a.RequestCrashed(plain("r"), fmt.Sprint(n), fmt.Sprint("target-", n), 0, time.Second)
 	}
 	require.NotNil(t, a.CheckRequest(plain("r"), 2*time.Second))
-	b.RequestAnswered(plain("r"), 3*time.Second)
+	b.RequestAnswered(plain("r"), "t", 3*time.Second)
 	b.Merge(a.Evidence(4*time.Second), 4*time.Second)
 	require.Nil(t, b.CheckRequest(plain("r"), 4*time.Second), "answered after the crashes")
 	a.Merge(b.Evidence(5*time.Second), 5*time.Second)
@@ -87,20 +87,36 @@
 func TestOneTargetIsNoEvidence(t *testing.T) {
 	l := quarantine.New("i")
 	for n := range 10 {
-		l.RequestCrashed(plain("r"), fmt.Sprint(n), "target", time.Duration(n)*100*time.Millisecond)
+		l.RequestCrashed(plain("r"), fmt.Sprint(n), "target", 0, time.Duration(n)*100*time.Millisecond)
 	}
 	require.Nil(t, l.CheckRequest(plain("r"), time.Second))
 }
 
+// TestRequestSentToDeadTarget guards against counting what was sent to a target that had crashed before: only
+// what it was running or had waiting when it crashed speaks of the crash.
+func TestRequestSentToDeadTarget(t *testing.T) {
+	const took = 100 * time.Millisecond
+	l := quarantine.New("i")
+	require.Equal(t, 1, l.RequestCrashed(plain("first"), "1", "target", took, time.Second))
+	require.Equal(t, 1, l.RequestCrashed(plain("waiting"), "2", "target", took, time.Second+took/2), "sent before the crash")
+	for n := range 10 {
+		now := 1300*time.Millisecond + time.Duration(n)*time.Second/2
+		require.Zero(t, l.RequestCrashed(plain("late"), fmt.Sprint("late-", n), "target", took, now), "the target was down already")
+	}
+	require.Equal(t, 1, l.RequestCrashed(plain("late"), "other", "other target", took, 2*time.Second))
+	l.RequestAnswered(plain("sound"), "target", 7*time.Second)
+	require.Equal(t, 2, l.RequestCrashed(plain("late"), "again", "target", took, 7300*time.Millisecond), "it was up again")
+}
+
 // TestMadeUpRequests guards against memory and bytes that grow with requests of which one crash is known.
 func TestMadeUpRequests(t *testing.T) {
 	const mostBytes = 16 << 10
 	l := quarantine.New("i")
 	for n := range 3 {
-		l.RequestCrashed(plain("bad"), fmt.Sprint("bad-", n), fmt.Sprint("target-", n), time.Second)
+		l.RequestCrashed(plain("bad"), fmt.Sprint("bad-", n), fmt.Sprint("target-", n), 0, time.Second)
 	}
 	for n := range 10000 {
-		l.RequestCrashed(plain(fmt.Sprint("request-", n)), fmt.Sprint(n), fmt.Sprint("target-", n), time.Second)
+		l.RequestCrashed(plain(fmt.Sprint("request-", n)), fmt.Sprint(n), fmt.Sprint("target-", n), 0, time.Second)
 	}
 	require.LessOrEqual(t, l.Requests(), 128)
 	require.NotNil(t, l.CheckRequest(plain("bad"), 2*time.Second), "crowded out")
@@ -116,7 +132,7 @@
 	}
 	told, l := quarantine.New("i"), quarantine.New("")
 	crash := func(n int, r quarantine.Request) {
-		l.RequestCrashed(r, fmt.Sprint(n), fmt.Sprint("target-", n), time.Second)
+		l.RequestCrashed(r, fmt.Sprint(n), fmt.Sprint("target-", n), 0, time.Second)
 		told.Merge(l.News(0, time.Second), time.Second)
 	}
 	for n := range 3 {
@@ -130,7 +146,7 @@
 	for _, ledger := range []*quarantine.Ledger{l, told} {
 		require.NotNil(t, ledger.CheckRequest(prompt("system", "sound"), 2*time.Second), "the parts do not distinguish them")
 	}
-	l.RequestAnswered(prompt("system", "sound"), 3*time.Second)
+	l.RequestAnswered(prompt("system", "sound"), "t", 3*time.Second)
 	require.Nil(t, l.CheckRequest(prompt("system", "sound"), 4*time.Second))
 	require.NotNil(t, l.CheckRequest(prompt("system", "bad"), 4*time.Second))
 }
@@ -167,7 +183,7 @@
 			now := time.Duration(n+1) * time.Second
 			target := fmt.Sprint("target-", n)
 			l.Crashed(fmt.Sprint("sound-", n), target, []string{"system", "topic"}, 0, now)
-			l.RequestCrashed(bad, fmt.Sprint("bad-", n), target, now)
+			l.RequestCrashed(bad, fmt.Sprint("bad-", n), target, 0, now)
 			l.Crashed(fmt.Sprint("bad-", n), target, parts, 0, now)
 		}
 		require.NotNil(t, l.CheckRequest(bad, 9*time.Second))
