Quarantine: engines that crash in one burst do not lengthen the hold of what they crashed on

Cause: each crash doubled the time, also those of requests that were under way when the others crashed. Change: after the fifth, crashes within 10 s of the last that counted do not double it. For five crashes and more in one burst that is 80 s, then 160 and 320: still at most three trials in nine minutes.

--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -23,9 +23,11 @@
 	// crashes.
 	nearlyFactor  = 3
 	nearlyDivisor = 4
-	// baseHold is how long a part is held back after the last of minCrashes crashes. It
-	// doubles with each further crash.
-	baseHold = 20 * time.Second
+	// baseHold is how long something is held back after the last of minCrashes crashes. It doubles with
+	// each further crash; of those after minCrashesUnclear, with one in burstTime: what was under way
+	// when the others crashed is no new trial.
+	baseHold  = 20 * time.Second
+	burstTime = 10 * time.Second
 	// maxHold bounds the doubling.
 	maxHold = time.Hour
 	// restartTime is how soon after a crash the same target cannot crash again; two requests
@@ -41,6 +43,7 @@
 type group struct {
 	parts     []string // sorted
 	crashes   int      // of different targets
+	trials    int      // of the crashes, those that lengthen the time
 	lastCrash time.Duration
 }
 
@@ -90,7 +93,7 @@
 
 // hold returns how long the group is held back after its last crash.
 func (g *group) hold() time.Duration {
-	return min(maxHold, baseHold<<min(g.crashes-minCrashes, 8))
+	return min(maxHold, baseHold<<min(g.trials-minCrashes, 8))
 }
 
 // decide finds the parts to hold back, group by group: each explains some of the crashes, and the
@@ -145,6 +148,7 @@
 	known   bool          // a request with it is known to have been answered whole
 	sound   time.Duration // when the last one was
 	crashes int
+	trials  int           // as in group
 	last    time.Duration // when the last crash was
 	enough  bool          // the crashes are enough to hold the part back
 }
@@ -163,7 +167,9 @@
 		if !s.known && l.othersSound(part, crashes) {
 			needed = minCrashes
 		}
-		if s.crashes, s.last = against(part, crashes, s.sound); s.crashes >= minCrashes {
+		counted := against(part, crashes, s.sound)
+		s.crashes, s.trials, s.last = counted.count, counted.trials, counted.last
+		if s.crashes >= minCrashes {
 			s.enough = s.crashes >= needed
 			out = append(out, s)
 		}
@@ -194,7 +200,7 @@
 // newGroup returns the worst suspect together with those that are nearly as likely and were
 // in the same requests: which of them it is shows when a request has only some of them.
 func newGroup(worst suspect, suspects []suspect, crashes []crash) *group {
-	g := &group{parts: []string{worst.part}, crashes: worst.crashes, lastCrash: worst.last}
+	g := &group{parts: []string{worst.part}, crashes: worst.crashes, trials: worst.trials, lastCrash: worst.last}
 	for _, s := range suspects {
 		nearly := s.part != worst.part && nearlyDivisor*s.crashes >= nearlyFactor*worst.crashes && s.sound == worst.sound
 		if !nearly || !onlyWith(s.part, worst.part, crashes) {
@@ -235,23 +241,25 @@
 }
 
 // against counts the crashes that speak against a part: those of different targets under requests
-// with it, since it was last answered whole. It also returns when the last one was.
-func against(part string, crashes []crash, sound time.Duration) (int, time.Duration) {
+// with it, since it was last answered whole.
+func against(part string, crashes []crash, sound time.Duration) crashCounter {
 	var counter crashCounter
 	for _, c := range crashes {
 		if c.at > sound && slices.Contains(c.parts, part) {
 			counter.add(c.target, c.at)
 		}
 	}
-	return counter.count, counter.last
+	return counter
 }
 
 // crashCounter counts crashes, in the order of their times. Two of the same target within restartTime are
 // one.
 type crashCounter struct {
-	count  int
-	last   time.Duration
-	lastOf map[string]time.Duration // by target
+	count     int
+	trials    int // as in group
+	last      time.Duration
+	lastTrial time.Duration
+	lastOf    map[string]time.Duration // by target
 }
 
 func (c *crashCounter) add(target string, at time.Duration) {
@@ -260,6 +268,9 @@
 	}
 	if before, seen := c.lastOf[target]; !seen || at-before > restartTime {
 		c.count++
+		if c.count <= minCrashesUnclear || at-c.lastTrial > burstTime {
+			c.trials, c.lastTrial = c.trials+1, at
+		}
 	}
 	c.lastOf[target], c.last = at, at
 }
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -104,8 +104,7 @@
 	if known == nil {
 		return 0
 	}
-	count, _ := known.against()
-	return count
+	return known.against().count
 }
 
 // RequestAnswered records that a target answered a request completely, whatever the answer: it did not
@@ -160,22 +159,22 @@
 	if r.known {
 		needed = minCrashesUnclear
 	}
-	count, last := r.against()
-	if count < needed {
+	counted := r.against()
+	if counted.count < needed {
 		return nil
 	}
-	return &group{parts: []string{name}, crashes: count, lastCrash: last}
+	return &group{parts: []string{name}, crashes: counted.count, trials: counted.trials, lastCrash: counted.last}
 }
 
-// against counts the crashes that speak against the request, and returns when the last one was.
-func (r *repeated) against() (int, time.Duration) {
+// against counts the crashes that speak against the request.
+func (r *repeated) against() crashCounter {
 	var counter crashCounter
 	for _, c := range r.crashes {
 		if !r.known || c.at > r.sound {
 			counter.add(c.target, c.at)
 		}
 	}
-	return counter.count, counter.last
+	return counter
 }
 
 // addRequestCrash adds a crash under both names of its request, and returns the number that speak against
@@ -186,7 +185,7 @@
 	}
 	l.addNamedCrash(c.name, c, own)
 	l.addNamedCrash(c.exact, c, own)
-	count, _ := l.requests[c.exact].against()
+	count := l.requests[c.exact].against().count
 	l.forgetRequests(now)
 	if count >= minCrashes {
 		l.decide(now)
@@ -276,7 +275,7 @@
 func (l *Ledger) leastSuspect() string {
 	least, leastCount, leastLast := "", 0, time.Duration(0)
 	for name, r := range l.requests {
-		count, _ := r.against()
+		count := r.against().count
 		last := r.crashes[len(r.crashes)-1].at
 		if least == "" || count < leastCount || count == leastCount && last < leastLast {
 			least, leastCount, leastLast = name, count, last
