Soak: requests that crash targets again and again, narrow links with large configurations

Both come in every seed of TestSoak; TestSoakRepeats plays them alone, where their checks bind: at most three requests reach targets from 3 s after the third crash, no other request is refused for them. Crashing requests with a part have bodies of their own now, so that the hold of the part is what is checked.

--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -30,8 +30,12 @@
 	forwardBlocks  int // faults that block traffic from the source
 	backwardBlocks int // faults that block traffic to the source
 	delays         int // faults that delay traffic
+	narrow         int // faults that let few bytes a second pass to the source
 }
 
+// narrowBytes is how many bytes a second pass to the source of a narrow link, on each connection.
+const narrowBytes = 40 << 10
+
 // network holds the state of all links. Its proxies apply to each connection the faults
 // of the link between its two ends.
 type network struct {
@@ -97,7 +101,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s, anyState := n.links[l], n.links[link{anySource, l.to}]
-	return linkState{forwardBlocks: s.forwardBlocks + anyState.forwardBlocks, backwardBlocks: s.backwardBlocks + anyState.backwardBlocks, delays: s.delays + anyState.delays}
+	return linkState{forwardBlocks: s.forwardBlocks + anyState.forwardBlocks, backwardBlocks: s.backwardBlocks + anyState.backwardBlocks, delays: s.delays + anyState.delays, narrow: s.narrow + anyState.narrow}
 }
 
 // proxy forwards connections from an address to the target address of the named process.
@@ -160,10 +164,10 @@
 	defer n.track(l, destination)()
 	var directions sync.WaitGroup
 	directions.Go(func() {
-		n.copyDirection(destination, source, func() (bool, bool) { s := n.state(l); return s.forwardBlocks > 0, s.delays > 0 })
+		n.copyDirection(destination, source, func() direction { s := n.state(l); return direction{s.forwardBlocks > 0, s.delays > 0, false} })
 	})
 	directions.Go(func() {
-		n.copyDirection(source, destination, func() (bool, bool) { s := n.state(l); return s.backwardBlocks > 0, s.delays > 0 })
+		n.copyDirection(source, destination, func() direction { s := n.state(l); return direction{s.backwardBlocks > 0, s.delays > 0, s.narrow > 0} })
 	})
 	directions.Wait()
 }
@@ -184,19 +188,25 @@
 	}
 }
 
+// direction is how faults affect one direction of a connection.
+type direction struct{ blocked, delayed, narrow bool }
+
 // copyDirection forwards one direction of a connection. Blocked bytes are forwarded later,
 // as after a retransmission in a real network.
-func (n *network) copyDirection(to, from net.Conn, faults func() (blocked, delayed bool)) {
+func (n *network) copyDirection(to, from net.Conn, faults func() direction) {
 	buffer := make([]byte, copyBufferBytes)
 	for {
 		size, err := from.Read(buffer)
-		blocked, delayed := faults()
-		if delayed {
+		state := faults()
+		if state.delayed {
 			time.Sleep(linkDelay)
 		}
-		for blocked {
+		if state.narrow {
+			time.Sleep(time.Duration(size) * time.Second / narrowBytes)
+		}
+		for state.blocked {
 			time.Sleep(blockPollInterval)
-			blocked, _ = faults()
+			state = faults()
 		}
 		if size > 0 {
 			if _, writeErr := to.Write(buffer[:size]); writeErr != nil {
@@ -257,6 +267,13 @@
 		_, err = conn.Read(make([]byte, 1))
 		require.NoError(t, err, "blocked bytes arrive later")
 	}
+	n.updateState(link{"caller", "echo"}, func(s *linkState) { s.narrow++ })
+	begun := time.Now()
+	_, err = conn.Write(make([]byte, narrowBytes/10))
+	require.NoError(t, err)
+	_, err = io.ReadFull(conn, make([]byte, narrowBytes/10))
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, time.Since(begun), 100*time.Millisecond, "a narrow link takes its time")
 	n.updateState(link{"caller", "echo"}, func(s *linkState) { s.backwardBlocks++ })
 	require.False(t, echo())
 	n.reset(link{"caller", "echo"})
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -31,6 +31,7 @@
 	records []requestRecord
 	history history
 	version uint64 // version of the configuration that was sent last
+	large   int    // number of reasons for configurations to be large
 	reads   int
 }
 
@@ -125,11 +126,28 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.version++
-	body := platformtest.Configuration(l.version, pathPrefix(l.version))
+	body := l.padding(l.version) + platformtest.Configuration(l.version, pathPrefix(l.version))
 	l.history.sent[l.version] = body
 	return l.version, body
 }
 
+// paddingBytes is the size of what large configurations hold besides.
+const paddingBytes = 96 << 10
+
+// padding returns white space, which a configuration may begin with, while configurations are to be large. It
+// changes with each tenth of them, and no two pieces of it are alike.
+func (l *load) padding(version uint64) string {
+	if l.large == 0 {
+		return ""
+	}
+	random := rand.New(rand.NewPCG(version/10, 4))
+	out := make([]byte, paddingBytes)
+	for i := range out {
+		out[i] = " \n\t\r"[random.IntN(4)]
+	}
+	return string(out)
+}
+
 // putConfiguration sends a configuration to a replica and reports whether it was acknowledged.
 func (l *load) putConfiguration(replica int, version uint64, body string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/vanillaward/vanillaward/platform/platformtest"
 )
 
 // Numbers of processes and targets in the deployment.
@@ -41,6 +43,14 @@
 	// Troubles that requests and targets bring by themselves; makeTroubles draws them.
 	faultCrashPart   fault = "crash-part"   // engines crash on a part of some prompts
 	faultTargetLimit fault = "target-limit" // a target states a limit
+	faultRepeat      fault = "repeat"       // a request that comes again and again crashes targets
+	faultNarrow      fault = "narrow"       // few bytes a second pass from replicas to an instance, while configurations are large
+)
+
+// Kinds of faults that makeTroubles draws, with how often each comes in a seed.
+var (
+	troubles       = []fault{faultCrashPart, faultTargetLimit, faultCrashPart, faultTargetLimit}
+	repeatTroubles = []fault{faultRepeat, faultNarrow, faultRepeat}
 )
 
 // faultWeights are the relative frequencies of the faults.
@@ -118,18 +128,23 @@
 	minLimit, maxLimit = 1, 6
 )
 
-// makeTroubles draws the troubles of a seed, in a plan of their own, so that the faults of a seed
-// stay the same.
-func makeTroubles(seed uint64) []step {
+// makeTroubles draws the troubles of some kinds for a seed, in a plan of their own, so that the faults of a
+// seed stay the same.
+func makeTroubles(seed uint64, kinds []fault) []step {
 	random := rand.New(rand.NewPCG(seed, 2))
 	var out []step
-	for i, f := range []fault{faultCrashPart, faultTargetLimit, faultCrashPart, faultTargetLimit} {
+	for i, f := range kinds {
 		s := step{
 			at: time.Duration(random.Int64N(int64(2 * time.Second))), fault: f, subject: fmt.Sprint("part-", i),
 			duration: minTroubleDuration + time.Duration(random.Int64N(int64(maxTroubleDuration-minTroubleDuration))),
 		}
-		if f == faultTargetLimit {
+		switch f {
+		case faultTargetLimit:
 			s.subject, s.to = plainName(random.IntN(plainCount)), fmt.Sprint(minLimit+random.IntN(maxLimit))
+		case faultRepeat:
+			s.to = []string{platformtest.SafePath, platformtest.StreamPath}[random.IntN(2)]
+		case faultNarrow:
+			s.subject = gatewayName(random.IntN(gatewayCount))
 		}
 		out = append(out, s)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -72,21 +72,31 @@
 		prefix := fmt.Sprintf("127.%d.%d.", firstSubnet+os.Getpid()%subnetCount, 1+i%120)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, binary, prefix, seed, mergeSteps(makePlan(seed, *soakDuration), makeTroubles(seed)))
+			runSeed(t, binary, prefix, seed, mergeSteps(makePlan(seed, *soakDuration), makeTroubles(seed, slices.Concat(troubles, repeatTroubles))))
 		})
 	}
 }
 
 // TestSoakTroubles runs troubles alone, without any fault that would excuse an instance, so that
 // the checks of troubles bind all of the time.
-func TestSoakTroubles(t *testing.T) {
+func TestSoakTroubles(t *testing.T) { playTroubles(t, 0, troubles) }
+
+// TestSoakRepeats is like TestSoakTroubles for requests that come again and again and crash targets, while the
+// link of an instance is narrow.
+func TestSoakRepeats(t *testing.T) { playTroubles(t, 1, repeatTroubles) }
+
+// troubleSubnets is the number of subnets of one test of troubles.
+const troubleSubnets = 60
+
+func playTroubles(t *testing.T, test int, kinds []fault) {
+	t.Helper()
 	binary := buildProgram(t)
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
-		prefix := fmt.Sprintf("127.%d.%d.", firstSubnet+os.Getpid()%subnetCount, 128+i%100)
+		prefix := fmt.Sprintf("127.%d.%d.", firstSubnet+os.Getpid()%subnetCount, 128+test*troubleSubnets+i%troubleSubnets)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, binary, prefix, seed, makeTroubles(seed))
+			runSeed(t, binary, prefix, seed, makeTroubles(seed, kinds))
 		})
 	}
 }
@@ -173,7 +183,7 @@
 	for _, s := range steps {
 		time.Sleep(time.Until(start.Add(s.at)))
 		faults.Go(func() {
-			if s.fault == faultCrashPart || s.fault == faultTargetLimit {
+			if isTrouble(s) {
 				l.runTrouble(s)
 			} else {
 				c.runStep(s)
--- a/internal/soak/trouble_test.go
+++ b/internal/soak/trouble_test.go
@@ -22,6 +22,7 @@
 	// knownCrashes is the number of crashes, and knownWithin the time after the last of them, after
 	// which at most maxLateCrashes more requests with the part may reach engines.
 	knownCrashes   = 5
+	knownRepeats   = 3 // as knownCrashes, of a request that comes again and again
 	knownWithin    = 3 * time.Second
 	maxLateCrashes = 3
 	// From soundWithin after the last of knownCrashes crashes, no sound request may be refused for
@@ -40,12 +41,50 @@
 // soundParts returns the parts of the prompt of a sound request.
 func soundParts(id uint64) []string { return []string{"system", fmt.Sprint("topic-", id%3)} }
 
+func isTrouble(s step) bool {
+	return slices.Contains(troubles, s.fault) || slices.Contains(repeatTroubles, s.fault)
+}
+
 // runTrouble runs a trouble until its time has passed.
 func (l *load) runTrouble(s step) {
-	if s.fault == faultCrashPart {
-		l.sendCrashing(s)
-		return
+	switch s.fault {
+	case faultCrashPart:
+		l.cluster.fleet.CrashOn(s.subject)
+		l.sendCrashing(s, func(id uint64) platformtest.Request {
+			return platformtest.Request{Path: platformtest.StreamPath + "x", Body: fmt.Sprint("body ", id), Parts: append(soundParts(id), s.subject)}
+		})
+	case faultRepeat:
+		l.cluster.fleet.CrashOnBody(repeatedBody(s))
+		l.sendCrashing(s, func(uint64) platformtest.Request {
+			return platformtest.Request{Path: s.to + "repeated", Body: repeatedBody(s)}
+		})
+	case faultNarrow:
+		l.narrow(s)
+	case faultTargetLimit:
+		l.limitTarget(s)
+	}
+}
+
+// repeatedBody returns the body of the request that comes again and again.
+func repeatedBody(s step) string { return "repeated " + s.subject }
+
+// narrow makes the links from all replicas to an instance narrow, while configurations are large.
+func (l *load) narrow(s step) {
+	change := func(by int) {
+		l.mu.Lock()
+		l.large += by
+		l.mu.Unlock()
+		for i := range controlCount {
+			l.cluster.net.updateState(link{s.subject, controlName(i)}, func(state *linkState) { state.narrow += by })
+		}
 	}
+	change(1)
+	time.Sleep(s.duration)
+	change(-1)
+}
+
+// limitTarget makes a target state a limit.
+func (l *load) limitTarget(s step) {
 	limit, err := strconv.ParseFloat(s.to, 64)
 	if err != nil {
 		l.cluster.addFinding("limit %q: %v", s.to, err)
@@ -56,9 +95,8 @@
 	t.Limit(0)
 }
 
-// sendCrashing sends requests with a part that crashes engines to instances at random.
-func (l *load) sendCrashing(s step) {
-	l.cluster.fleet.CrashOn(s.subject)
+// sendCrashing sends requests that crash targets to instances at random.
+func (l *load) sendCrashing(s step, newRequest func(id uint64) platformtest.Request) {
 	random := rand.New(rand.NewPCG(uint64(s.duration), 3))
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
@@ -66,10 +104,12 @@
 	defer cancel()
 	for ctx.Err() == nil {
 		id := random.Uint64()
-		parts := append(soundParts(id), s.subject)
-		l.record(client, requestRecord{kind: kindStream, sentTo: gatewayName(random.IntN(gatewayCount)), request: platformtest.Request{
-			ID: fmt.Sprintf("%016x", id), Path: platformtest.StreamPath + "x", Budget: requestBudget, Parts: parts,
-		}})
+		r := requestRecord{kind: kindStream, sentTo: gatewayName(random.IntN(gatewayCount)), request: newRequest(id)}
+		if strings.HasPrefix(r.request.Path, platformtest.SafePath) {
+			r.kind = kindSafe
+		}
+		r.request.ID, r.request.Budget = fmt.Sprintf("%016x", id), requestBudget
+		l.record(client, r)
 		time.Sleep(crashPause)
 	}
 }
@@ -80,10 +120,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []string
-	alone := !slices.ContainsFunc(steps, func(s step) bool { return s.fault != faultCrashPart && s.fault != faultTargetLimit })
+	alone := !slices.ContainsFunc(steps, func(s step) bool { return !isTrouble(s) })
 	for _, s := range steps {
 		if s.fault == faultCrashPart && alone {
-			out = append(out, checkCrashes(s.subject, l.records, l.cluster.fleet.Ends(), l.cluster.fleet.Arrivals())...)
+			isOne := func(r platformtest.Request) bool { return slices.Contains(r.Parts, s.subject) }
+			out = append(out, checkCrashes(s.subject, isOne, knownCrashes, l.records, l.cluster.fleet.Ends(), l.cluster.fleet.Arrivals())...)
+		}
+		if s.fault == faultRepeat && alone {
+			isOne := func(r platformtest.Request) bool { return r.Body == repeatedBody(s) }
+			out = append(out, checkCrashes(repeatedBody(s), isOne, knownRepeats, l.records, l.cluster.fleet.Ends(), l.cluster.fleet.Arrivals())...)
 		}
 	}
 	if alone {
@@ -98,11 +143,12 @@
 	return slices.ContainsFunc(r.Parts, func(part string) bool { return strings.HasPrefix(part, "part-") })
 }
 
-// checkCrashes counts the requests with a part that reach engines though many crashed on it.
-func checkCrashes(part string, records []requestRecord, ends []platformtest.End, arrivals []platformtest.Arrival) []string {
+// checkCrashes counts the requests of one kind that reach targets though as many crashed on them as
+// instances need to know it.
+func checkCrashes(kind string, isOne func(platformtest.Request) bool, known int, records []requestRecord, ends []platformtest.End, arrivals []platformtest.Arrival) []string {
 	sent := map[string]time.Time{}
 	for _, r := range records {
-		if slices.Contains(r.request.Parts, part) {
+		if isOne(r.request) {
 			sent[r.request.ID] = r.from
 		}
 	}
@@ -112,28 +158,34 @@
 			crashes = append(crashes, end.At)
 		}
 	}
-	if len(crashes) < knownCrashes {
+	if len(crashes) < known {
 		return nil
 	}
 	late := 0
 	for _, a := range arrivals {
-		if from, ok := sent[a.Request]; ok && from.After(crashes[knownCrashes-1].Add(knownWithin)) {
+		if from, ok := sent[a.Request]; ok && from.After(crashes[known-1].Add(knownWithin)) {
 			late++
 		}
 	}
 	if late <= maxLateCrashes {
 		return nil
 	}
-	return []string{fmt.Sprintf("%d requests with %s reached engines %s after the fifth crash or later; %d crashed in all", late, part, knownWithin, len(crashes))}
+	return []string{fmt.Sprintf("%d requests with %s reached targets %s after crash %d or later; %d crashed in all", late, kind, knownWithin, known, len(crashes))}
 }
 
-// checkSound finds sound requests that were refused for their parts: all from soundWithin after the
+// checkSound finds sound requests that were refused for what others crashed targets on: all from soundWithin after the
 // last of the crashes that count for the checks, and more than maxSoundRefused of those before.
 func checkSound(records []requestRecord, settled time.Time) []string {
 	var out []string
 	sound, refused := 0, 0
 	for _, r := range records {
-		if hasCrashPart(r.request) || len(r.request.Parts) == 0 {
+		if hasCrashPart(r.request) || strings.HasPrefix(r.request.Body, "repeated ") {
+			continue
+		}
+		if strings.HasPrefix(r.answer.Body, "request-held-back") {
+			out = append(out, fmt.Sprintf("sound request %s to %s was refused as one that crashed targets", r.request.ID, r.sentTo))
+		}
+		if len(r.request.Parts) == 0 {
 			continue
 		}
 		sound++
@@ -249,10 +301,16 @@
 		statements = append(statements, platformtest.Statement{Request: id, Target: "t", At: from, Limit: 0.2})
 	}
 	// The fifth crash is at 2 s, so those from 5.5 s on are too late: 5 in all until 7.5 s.
-	require.Empty(t, checkCrashes("part-0", records, ends, arrivals[:14]))
-	require.Len(t, checkCrashes("part-0", records, ends, arrivals[:15]), 1)
-	require.Empty(t, checkCrashes("part-1", records, ends, arrivals))
-	require.Empty(t, checkCrashes("part-0", records, ends[:4], arrivals))
+	check := func(part string, known int, ends []platformtest.End, arrivals []platformtest.Arrival) []string {
+		isOne := func(r platformtest.Request) bool { return slices.Contains(r.Parts, part) }
+		return checkCrashes(part, isOne, known, records, ends, arrivals)
+	}
+	require.Empty(t, check("part-0", knownCrashes, ends, arrivals[:14]))
+	require.Len(t, check("part-0", knownCrashes, ends, arrivals[:15]), 1)
+	require.Empty(t, check("part-0", knownRepeats, ends, arrivals[:12]))
+	require.Len(t, check("part-0", knownRepeats, ends, arrivals[:13]), 1)
+	require.Empty(t, check("part-1", knownCrashes, ends, arrivals))
+	require.Empty(t, check("part-0", knownCrashes, ends[:4], arrivals))
 
 	require.Empty(t, checkLimits(records, statements, arrivals[:12]), "six in a window, from 3 s on")
 	require.Len(t, checkLimits(records, statements, arrivals[:13]), 1)
@@ -266,6 +324,7 @@
 	whole := slices.Repeat([]requestRecord{request(platformtest.Answer{}, 0, "system")}, 19)
 	require.Empty(t, checkSound([]requestRecord{request(held, 9, "system", "part-0")}, at(0)))
 	require.Empty(t, checkSound(append(whole, request(held, 5, "system")), at(0)), "one in twenty, soon")
+	require.Len(t, checkSound([]requestRecord{request(platformtest.Answer{Body: "request-held-back\n"}, 0)}, at(0)), 1, "no repeat")
 	require.Len(t, checkSound(append(whole, request(held, 7, "system")), at(0)), 1, "too late")
 	require.Len(t, checkSound(append(whole[1:], request(held, 5, "system")), at(0)), 1, "too many")
 }
