--- a/internal/follow/fetch_test.go
+++ b/internal/follow/fetch_test.go
@@ -131,6 +131,7 @@
 	}
 	d := documents{held: &wire.Document{Number: 1, Body: []byte("a document with another beginning 1")}}
 	var refused error
+	made := false
 	for range 2 {
 		piece, err := replica.Fetch(d.nextRequest("i"))
 		require.NoError(t, err)
@@ -144,6 +145,8 @@
 		}
 		require.Zero(t, piece.GetBase(), "whole")
 		require.Equal(t, "a document with the number 2", string(got.GetBody()))
+		made = true
 	}
+	require.True(t, made, "no whole document after the difference was refused")
 	require.ErrorIs(t, refused, errDigest)
 }
