--- a/internal/follow/spread_test.go
+++ b/internal/follow/spread_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"strings"
@@ -134,15 +135,23 @@
 	require.Fail(t, "the document was not committed")
 }
 
+// installation is when a document came into force.
+type installation struct {
+	number uint64
+	at     time.Duration
+}
+
 // recordingSink records what the instance has and since when.
 type recordingSink struct {
 	clock timertest.Clock
 
-	mu      sync.Mutex
-	number  uint64
-	at      time.Duration
-	body    []byte
-	leaving time.Duration // when a leaving target was first seen
+	mu     sync.Mutex
+	number uint64
+	at     time.Duration
+	body   []byte
+	// installed is what came into force, in order
+	installed []installation
+	leaving   time.Duration // when a leaving target was first seen
 }
 
 func (s *recordingSink) Number() uint64 {
@@ -156,6 +165,7 @@
 	defer s.mu.Unlock()
 	if d.GetNumber() > s.number {
 		s.number, s.at, s.body = d.GetNumber(), s.clock.Now(), d.GetBody()
+		s.installed = append(s.installed, installation{s.number, s.at})
 	}
 	return nil
 }
@@ -267,3 +277,46 @@
 		require.Less(t, d.network.Received(host), 2*len(newDocument(2, routes)), "received more than once")
 	})
 }
+
+// TestChangesInQuickSuccession guards against a change that is confirmed and not in force in time while others
+// come 20 a second, because each one begins again what the one before had begun.
+func TestChangesInQuickSuccession(t *testing.T) {
+	const routes, changes, interval = 4200, 200, 50 * time.Millisecond
+	for _, megabits := range []float64{0.6} {
+		t.Run(fmt.Sprint(megabits), func(t *testing.T) {
+			dirs := []string{t.TempDir(), t.TempDir(), t.TempDir()}
+			synctest.Test(t, func(t *testing.T) {
+				d := startDeployment(t, dirs, map[string]int{gatewayHost: int(megabits * megabit)})
+				defer d.end(t)
+				d.offer(t, 1, newDocument(1, routes))
+				require.NotZero(t, d.sink.awaitNumber(1, time.Minute))
+				received := d.network.Received(gatewayHost)
+				confirmed := map[uint64]time.Duration{}
+				for number := uint64(2); number < changes+2; number++ {
+					body := newDocument(number, routes-int(number%3)) // routes come and go
+					d.offer(t, number, body)
+					confirmed[number] = d.sink.clock.Now()
+					time.Sleep(interval)
+				}
+				require.NotZero(t, d.sink.awaitNumber(changes+1, time.Minute))
+				for number, at := range confirmed {
+					require.LessOrEqual(t, d.sink.inForce(number)-at, applyTime, "change %d", number)
+				}
+				t.Logf("%d bytes a change", (d.network.Received(gatewayHost)-received)/changes)
+				require.Equal(t, newDocument(changes+1, routes-(changes+1)%3), d.sink.body)
+			})
+		})
+	}
+}
+
+// inForce returns when the document with a number, or a later one, came into force.
+func (s *recordingSink) inForce(number uint64) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, installed := range s.installed {
+		if installed.number >= number {
+			return installed.at
+		}
+	}
+	return math.MaxInt64
+}
--- a/internal/idempotency/local.go
+++ b/internal/idempotency/local.go
@@ -158,6 +158,7 @@
 			defer cancel()
 			client := peer.NewClient(p.Address, k.creds, k.traffic)
 			defer client.Close()
+			asked := k.timers.Now()
 			answer := &wire.RecallResponse{}
 			request := &wire.RecallRequest{Epoch: epoch.Number, Incarnation: incarnation}
 			if err := client.Call(ctx, "Keeper.Recall", request, answer); err != nil {
@@ -165,7 +166,7 @@
 			}
 			k.mu.Lock()
 			defer k.mu.Unlock()
-			k.core.Recalled(k.timers.Now(), p.Name, epoch.Number, answer)
+			k.core.Recalled(asked, k.timers.Now(), p.Name, epoch.Number, answer)
 		})
 	}
 	recalls.Wait()
--- a/internal/keeper/core.go
+++ b/internal/keeper/core.go
@@ -272,8 +272,9 @@
 	return out
 }
 
-// Recalled applies a keeper's response to a recall request of the given epoch.
-func (c *Core) Recalled(now time.Duration, from string, epoch uint64, answer *wire.RecallResponse) {
+// Recalled applies a keeper's response to a recall request of the given epoch, which was sent at the time
+// asked: what counts is when the records were read at the earliest, not when they arrived.
+func (c *Core) Recalled(asked, now time.Duration, from string, epoch uint64, answer *wire.RecallResponse) {
 	if c.mode != recovering || epoch != c.epoch.Number || answer.GetEpoch() > epoch {
 		return
 	}
@@ -283,7 +284,7 @@
 	if c.mode == voting {
 		return
 	}
-	if !c.sawEpochStart && answer.GetHeldEpoch() > 0 && now < c.recoveryStart+ClaimBound {
+	if !c.sawEpochStart && answer.GetHeldEpoch() > 0 && asked < c.recoveryStart+ClaimBound {
 		return // a claim that counts a vote of the earlier incarnation may be undecided
 	}
 	c.recalls[from] = answer
--- a/internal/keeper/schedule_test.go
+++ b/internal/keeper/schedule_test.go
@@ -208,7 +208,7 @@
 	from := peers[g.draw(len(peers))]
 	if !g.down[from] {
 		epoch := core.Epoch().Number
-		core.Recalled(g.now, from, epoch, g.cores[from].Recall(g.now, &wire.RecallRequest{Epoch: epoch}))
+		core.Recalled(g.now, g.now, from, epoch, g.cores[from].Recall(g.now, &wire.RecallRequest{Epoch: epoch}))
 	}
 	if first := core.FirstKeepers(); len(first) > 0 {
 		if g.firstKeepers == nil {
@@ -371,7 +371,7 @@
 
 func (g *group) recallFrom(name, from string) {
 	epoch := g.cores[name].Epoch().Number
-	g.cores[name].Recalled(g.now, from, epoch, g.cores[from].Recall(g.now, &wire.RecallRequest{Epoch: epoch}))
+	g.cores[name].Recalled(g.now, g.now, from, epoch, g.cores[from].Recall(g.now, &wire.RecallRequest{Epoch: epoch}))
 }
 
 // TestDefectsAreDetected checks that random schedules detect each of these broken
