Keeper: records are recalled and handed on in parts

A keeper that restarts while the others hold many records never votes again, so that its failure domain has one keeper less for once-only requests. Cause: all records came in one message, which may have 16 MB, and in one call of 2 s. Change: parts of 128 KB in the order of keys, each a call that ends when nothing passes; what a part holds is adopted at once, and the whole counts when the last part has come from the same incarnation. A keeper that stops hands its records on in the same parts. Older builds ask for and get all at once, as before. Ruled out: a larger bound on messages, which moves it and holds 40 MB in both processes.

--- a/internal/follow/spread_test.go
+++ b/internal/follow/spread_test.go
@@ -186,9 +186,9 @@
 func (s *recordingSink) Evidence(uint64) (*wire.Evidence, uint64) { return nil, 0 }
 func (s *recordingSink) MergeEvidence(*wire.Evidence)             {}
 
-// awaitNumber returns when the document with a number came into force, 0 if it did not in time.
-func (s *recordingSink) awaitNumber(number uint64, within time.Duration) time.Duration {
-	for range within / (10 * time.Millisecond) {
+// awaitNumber returns when the document with a number came into force, 0 if it did not within a minute.
+func (s *recordingSink) awaitNumber(number uint64) time.Duration {
+	for range time.Minute / (10 * time.Millisecond) {
 		s.mu.Lock()
 		has, at := s.number, s.at
 		s.mu.Unlock()
@@ -232,13 +232,13 @@
 				d := startDeployment(t, dirs, map[string]int{gatewayHost: int(megabits * megabit)})
 				defer d.end(t)
 				d.offer(t, 1, newDocument(1, routesBefore))
-				require.NotZero(t, d.sink.awaitNumber(1, time.Minute), "the first configuration")
+				require.NotZero(t, d.sink.awaitNumber(1), "the first configuration")
 
 				received := d.network.Received(gatewayHost)
 				d.offer(t, 2, newDocument(2, routesBefore+routesMore))
 				confirmed := d.sink.clock.Now()
 				d.replicas[0].publisher.PublishTargets([]*wire.Target{{Id: "t", State: wire.TargetState_TARGET_STATE_LEAVING}}, true, confirmed)
-				at := d.sink.awaitNumber(2, time.Minute)
+				at := d.sink.awaitNumber(2)
 				t.Logf("%d bytes for %d of which %d are new", d.network.Received(gatewayHost)-received, len(newDocument(2, routesBefore+routesMore)), len(newDocument(2, routesMore)))
 				require.NotZero(t, at, "never in force")
 				require.LessOrEqual(t, at-confirmed, applyTime)
@@ -249,7 +249,7 @@
 				received = d.network.Received(gatewayHost)
 				d.offer(t, 3, newDocument(3, routesBefore+routesMore))
 				confirmed = d.sink.clock.Now()
-				at = d.sink.awaitNumber(3, time.Minute)
+				at = d.sink.awaitNumber(3)
 				require.NotZero(t, at, "never in force")
 				require.LessOrEqual(t, at-confirmed, applyTime)
 				require.LessOrEqual(t, d.network.Received(gatewayHost)-received, maxIdleChange)
@@ -289,7 +289,7 @@
 				d := startDeployment(t, dirs, map[string]int{gatewayHost: int(megabits * megabit)})
 				defer d.end(t)
 				d.offer(t, 1, newDocument(1, routes))
-				require.NotZero(t, d.sink.awaitNumber(1, time.Minute))
+				require.NotZero(t, d.sink.awaitNumber(1))
 				received := d.network.Received(gatewayHost)
 				confirmed := map[uint64]time.Duration{}
 				for number := uint64(2); number < changes+2; number++ {
@@ -298,7 +298,7 @@
 					confirmed[number] = d.sink.clock.Now()
 					time.Sleep(interval)
 				}
-				require.NotZero(t, d.sink.awaitNumber(changes+1, time.Minute))
+				require.NotZero(t, d.sink.awaitNumber(changes+1))
 				for number, at := range confirmed {
 					require.LessOrEqual(t, d.sink.inForce(number)-at, applyTime, "change %d", number)
 				}
--- a/internal/idempotency/guard.go
+++ b/internal/idempotency/guard.go
@@ -271,16 +271,33 @@
 // TransferRecords transfers the records of this instance's keeper to the other keepers
 // of the failure domain when the instance stops.
 func (g *Guard) TransferRecords(ctx context.Context) {
-	records := g.local.Records()
 	set := g.store.Current()
-	if set == nil || len(records.GetRecords()) == 0 {
+	if set == nil {
 		return
 	}
 	_, members := EpochOf(set, g.domain)
 	members = slices.DeleteFunc(slices.Clone(members), func(p inifile.Peer) bool { return p.Name == g.self.Name })
 	for _, m := range members {
-		if err := g.call(ctx, m, "Keeper.Adopt", records, &wire.Empty{}); err != nil {
+		if err := g.transferTo(ctx, m); err != nil {
 			g.log.Info("cannot transfer records to keeper", "keeper", m.Name, "reason", err.Error())
 		}
 	}
 }
+
+// transferTo transfers the records to one keeper, part by part.
+func (g *Guard) transferTo(ctx context.Context, to inifile.Peer) error {
+	after := ""
+	for {
+		records := g.local.Records(after)
+		if len(records.GetRecords()) == 0 {
+			return nil
+		}
+		if err := g.call(ctx, to, "Keeper.Adopt", records, &wire.Empty{}); err != nil {
+			return err
+		}
+		if !records.GetMore() {
+			return nil
+		}
+		after = records.GetRecords()[len(records.GetRecords())-1].GetKey()
+	}
+}
--- a/internal/idempotency/local.go
+++ b/internal/idempotency/local.go
@@ -20,8 +20,8 @@
 	// keeperTickInterval is the interval at which the keeper is configured and
 	// recovered.
 	keeperTickInterval = 200 * time.Millisecond
-	// recallTimeout bounds one call for the records of a keeper or to the replicated
-	// log.
+	// recallTimeout bounds a call to the replicated log, and how long a connection may be silent
+	// during a call for the records of a keeper.
 	recallTimeout = 2 * time.Second
 )
 
@@ -80,29 +80,33 @@
 	return nil
 }
 
-// Recall returns all records to a recovering keeper.
+// Recall returns records to a recovering keeper.
 func (k *LocalKeeper) Recall(in *wire.RecallRequest, out *wire.RecallResponse) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	got := k.core.Recall(k.timers.Now(), in)
 	out.HeldEpoch, out.Epoch, out.Records = got.GetHeldEpoch(), got.GetEpoch(), got.GetRecords()
-	out.Incarnation, out.FirstKeepers = got.GetIncarnation(), got.GetFirstKeepers()
+	out.Incarnation, out.FirstKeepers, out.More = got.GetIncarnation(), got.GetFirstKeepers(), got.GetMore()
 	return nil
 }
 
 // Adopt merges the records of a keeper that is stopping.
 func (k *LocalKeeper) Adopt(in *wire.RecallResponse, _ *wire.Empty) error {
+	k.adopt(in.GetRecords())
+	return nil
+}
+
+func (k *LocalKeeper) adopt(records []*wire.Record) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.core.Adopt(k.timers.Now(), in.GetRecords())
-	return nil
+	k.core.Adopt(k.timers.Now(), records)
 }
 
-// Records returns all records of the keeper.
-func (k *LocalKeeper) Records() *wire.RecallResponse {
+// Records returns the records of the keeper of keys after the given one, or a part of them.
+func (k *LocalKeeper) Records(after string) *wire.RecallResponse {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.core.Recall(k.timers.Now(), &wire.RecallRequest{})
+	return k.core.Recall(k.timers.Now(), &wire.RecallRequest{Partial: true, After: after})
 }
 
 // Voting reports whether the keeper grants records.
@@ -154,14 +158,11 @@
 	var recalls sync.WaitGroup
 	for _, p := range k.peers(keeperNames) {
 		recalls.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, recallTimeout)
-			defer cancel()
 			client := peer.NewClient(p.Address, k.creds, k.traffic)
 			defer client.Close()
 			asked := k.timers.Now()
-			answer := &wire.RecallResponse{}
-			request := &wire.RecallRequest{Epoch: epoch.Number, Incarnation: incarnation}
-			if err := client.Call(ctx, "Keeper.Recall", request, answer); err != nil {
+			answer := k.recallFrom(ctx, client, asked, &wire.RecallRequest{Epoch: epoch.Number, Incarnation: incarnation, Partial: true})
+			if answer == nil {
 				return
 			}
 			k.mu.Lock()
@@ -173,6 +174,36 @@
 	k.requestFirstPermission(ctx, epoch)
 }
 
+// recallFrom recalls the records of a keeper part by part, adopts them, and returns the last part; the first if
+// they were asked for too early to count. It returns nil if a call failed or the keeper is no longer the one that gave the first part.
+func (k *LocalKeeper) recallFrom(ctx context.Context, client *peer.Client, asked time.Duration, request *wire.RecallRequest) *wire.RecallResponse {
+	var first *wire.RecallResponse
+	for {
+		answer := &wire.RecallResponse{}
+		if err := client.CallUntilSilent(ctx, recallTimeout, "Keeper.Recall", request, answer); err != nil {
+			k.log.V(1).Info("cannot recall records", "keeper", client.Address().String(), "after", request.GetAfter(), "reason", err.Error())
+			return nil
+		}
+		if first == nil {
+			first = answer
+		}
+		if answer.GetIncarnation() != first.GetIncarnation() || answer.GetEpoch() != first.GetEpoch() || answer.GetHeldEpoch() != first.GetHeldEpoch() {
+			return nil
+		}
+		k.adopt(answer.GetRecords())
+		if !answer.GetMore() || k.askedTooEarly(asked, answer) {
+			return answer
+		}
+		request.After = answer.GetRecords()[len(answer.GetRecords())-1].GetKey()
+	}
+}
+
+func (k *LocalKeeper) askedTooEarly(asked time.Duration, answer *wire.RecallResponse) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.core.AskedTooEarly(asked, answer)
+}
+
 // peers returns the addresses of the named current and previous keepers.
 func (k *LocalKeeper) peers(keeperNames []string) []inifile.Peer {
 	d, ok := k.store.Current().FailureDomain(k.domain)
--- a/internal/keeper/core.go
+++ b/internal/keeper/core.go
@@ -22,11 +22,13 @@
 package keeper
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
@@ -59,6 +61,9 @@
 // Claims that take longer must not be granted.
 const ClaimBound = 2 * time.Second
 
+// recallBytes is the size in bytes from which on a part of the records is complete.
+const recallBytes = 128 << 10
+
 // record holds the attempts that a keeper knows for one key.
 type record struct {
 	attempts   []*wire.Record
@@ -231,8 +236,8 @@
 	return nil
 }
 
-// Recall returns all records, for a keeper that recovers. After a request from a
-// later epoch, the keeper grants nothing more in its current epoch.
+// Recall returns all records, or a part of them if the request allows it, for a keeper that recovers. After
+// a request from a later epoch, the keeper grants nothing more in its current epoch.
 func (c *Core) Recall(now time.Duration, in *wire.RecallRequest) *wire.RecallResponse {
 	c.minGrantEpoch = max(c.minGrantEpoch, in.GetEpoch())
 	out := &wire.RecallResponse{
@@ -242,18 +247,33 @@
 		return out
 	}
 	c.expire(now)
-	for _, r := range c.records {
-		age := uint64((now - r.lastActive).Milliseconds())
-		for _, w := range r.attempts {
-			out.Records = append(out.Records, &wire.Record{
-				Key: w.GetKey(), Attempt: w.GetAttempt(), Owner: w.GetOwner(), OwnerAddress: w.GetOwnerAddress(),
-				Digest: w.GetDigest(), Done: w.GetDone(), Answer: w.GetAnswer(), AgeMs: age,
-			})
+	size := 0
+	for _, key := range slices.Sorted(maps.Keys(c.records)) {
+		if key <= in.GetAfter() && in.GetAfter() != "" {
+			continue
 		}
+		if in.GetPartial() && size >= recallBytes {
+			out.More = true
+			break
+		}
+		for _, w := range c.records[key].recalled(now) {
+			out.Records = append(out.Records, w)
+			size += proto.Size(w)
+		}
+	}
+	return out
+}
+
+// recalled returns the record's attempts with their age, in the order of their identities.
+func (r *record) recalled(now time.Duration) []*wire.Record {
+	var out []*wire.Record
+	for _, w := range r.attempts {
+		out = append(out, &wire.Record{
+			Key: w.GetKey(), Attempt: w.GetAttempt(), Owner: w.GetOwner(), OwnerAddress: w.GetOwnerAddress(),
+			Digest: w.GetDigest(), Done: w.GetDone(), Answer: w.GetAnswer(), AgeMs: uint64((now - r.lastActive).Milliseconds()),
+		})
 	}
-	slices.SortFunc(out.Records, func(a, b *wire.Record) int {
-		return cmp.Or(strings.Compare(a.GetKey(), b.GetKey()), strings.Compare(a.GetAttempt(), b.GetAttempt()))
-	})
+	slices.SortFunc(out, func(a, b *wire.Record) int { return strings.Compare(a.GetAttempt(), b.GetAttempt()) })
 	return out
 }
 
@@ -284,14 +304,20 @@
 	if c.mode == voting {
 		return
 	}
-	if !c.sawEpochStart && answer.GetHeldEpoch() > 0 && asked < c.recoveryStart+ClaimBound {
-		return // a claim that counts a vote of the earlier incarnation may be undecided
+	if c.AskedTooEarly(asked, answer) {
+		return
 	}
 	c.recalls[from] = answer
 	c.merge(now, answer.GetRecords())
 	c.voteIfRecovered()
 }
 
+// AskedTooEarly reports whether a keeper's records were asked for while a claim that counts a vote of the
+// earlier incarnation of this one may have been undecided, so that they do not count.
+func (c *Core) AskedTooEarly(asked time.Duration, answer *wire.RecallResponse) bool {
+	return !c.sawEpochStart && answer.GetHeldEpoch() > 0 && asked < c.recoveryStart+ClaimBound
+}
+
 // merge adds the attempts of another keeper. A finished attempt replaces the stored
 // version of it.
 func (c *Core) merge(now time.Duration, records []*wire.Record) {
