--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -63,12 +63,13 @@
 	}
 	creds.SetSourceAddress(s.Listen.Source)
 	debug.SetMemoryLimit(int64(s.Instance.MemoryTarget))
-	traffic := &peer.Traffic{}
+	measured := telemetry.NewMetrics()
+	traffic := peer.NewTraffic(func(m peer.Message) { measured.PeerMessage(m.Method(), m.Sent(), m.Bytes()) })
 	logs := telemetry.NewWriter(os.Stdout)
 	log := telemetry.NewLog(logs, s.Log.Level).WithValues("instance", s.Instance.Name)
 	i := &Instance{
 		base: base.Base{
-			Log: log, Settings: s, Timers: timer.New(), Credentials: creds, Traffic: traffic, Metrics: telemetry.NewMetrics(),
+			Log: log, Settings: s, Timers: timer.New(), Credentials: creds, Traffic: traffic, Metrics: measured,
 		},
 		logs:   logs,
 		store:  config.NewStore(),
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -27,11 +27,40 @@
 // Traffic counts the bytes and messages that the system's own processes exchange. It
 // is safe for concurrent use.
 type Traffic struct {
+	observer func(Message)
 	sent     atomic.Int64
 	received atomic.Int64
 	messages atomic.Int64
 }
 
+// Message is a complete message that was sent or received: a request or response of a method, with its
+// header.
+type Message struct {
+	method string
+	sent   bool
+	bytes  int
+}
+
+// Method returns the name of the method.
+func (m Message) Method() string { return m.method }
+
+// Sent reports whether the message was sent; otherwise it was received.
+func (m Message) Sent() bool { return m.sent }
+
+// Bytes returns the size of the message in bytes.
+func (m Message) Bytes() int { return m.bytes }
+
+// NewTraffic returns counters without traffic. The observer is called with each complete message, by
+// several goroutines.
+func NewTraffic(observer func(Message)) *Traffic { return &Traffic{observer: observer} }
+
+// observe passes a complete message on. The method of a request may be any text that a peer sends.
+func (t *Traffic) observe(m Message) {
+	if t.observer != nil {
+		t.observer(m)
+	}
+}
+
 // Sent returns the bytes written to connections, without the overhead of encryption.
 // Bytes of messages that were not complete count too, here and in Received.
 func (t *Traffic) Sent() int64 { return t.sent.Load() }
@@ -49,6 +78,8 @@
 	writer  *bufio.Writer
 	traffic *Traffic
 	buffer  []byte
+	// reading is the message whose header was read.
+	reading Message
 }
 
 func newFramer(conn *meteredConn, traffic *Traffic) *framer {
@@ -58,23 +89,24 @@
 	}
 }
 
-func (f *framer) write(m proto.Message) error {
+// write writes one part of a message and returns its size.
+func (f *framer) write(m proto.Message) (int, error) {
 	body, err := proto.MarshalOptions{}.MarshalAppend(f.buffer[:0], m)
 	if err != nil {
-		return errors.Wrap(err, "cannot encode message")
+		return 0, errors.Wrap(err, "cannot encode message")
 	}
 	f.buffer = body
 	if len(body) > MaxMessageBytes {
-		return ErrTooLarge
+		return 0, ErrTooLarge
 	}
 	var length [lengthBytes]byte
 	binary.BigEndian.PutUint32(length[:], uint32(len(body)))
 	if _, err := f.writer.Write(length[:]); err != nil {
-		return err
+		return 0, err
 	}
 	f.traffic.messages.Add(1)
 	_, err = f.writer.Write(body)
-	return err
+	return lengthBytes + len(body), err
 }
 
 func (f *framer) read(m proto.Message) error {
@@ -90,6 +122,7 @@
 	if _, err := io.ReadFull(f.reader, body); err != nil {
 		return err
 	}
+	f.reading.bytes += lengthBytes + len(body)
 	return errors.Wrap(proto.Unmarshal(body, m), "malformed message")
 }
 
@@ -100,10 +133,12 @@
 
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
 	var header wire.RequestHeader
+	c.reading.bytes = 0
 	if err := c.read(&header); err != nil {
 		return err
 	}
 	r.ServiceMethod, r.Seq = header.GetMethod(), header.GetSequence()
+	c.reading.method = r.ServiceMethod
 	return nil
 }
 
@@ -111,7 +146,7 @@
 
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	header := &wire.ResponseHeader{Method: r.ServiceMethod, Sequence: r.Seq, Error: r.Error}
-	return c.writePair(header, body)
+	return c.writePair(r.ServiceMethod, header, body)
 }
 
 func (c *serverCodec) Close() error { return c.conn.Close() }
@@ -122,15 +157,17 @@
 }
 
 func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
-	return c.writePair(&wire.RequestHeader{Method: r.ServiceMethod, Sequence: r.Seq}, body)
+	return c.writePair(r.ServiceMethod, &wire.RequestHeader{Method: r.ServiceMethod, Sequence: r.Seq}, body)
 }
 
 func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
 	var header wire.ResponseHeader
+	c.reading.bytes = 0
 	if err := c.read(&header); err != nil {
 		return err
 	}
 	r.ServiceMethod, r.Seq, r.Error = header.GetMethod(), header.GetSequence(), header.GetError()
+	c.reading.method = r.ServiceMethod
 	return nil
 }
 
@@ -138,27 +175,40 @@
 
 func (c *clientCodec) Close() error { return c.conn.Close() }
 
+// readBody reads the body of the message whose header was read; nil skips it.
 func (f *framer) readBody(body any) error {
-	if body == nil {
-		return f.read(&wire.Empty{})
-	}
 	m, ok := body.(proto.Message)
-	if !ok {
+	switch {
+	case body == nil:
+		m = &wire.Empty{}
+	case !ok:
 		return errors.Errorf("%T is not a protobuf message", body)
 	}
-	return f.read(m)
+	if err := f.read(m); err != nil {
+		return err
+	}
+	if body != nil { // the method of a skipped body may not exist
+		f.traffic.observe(f.reading)
+	}
+	return nil
 }
 
-func (f *framer) writePair(header proto.Message, body any) error {
+// writePair writes the header and the body of a message.
+func (f *framer) writePair(method string, header proto.Message, body any) error {
 	m, ok := body.(proto.Message)
 	if !ok {
 		m = &wire.Empty{}
 	}
-	if err := f.write(header); err != nil {
+	headerBytes, err := f.write(header)
+	if err != nil {
 		return err
 	}
-	if err := f.write(m); err != nil {
+	bodyBytes, err := f.write(m)
+	if err != nil {
 		return err
 	}
+	if ok { // an answer without a body may be to a method that does not exist
+		f.traffic.observe(Message{method: method, sent: true, bytes: headerBytes + bodyBytes})
+	}
 	return f.writer.Flush()
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -163,3 +164,30 @@
 	_, err := s.call(s.newCredentials(t, "i1", "authority", peer.RoleInstance), "Echo.Name")
 	require.ErrorIs(t, err, peer.ErrUnreachable)
 }
+
+// TestMessagesAreCountedByMethod checks that the observer learns of each complete message with its method and
+// size, and of none whose method does not exist: a peer could make up as many as it likes.
+func TestMessagesAreCountedByMethod(t *testing.T) {
+	s := start(t)
+	var mu sync.Mutex
+	sent, received := 0, 0
+	traffic := peer.NewTraffic(func(m peer.Message) {
+		mu.Lock()
+		defer mu.Unlock()
+		require.Equal(t, "Echo.Name", m.Method())
+		if m.Sent() {
+			sent += m.Bytes()
+		} else {
+			received += m.Bytes()
+		}
+	})
+	client := peer.NewClient(s.address, s.newCredentials(t, "client", "authority", peer.RoleInstance), traffic)
+	defer client.Close()
+	for range 3 {
+		require.NoError(t, client.Call(context.Background(), "Echo.Name", &wire.Empty{}, &wire.ReplicaIdentity{}))
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	require.EqualValues(t, traffic.Sent(), sent)
+	require.EqualValues(t, traffic.Received(), received)
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -144,6 +144,15 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_target_preemptions_total{target=%q}", target)).Set(uint64(max(0, n)))
 }
 
+// PeerMessage counts the bytes of a message between the system's own processes, by its method.
+func (m *Metrics) PeerMessage(method string, sent bool, size int) {
+	direction := "received"
+	if sent {
+		direction = "sent"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_peer_message_bytes_total{method=%q,direction=%q}", method, direction)).Add(size)
+}
+
 // Gauge registers a value that is computed whenever the metrics are written.
 func (m *Metrics) Gauge(name string, value func() float64) { m.set.GetOrCreateGauge(name, value) }
 
