--- a/internal/follow/fetch_test.go
+++ b/internal/follow/fetch_test.go
@@ -7,9 +7,13 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/vanillaward/vanillaward/internal/control"
+	"github.com/vanillaward/vanillaward/internal/peer"
+	"github.com/vanillaward/vanillaward/internal/timer"
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
@@ -150,3 +154,36 @@
 	require.True(t, made, "no whole document after the difference was refused")
 	require.ErrorIs(t, refused, errDigest)
 }
+
+// TestReplicaOfEarlierBuild checks that a document which came whole with a poll is put in force and is the base of
+// the next difference.
+func TestReplicaOfEarlierBuild(t *testing.T) {
+	s := &installs{}
+	f := New(logr.Discard(), timer.New(), peer.NewPool(peer.PlainCredentials(), &peer.Traffic{}), "i", "d", func() []string { return nil }, s)
+	f.install(&wire.Document{Number: 3, Body: []byte("three")})
+	f.install(&wire.Document{Number: 2, Body: []byte("two")})
+	require.Equal(t, []uint64{3}, s.numbers, "never an older one")
+	require.EqualValues(t, 3, f.documents.nextRequest("i").GetBase())
+	s.err = errors.New("findings")
+	f.install(&wire.Document{Number: 4, Body: []byte("four")})
+	s.err = nil
+	f.install(&wire.Document{Number: 4, Body: []byte("four")})
+	require.Equal(t, []uint64{3, 4}, s.numbers, "one that cannot be put in force is not tried again")
+	require.EqualValues(t, 3, f.documents.nextRequest("i").GetBase())
+	f.handleResponse("10.0.0.1:1", &wire.FollowResponse{Fresh: true, DocumentNumber: 4})
+	require.Empty(t, f.source(""), "nor fetched")
+	f.handleResponse("10.0.0.1:1", &wire.FollowResponse{Fresh: true, DocumentNumber: 5})
+	require.Equal(t, "10.0.0.1:1", f.source(""))
+}
+
+// installs records the documents that are to be put in force.
+type installs struct {
+	sink
+	numbers []uint64
+	err     error
+}
+
+func (s *installs) Install(d *wire.Document) error {
+	s.numbers = append(s.numbers, d.GetNumber())
+	return s.err
+}
