Quarantine: what was answered before it was blamed is tried again after 20 s

Two parts, two repeated requests and ends of targets had crashed engines at the same time; the part that all prompts share had six ends since its last answer and was held back everywhere for 80 s, in which nothing could clear it. Cause: the time begins with the third crash and doubles with each further one, also where five are needed because the part was answered before: its first hold was 80 s, the same as for a part that never was. Change: for those the 20 s begin with the fifth crash, then 40, 80.

--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -23,8 +23,8 @@
 	// crashes.
 	nearlyFactor  = 3
 	nearlyDivisor = 4
-	// baseHold is how long something is held back after the last of minCrashes crashes. It doubles with
-	// each further crash; of those after minCrashesUnclear, with one in burstTime: what was under way
+	// baseHold is how long something is held back after the last of minCrashes crashes, or of
+	// minCrashesUnclear if it was answered before. It doubles with each further crash; of those after minCrashesUnclear, with one in burstTime: what was under way
 	// when the others crashed is no new trial.
 	baseHold  = 20 * time.Second
 	burstTime = 10 * time.Second
@@ -44,6 +44,7 @@
 	parts     []string // sorted
 	crashes   int      // of different targets
 	trials    int      // of the crashes, those that lengthen the time
+	known     bool     // a request with it was answered before, so that it may be blamed wrongly
 	lastCrash time.Duration
 }
 
@@ -93,7 +94,11 @@
 
 // hold returns how long the group is held back after its last crash.
 func (g *group) hold() time.Duration {
-	return min(maxHold, baseHold<<min(g.trials-minCrashes, 8))
+	first := minCrashes
+	if g.known {
+		first = minCrashesUnclear
+	}
+	return min(maxHold, baseHold<<min(g.trials-first, 8))
 }
 
 // decide finds the parts to hold back, group by group: each explains some of the crashes, and the
@@ -200,7 +205,7 @@
 // newGroup returns the worst suspect together with those that are nearly as likely and were
 // in the same requests: which of them it is shows when a request has only some of them.
 func newGroup(worst suspect, suspects []suspect, crashes []crash) *group {
-	g := &group{parts: []string{worst.part}, crashes: worst.crashes, trials: worst.trials, lastCrash: worst.last}
+	g := &group{parts: []string{worst.part}, crashes: worst.crashes, trials: worst.trials, known: worst.known, lastCrash: worst.last}
 	for _, s := range suspects {
 		nearly := s.part != worst.part && nearlyDivisor*s.crashes >= nearlyFactor*worst.crashes && s.sound == worst.sound
 		if !nearly || !onlyWith(s.part, worst.part, crashes) {
