--- a/internal/quarantine/claim.go
+++ b/internal/quarantine/claim.go
@@ -18,8 +18,8 @@
 	settleTime = 5 * time.Second
 )
 
-// claim is an instance's claim to send the one request that tries whether a part, or
-// a request, still crashes targets. Of several at the same time, the one of the lowest rank holds: all instances that exchange
+// claim is an instance's claim to send the one request that tries whether a part, or a request, still
+// crashes targets. Of several at the same time, the one of the lowest rank holds: all instances that exchange
 // evidence agree on it without asking anyone.
 type claim struct {
 	instance string
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -24,8 +24,9 @@
 	nearlyFactor  = 3
 	nearlyDivisor = 4
 	// baseHold is how long something is held back after the last of minCrashes crashes, or of
-	// minCrashesUnclear if it was answered before. It doubles with each further crash; of those after minCrashesUnclear, with one in burstTime: what was under way
-	// when the others crashed is no new trial.
+	// minCrashesUnclear if it was answered before. It doubles with each further crash. Of those after
+	// minCrashesUnclear, only one in burstTime counts: what was under way when the others crashed is no
+	// new trial.
 	baseHold  = 20 * time.Second
 	burstTime = 10 * time.Second
 	// maxHold bounds the doubling.
