Follow: a replica that has forgotten a document is not asked for it without end

Found in the last reading of the change: a replica that named a document and then lost its disk answers a fetch with an older one. That was received completely, was not newer, and the same replica was asked again at once, without a pause, until it was polled again; for ever if it was followed no more. Change: such an answer counts as what the replica has, and as a failure with its pause. Evidence: TestReplicaThatForgot, red before.

--- a/internal/follow/fetch.go
+++ b/internal/follow/fetch.go
@@ -27,6 +27,8 @@
 	errIncomplete = errors.New("transfer does not go on")
 	// errDigest is returned for a transfer that does not result in the document that was sent.
 	errDigest = errors.New("document does not match its digest")
+	// errOlder is returned for a document that is not newer than the one in force.
+	errOlder = errors.New("replica has no newer document any more")
 )
 
 // documents is what the instance has received of documents. The goroutine of fetchLoop owns current and
@@ -183,7 +185,8 @@
 	return c.received() >= c.bytes, nil
 }
 
-// complete puts the received document in force.
+// complete puts the received document in force. It returns errOlder if it is not newer than the one in
+// force; the replica is not asked again until it names another one.
 func (f *Follower) complete(address string) error {
 	c := f.documents.current
 	document, err := f.documents.take()
@@ -192,6 +195,12 @@
 	}
 	f.log.Info("document received", "replica", address, "number", c.number, "base", c.base, "bytes", len(document.GetBody()),
 		"transfer-bytes", c.bytes, "took-ms", (f.timers.Now() - c.begunAt).Milliseconds())
+	if document.GetNumber() <= f.sink.Number() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.heard[address] = document.GetNumber()
+		return errOlder
+	}
 	f.install(document)
 	return nil
 }
--- a/internal/follow/fetch_test.go
+++ b/internal/follow/fetch_test.go
@@ -180,10 +180,39 @@
 type installs struct {
 	sink
 	numbers []uint64
+	inForce uint64
 	err     error
 }
 
+func (s *installs) Number() uint64 { return s.inForce }
+
 func (s *installs) Install(d *wire.Document) error {
 	s.numbers = append(s.numbers, d.GetNumber())
+	if s.err == nil {
+		s.inForce = d.GetNumber()
+	}
 	return s.err
 }
+
+// TestReplicaThatForgot guards against fetching without end from a replica that named a document which it no
+// longer has, because it lost its disk.
+func TestReplicaThatForgot(t *testing.T) {
+	const address = "10.0.0.1:1"
+	s := &installs{}
+	f := New(logr.Discard(), timer.New(), peer.NewPool(peer.PlainCredentials(), &peer.Traffic{}), "i", "d", func() []string { return nil }, s)
+	f.install(&wire.Document{Number: 3, Body: []byte("three")})
+	f.handleResponse(address, &wire.FollowResponse{Fresh: true, DocumentNumber: 5})
+	require.Equal(t, address, f.source(""))
+	forgetful := control.NewPublisher(1)
+	forgetful.PublishDocument(&wire.Document{Number: 2, Body: []byte("two")})
+	piece, err := forgetful.Fetch(f.documents.nextRequest("i"))
+	require.NoError(t, err)
+	complete, err := f.documents.add(piece, 0)
+	require.NoError(t, err)
+	require.True(t, complete)
+	require.ErrorIs(t, f.complete(address), errOlder)
+	require.Empty(t, f.source(""))
+	require.Equal(t, []uint64{3}, s.numbers)
+	f.handleResponse(address, &wire.FollowResponse{Fresh: true, DocumentNumber: 5})
+	require.Equal(t, address, f.source(""), "it has caught up")
+}
