Tests: no two deployments share loopback addresses

The packages instance and soak had ranges of their own, of 128 and 40 values by process ID, the first within that of platform, so that two soaks that run at once by hand shared their addresses with 1 in 40.

Change: internal/loopbacktest reserves a network for a test, by a listener at one of its addresses that is kept until the test has ended; the next number is taken if it is in use, by whatever process.

Conclusion: a collision of addresses is no longer a matter of chance.

--- a/internal/instance/deployment_test.go
+++ b/internal/instance/deployment_test.go
@@ -9,7 +9,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -19,6 +18,7 @@
 	"github.com/vanillaward/vanillaward/internal/cli"
 	"github.com/vanillaward/vanillaward/internal/declaration"
 	"github.com/vanillaward/vanillaward/internal/instance"
+	"github.com/vanillaward/vanillaward/internal/loopbacktest"
 	"github.com/vanillaward/vanillaward/internal/peer"
 	"github.com/vanillaward/vanillaward/internal/settings"
 	"github.com/vanillaward/vanillaward/internal/standin"
@@ -31,17 +31,12 @@
 	waitTimeout = 30 * time.Second
 )
 
-// lastNetwork is the number of the loopback network that was assigned last. Each
-// deployment has its own network, derived from this number and the process ID, so
-// that deployments of this and of other processes do not share addresses.
-var lastNetwork atomic.Int32
-
 // deployment is a complete deployment in the test process: instances with their
 // credentials and data folders, and the stand-ins.
 type deployment struct {
 	t         *testing.T
 	folder    string
-	network   string
+	network   string // first three octets of all IP addresses, with a trailing dot
 	instances map[string]*testInstance
 	names     []string
 	host      *standin.Host
@@ -74,14 +69,14 @@
 	t.Helper()
 	d := &deployment{
 		t: t, binary: binary, folder: t.TempDir(), instances: map[string]*testInstance{},
-		network: fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, lastNetwork.Add(1)),
+		network: loopbacktest.Reserve(t),
 	}
 	require.NoError(t, peer.WriteAuthority(filepath.Join(d.folder, "authority")))
 	d.writeCredentials("operator", peer.RoleOperator)
 	for _, domain := range []string{"a", "b"} {
 		for i := range domains[domain] {
 			n := len(d.names)
-			r := &testInstance{name: fmt.Sprintf("%s-%d", domain, i+1), domain: domain, ip: fmt.Sprintf("%s.%d", d.network, n+1), control: n < 3}
+			r := &testInstance{name: fmt.Sprintf("%s-%d", domain, i+1), domain: domain, ip: fmt.Sprint(d.network, n+1), control: n < 3}
 			d.instances[r.name] = r
 			d.names = append(d.names, r.name)
 			d.writeCredentials(r.name, peer.RoleInstance)
@@ -114,7 +109,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.host = standin.NewHost(set.Targets(), 10, 10*time.Second)
 	d.stopHost = cancel
-	done, err := d.host.Run(ctx, d.network+".200:9900")
+	done, err := d.host.Run(ctx, d.network+"200:9900")
 	require.NoError(d.t, err)
 	d.hostDone = done
 }
@@ -136,10 +131,10 @@
 		}
 	}
 	for i := range 3 {
-		fmt.Fprintf(&b, "[target engine-%d]\nkind = engine\nfailure-domain = a\naddress = %s.%d:9000\nmodel = m\n", i+1, d.network, 100+i)
+		fmt.Fprintf(&b, "[target engine-%d]\nkind = engine\nfailure-domain = a\naddress = %s%d:9000\nmodel = m\n", i+1, d.network, 100+i)
 	}
 	for i := range 2 {
-		fmt.Fprintf(&b, "[target plain-%d]\nkind = plain\nfailure-domain = a\naddress = %s.%d:9000\n", i+1, d.network, 150+i)
+		fmt.Fprintf(&b, "[target plain-%d]\nkind = plain\nfailure-domain = a\naddress = %s%d:9000\n", i+1, d.network, 150+i)
 	}
 	fmt.Fprintf(&b, `[service text]
 kind = generation
@@ -213,7 +208,7 @@
 max-body = 64KiB
 trace-file = %s
 [platform]
-list-url = http://%s.200:9900/platform/targets
+list-url = http://%s200:9900/platform/targets
 [log]
 level = error
 `, r.name, r.domain, roles, d.file("credentials/"+r.name), data, r.ip, r.ip, r.ip,
--- a/internal/instance/orders_test.go
+++ b/internal/instance/orders_test.go
@@ -87,7 +87,7 @@
 func TestStaleFencingNumber(t *testing.T) {
 	d := newDeployment(t, map[string]int{"a": 1})
 	postOrder := func(fence int) int {
-		r, err := http.Post("http://"+d.network+".100:9000/orders", "application/json", //nolint:noctx // a stand-in
+		r, err := http.Post("http://"+d.network+"100:9000/orders", "application/json", //nolint:noctx // a stand-in
 			strings.NewReader(fmt.Sprintf(`{"fence":%d,"kind":"role","role":"serve"}`, fence)))
 		require.NoError(t, err)
 		defer func() { _ = r.Body.Close() }()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -21,6 +21,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/vanillaward/vanillaward/internal/loopbacktest"
 )
 
 var (
@@ -36,9 +38,6 @@
 	startTimeout         = time.Minute
 	recoveryTimeout      = time.Minute
 	recoveryPollInterval = 100 * time.Millisecond
-	// Range of the second byte of a run's IP addresses, from 127.firstSubnet up. It is
-	// disjoint from the addresses of other tests.
-	firstSubnet, subnetCount = 211, 40
 )
 
 // regressionSeeds reads the seeds that have failed before. The reason follows the seed on
@@ -68,35 +67,30 @@
 	for i := range *seedCount {
 		seeds = append(seeds, *firstSeed+uint64(i))
 	}
-	for i, seed := range seeds {
-		prefix := fmt.Sprintf("127.%d.%d.", firstSubnet+os.Getpid()%subnetCount, 1+i%120)
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, binary, prefix, seed, mergeSteps(makePlan(seed, *soakDuration), makeTroubles(seed, slices.Concat(troubles, repeatTroubles))))
+			runSeed(t, binary, seed, mergeSteps(makePlan(seed, *soakDuration), makeTroubles(seed, slices.Concat(troubles, repeatTroubles))))
 		})
 	}
 }
 
 // TestSoakTroubles runs troubles alone, without any fault that would excuse an instance, so that
 // the checks of troubles bind all of the time.
-func TestSoakTroubles(t *testing.T) { playTroubles(t, 0, troubles) }
+func TestSoakTroubles(t *testing.T) { playTroubles(t, troubles) }
 
 // TestSoakRepeats is like TestSoakTroubles for requests that come again and again and crash targets, while the
 // link of an instance is narrow.
-func TestSoakRepeats(t *testing.T) { playTroubles(t, 1, repeatTroubles) }
-
-// troubleSubnets is the number of subnets of one test of troubles.
-const troubleSubnets = 60
+func TestSoakRepeats(t *testing.T) { playTroubles(t, repeatTroubles) }
 
-func playTroubles(t *testing.T, test int, kinds []fault) {
+func playTroubles(t *testing.T, kinds []fault) {
 	t.Helper()
 	binary := buildProgram(t)
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
-		prefix := fmt.Sprintf("127.%d.%d.", firstSubnet+os.Getpid()%subnetCount, 128+test*troubleSubnets+i%troubleSubnets)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, binary, prefix, seed, makeTroubles(seed, kinds))
+			runSeed(t, binary, seed, makeTroubles(seed, kinds))
 		})
 	}
 }
@@ -117,7 +111,7 @@
 	return binary
 }
 
-func runSeed(t *testing.T, binary, prefix string, seed uint64, steps []step) {
+func runSeed(t *testing.T, binary string, seed uint64, steps []step) {
 	t.Helper()
 	folder := t.TempDir()
 	logFolder := folder
@@ -126,7 +120,7 @@
 		require.NoError(t, os.RemoveAll(logFolder))
 		require.NoError(t, os.MkdirAll(logFolder, 0o750))
 	}
-	c, err := newCluster(folder, logFolder, binary, prefix)
+	c, err := newCluster(folder, logFolder, binary, loopbacktest.Reserve(t))
 	require.NoError(t, err)
 	t.Cleanup(c.close) // also after a failed start
 	require.NoError(t, c.open())
