Quarantine: three trials that crash their targets are the last ones

Cause: the hold doubled with each failed trial, up to an hour, without an end: 20, 40, 80, 160 s and so on.

Ruled out: a larger factor in place of the end (20, 120, 720 s only moves the fourth trial, and a part that was blamed wrongly would wait longer for its second); no trial at all (what was mended would never come back).

Change: once three trials have failed beyond the number of crashes from which on it must be known (five for a part, three for a request), the hold lasts as long as the crashes are remembered, two hours; an answer anywhere ends it as before. maxHold is gone.

--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -29,8 +29,9 @@
 	// new trial.
 	baseHold  = 20 * time.Second
 	burstTime = 10 * time.Second
-	// maxHold bounds the doubling.
-	maxHold = time.Hour
+	// maxTrials is the number of trials that may crash their targets. After the last one there is no other
+	// until the crashes are forgotten.
+	maxTrials = 3
 	// restartTime is how soon after a crash the same target cannot crash again; two requests
 	// with the same part may end together in one crash.
 	restartTime = 2 * time.Second
@@ -45,6 +46,7 @@
 	parts     []string // sorted
 	crashes   int      // of different targets
 	trials    int      // of the crashes, those that lengthen the time
+	final     int      // number of trials from which on there is no other
 	known     bool     // a request with it was answered before, so that it may be blamed wrongly
 	lastCrash time.Duration
 }
@@ -95,11 +97,14 @@
 
 // hold returns how long the group is held back after its last crash.
 func (g *group) hold() time.Duration {
+	if g.trials >= g.final {
+		return crashLifetime
+	}
 	first := minCrashes
 	if g.known {
 		first = minCrashesUnclear
 	}
-	return min(maxHold, baseHold<<min(g.trials-first, 8))
+	return baseHold << (g.trials - first)
 }
 
 // decide finds the parts to hold back, group by group: each explains some of the crashes, and the
@@ -206,7 +211,7 @@
 // newGroup returns the worst suspect together with those that are nearly as likely and were
 // in the same requests: which of them it is shows when a request has only some of them.
 func newGroup(worst suspect, suspects []suspect, crashes []crash) *group {
-	g := &group{parts: []string{worst.part}, crashes: worst.crashes, trials: worst.trials, known: worst.known, lastCrash: worst.last}
+	g := &group{parts: []string{worst.part}, crashes: worst.crashes, trials: worst.trials, final: minCrashesUnclear + maxTrials, known: worst.known, lastCrash: worst.last}
 	for _, s := range suspects {
 		nearly := s.part != worst.part && nearlyDivisor*s.crashes >= nearlyFactor*worst.crashes && s.sound == worst.sound
 		if !nearly || !onlyWith(s.part, worst.part, crashes) {
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -163,7 +163,7 @@
 	if counted.count < needed {
 		return nil
 	}
-	return &group{parts: []string{name}, crashes: counted.count, trials: counted.trials, known: r.known, lastCrash: counted.last}
+	return &group{parts: []string{name}, crashes: counted.count, trials: counted.trials, final: minCrashes + maxTrials, known: r.known, lastCrash: counted.last}
 }
 
 // against counts the crashes that speak against the request.
