--- a/internal/instance/deployment_test.go
+++ b/internal/instance/deployment_test.go
@@ -29,6 +29,8 @@
 	testKey     = "demo-key-club"
 	otherKey    = "demo-key-other"
 	waitTimeout = 30 * time.Second
+	// plainTargets is the number of plain targets: two for bookings and lookups, the rest for reports.
+	plainTargets = 6
 )
 
 // deployment is a complete deployment in the test process: instances with their
@@ -133,7 +135,7 @@
 	for i := range 3 {
 		fmt.Fprintf(&b, "[target engine-%d]\nkind = engine\nfailure-domain = a\naddress = %s%d:9000\nmodel = m\n", i+1, d.network, 100+i)
 	}
-	for i := range 2 {
+	for i := range plainTargets {
 		fmt.Fprintf(&b, "[target plain-%d]\nkind = plain\nfailure-domain = a\naddress = %s%d:9000\n", i+1, d.network, 150+i)
 	}
 	fmt.Fprintf(&b, `[service text]
@@ -149,6 +151,10 @@
 kind = plain
 targets = plain-1, plain-2
 default-class = lookup
+[service reports]
+kind = plain
+targets = plain-3, plain-4, plain-5, plain-6
+default-class = lookup
 [class live]
 idempotent = true
 delivery = stream
