Evidence: one shared ledger of crashes for both ways of serving

The gateway held the ledger under its own lock, with eight methods that lock and call it; the role entry had a wrapper of its own that did the same. Both use internal/evidence now, with a lock that nothing else needs.

--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -179,7 +179,8 @@
 		g.admissionID = admissionID
 		loss, err := g.attempt(ctx)
 		if err == nil {
-			g.server.crashes.answered(g.identity, g.target, g.parts)
+			g.server.crashes.PartsAnswered(g.parts)
+			g.server.crashes.RequestAnswered(g.identity, g.target)
 			g.server.dispatch.release(admissionID, g.core.Next(), admission.Finished)
 			return g.complete()
 		}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -17,6 +17,7 @@
 	"github.com/vanillaward/vanillaward/internal/base"
 	"github.com/vanillaward/vanillaward/internal/config"
 	"github.com/vanillaward/vanillaward/internal/declaration"
+	"github.com/vanillaward/vanillaward/internal/evidence"
 	"github.com/vanillaward/vanillaward/internal/idempotency"
 	"github.com/vanillaward/vanillaward/internal/settings"
 	"github.com/vanillaward/vanillaward/internal/telemetry"
@@ -55,7 +56,7 @@
 	watchdog   *watchdog
 	loads      *loadReader
 	memory     answerMemory
-	crashes    *crashLedger
+	crashes    *evidence.Ledger
 	pooled     *http.Client // reuses connections; for idempotent requests, resumes and cancellations
 	unpooled   *http.Client // one connection per request, never retried; for non-idempotent requests
 	httpServer *http.Server
@@ -77,7 +78,7 @@
 		log: b.Log.WithValues("role", "entry"), settings: s, timers: b.Timers, store: store, guard: guard,
 		metrics: metrics, recorder: recorder,
 		dispatch: newDispatcher(b.Timers, s.Entry.MaxQueue, seed),
-		watchdog: newWatchdog(b.Timers), crashes: newCrashLedger(b.Timers, s.Instance.Name), openByOrg: map[string]int{},
+		watchdog: newWatchdog(b.Timers), crashes: evidence.New(b), openByOrg: map[string]int{},
 	}
 	srv.memory.limit = int64(s.Entry.BufferMemory)
 	srv.pooled = &http.Client{Transport: &http.Transport{
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -120,7 +120,7 @@
 		conn.Close()
 		req.server.removeRun(resumed)
 		if upstream.IsConnectionEnd(err) && ctx.Err() == nil && !req.server.isLeaving(holder) {
-			req.server.recordRequestCrash(req, holder)
+			req.server.crashes.RequestCrashed(req.identity, req.caller.ID, holder.ID(), req.sentAt)
 		}
 		return nil, req.classifyFailure(ctx, "no answer from the holder of the copy", holder, err)
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -17,7 +17,7 @@
 	"github.com/vanillaward/vanillaward"
 	"github.com/vanillaward/vanillaward/internal/balance"
 	"github.com/vanillaward/vanillaward/internal/base"
-	"github.com/vanillaward/vanillaward/internal/quarantine"
+	"github.com/vanillaward/vanillaward/internal/evidence"
 	"github.com/vanillaward/vanillaward/internal/retry"
 	"github.com/vanillaward/vanillaward/internal/route"
 	"github.com/vanillaward/vanillaward/internal/settings"
@@ -45,6 +45,7 @@
 	decode   Decoder
 	pool     *upstream.Pool
 	unused   chan unusedCopy
+	crashes  *evidence.Ledger
 
 	table        atomic.Pointer[route.Table]
 	open         atomic.Int64 // requests that are being served
@@ -56,7 +57,6 @@
 	budgets  map[string]*retry.Budget
 	random   *rand.Rand
 	runs     map[*run]struct{}
-	ledger   *quarantine.Ledger
 }
 
 // New returns a gateway without a configuration.
@@ -67,10 +67,10 @@
 		base: b, settings: s, dialect: dialect, engines: engines, decode: decode,
 		pool:     upstream.NewPool(s.DialTimeout, maxIdleConns),
 		balancer: balance.New(b.Settings.Instance.FailureDomain, random), unused: make(chan unusedCopy, freeQueue),
-		budgets: map[string]*retry.Budget{}, random: random, runs: map[*run]struct{}{}, ledger: quarantine.New(b.Settings.Instance.Name),
+		budgets: map[string]*retry.Budget{}, random: random, runs: map[*run]struct{}{}, crashes: evidence.New(b),
 	}
 	b.Metrics.Gauge("vanillaward_gateway_open_requests", func() float64 { return float64(g.open.Load()) })
-	b.Metrics.Gauge("vanillaward_gateway_parts_held_back", func() float64 { return float64(g.partsHeldBack()) })
+	b.Metrics.Gauge("vanillaward_gateway_parts_held_back", func() float64 { return float64(g.crashes.Parts()) })
 	b.Metrics.Gauge("vanillaward_gateway_configuration_number", func() float64 { return float64(g.Number()) })
 	return g
 }
