Evidence: entries of declared deployments tell each other of crashes, and replicas remember them

Cause: the exchange of evidence was part of Control.Follow, which only gateways call. Instances with the role entry get the configuration by Control.Watch; each found out by itself which request or part crashes targets, and a restart of all forgot it.

Weighed: evidence in Control.Watch (one source at a time, not always a replica, so that two instances need not share one); entries that follow replicas like gateways (lists, loads and uses that they do not use); calls of their own to all replicas, which is what was built: told within 0.5 s, heard by a question that a replica holds open for up to 10 s. Replicas of declared deployments save evidence too.

--- a/internal/control/evidence.go
+++ b/internal/control/evidence.go
@@ -10,23 +10,25 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/vanillaward/vanillaward"
+	"github.com/vanillaward/vanillaward/internal/config"
 	"github.com/vanillaward/vanillaward/internal/quarantine"
 	"github.com/vanillaward/vanillaward/internal/storage"
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
-// evidence holds what all instances that follow this replica have told it about parts of prompts
-// and of requests that may crash targets. Each instance tells every replica that it follows, so that instances
+// evidence holds what instances have told this replica about parts of prompts
+// and of requests that may crash targets. Each instance tells every replica that it follows, or all, so that instances
 // which still reach a replica learn from each other without a leader. It is safe for concurrent use.
 type evidence struct {
 	epoch uint64 // of this process
 
-	mu     sync.Mutex // guards the rest; never held while another lock is taken
-	ledger *quarantine.Ledger
+	mu      sync.Mutex // guards the rest; never held while another lock is taken
+	ledger  *quarantine.Ledger
+	changed chan struct{} // closed and replaced when there is news
 }
 
 func newEvidence(epoch uint64) *evidence {
-	return &evidence{epoch: epoch, ledger: quarantine.New("")}
+	return &evidence{epoch: epoch, ledger: quarantine.New(""), changed: make(chan struct{})}
 }
 
 // merge adds what an instance has told; nil adds nothing.
@@ -36,21 +38,72 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	before := e.ledger.Version()
 	e.ledger.Merge(told, now)
+	if e.ledger.Version() != before {
+		close(e.changed)
+		e.changed = make(chan struct{})
+	}
 }
 
-// answer gives an instance what it lacks.
+// answer gives a follower what it lacks.
 func (e *evidence) answer(request *wire.FollowRequest, answer *wire.FollowResponse, now time.Duration) {
+	lacks, _ := e.lackedBy(request.GetEvidenceEpoch(), request.GetEvidenceVersion(), now)
+	answer.EvidenceEpoch, answer.EvidenceVersion, answer.Evidence = lacks.GetEpoch(), lacks.GetVersion(), lacks.GetEvidence()
+}
+
+// lackedBy returns what an instance lacks that has the evidence of a version of a process, and a channel that
+// is closed at the next news.
+func (e *evidence) lackedBy(epoch, version uint64, now time.Duration) (*wire.HearResponse, <-chan struct{}) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	answer.EvidenceEpoch, answer.EvidenceVersion = e.epoch, e.ledger.Version()
-	known := request.GetEvidenceVersion()
-	if request.GetEvidenceEpoch() != e.epoch {
-		known = 0 // of an earlier process
+	if epoch != e.epoch {
+		version = 0 // of an earlier process
+	}
+	out := &wire.HearResponse{Epoch: e.epoch, Version: e.ledger.Version()}
+	if version != out.GetVersion() {
+		out.Evidence = e.ledger.News(version, now)
+	}
+	return out, e.changed
+}
+
+// await returns what an instance lacks. If that is nothing, it waits for news at most the time that the
+// request states.
+func (e *evidence) await(ctx context.Context, r *wire.HearRequest, timers vanillaward.Timers) *wire.HearResponse {
+	timeout := time.NewTimer(min(time.Duration(r.GetWaitMs())*time.Millisecond, config.MaxWait))
+	defer timeout.Stop()
+	for {
+		out, changed := e.lackedBy(r.GetEpoch(), r.GetVersion(), timers.Now())
+		if out.GetEvidence() != nil || out.GetEpoch() != r.GetEpoch() {
+			return out
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return out
+		case <-ctx.Done():
+			return out
+		}
+	}
+}
+
+// Tell adds what an instance has seen of targets that crash.
+func (c *controlCalls) Tell(e *wire.Evidence, _ *wire.Empty) error {
+	if err := c.instanceOnly(); err != nil {
+		return err
 	}
-	if known != e.ledger.Version() {
-		answer.Evidence = e.ledger.News(known, now)
+	c.service.evidence.merge(e, c.service.timers.Now())
+	return nil
+}
+
+// Hear returns what an instance has not heard yet of targets that crash.
+func (c *controlCalls) Hear(request *wire.HearRequest, response *wire.HearResponse) error {
+	if err := c.instanceOnly(); err != nil {
+		return err
 	}
+	got := c.service.evidence.await(c.service.ctx, request, c.service.timers)
+	response.Epoch, response.Version, response.Evidence = got.GetEpoch(), got.GetVersion(), got.GetEvidence()
+	return nil
 }
 
 const (
--- a/internal/entry/relay_bench_test.go
+++ b/internal/entry/relay_bench_test.go
@@ -17,6 +17,7 @@
 	"github.com/vanillaward/vanillaward/internal/base"
 	"github.com/vanillaward/vanillaward/internal/config"
 	"github.com/vanillaward/vanillaward/internal/declaration"
+	"github.com/vanillaward/vanillaward/internal/evidence"
 	"github.com/vanillaward/vanillaward/internal/settings"
 	"github.com/vanillaward/vanillaward/internal/telemetry"
 	"github.com/vanillaward/vanillaward/internal/timer"
@@ -68,7 +69,7 @@
 	require.NoError(tb, store.Reset(1, texts))
 	s, _ := settings.Parse("test", []byte("[instance]\nname = i\n[entry]\nload-interval = 10ms\nreadiness-delay = 0s\n"))
 	shared := base.Base{Log: logr.Discard(), Settings: s, Timers: timer.New(), Metrics: telemetry.NewMetrics()}
-	server := New(shared, store, nil, nil, 1)
+	server := New(shared, store, nil, nil, evidence.New(shared), 1)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(tb, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -72,13 +72,13 @@
 
 // New returns the entry role of an instance. The recorder may be nil. The seed
 // initialises the random choice of targets.
-func New(b base.Base, store *config.Store, guard *idempotency.Guard, recorder *trace.Recorder, seed uint64) *Server {
+func New(b base.Base, store *config.Store, guard *idempotency.Guard, recorder *trace.Recorder, crashes *evidence.Ledger, seed uint64) *Server {
 	s, metrics := b.Settings, b.Metrics
 	srv := &Server{
 		log: b.Log.WithValues("role", "entry"), settings: s, timers: b.Timers, store: store, guard: guard,
 		metrics: metrics, recorder: recorder,
 		dispatch: newDispatcher(b.Timers, s.Entry.MaxQueue, seed),
-		watchdog: newWatchdog(b.Timers), crashes: evidence.New(b), openByOrg: map[string]int{},
+		watchdog: newWatchdog(b.Timers), crashes: crashes, openByOrg: map[string]int{},
 	}
 	srv.memory.limit = int64(s.Entry.BufferMemory)
 	srv.pooled = &http.Client{Transport: &http.Transport{
--- a/internal/evidence/ledger.go
+++ b/internal/evidence/ledger.go
@@ -1,5 +1,6 @@
 // Package evidence is an instance's side of what instances tell each other about requests, and parts of
-// prompts, that crash targets: the ledger that its requests share.
+// prompts, that crash targets: the ledger that its requests share, and the exchange with replicas for
+// instances that do not follow them.
 package evidence
 
 import (
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -18,6 +18,7 @@
 	"github.com/vanillaward/vanillaward/internal/config"
 	"github.com/vanillaward/vanillaward/internal/control"
 	"github.com/vanillaward/vanillaward/internal/entry"
+	"github.com/vanillaward/vanillaward/internal/evidence"
 	"github.com/vanillaward/vanillaward/internal/idempotency"
 	"github.com/vanillaward/vanillaward/internal/inifile"
 	"github.com/vanillaward/vanillaward/internal/orders"
@@ -219,7 +220,8 @@
 	s := i.base.Settings
 	log := i.base.Log.WithValues("role", "control")
 	published := config.NewStore()
-	transport, err := i.prepareNode(ctx, log, published, newReplicaID())
+	publisher := control.NewPublisher(randomSeed())
+	transport, err := i.prepareNode(ctx, log, published, newReplicaID(), control.WithPublisher(publisher))
 	if err != nil {
 		return nil, err
 	}
@@ -233,7 +235,7 @@
 		transport.Wait()
 		transportDone <- nil
 	}()
-	return []<-chan error{nodeDone, transportDone, issuer.Run(ctx)}, nil
+	return []<-chan error{nodeDone, transportDone, issuer.Run(ctx), service.KeepEvidence(ctx)}, nil
 }
 
 // prepareNode creates the replica on the data folder and returns its transport.
@@ -260,13 +262,14 @@
 
 func newReplicaID() string { return idempotency.NewIdentity()[:replicaIDLength] }
 
-// prepareEntry creates the keeper, the guard and the entry, and starts the keeper.
+// prepareEntry creates the keeper, the guard and the entry, and starts the keeper and the exchange of evidence.
 func (i *Instance) prepareEntry(ctx context.Context) []<-chan error {
 	i.keeper = idempotency.NewLocalKeeper(i.base, i.store)
 	i.guard = idempotency.NewGuard(i.base, i.store, i.keeper)
 	idempotency.Register(i.server, i.keeper, i.guard)
-	i.entry = entry.New(i.base, i.store, i.guard, i.recorder, randomSeed())
-	return []<-chan error{i.keeper.Run(ctx)}
+	crashes := evidence.New(i.base)
+	i.entry = entry.New(i.base, i.store, i.guard, i.recorder, crashes, randomSeed())
+	return []<-chan error{i.keeper.Run(ctx), evidence.NewExchanger(i.base, crashes, i.base.Settings.Control.Replicas).Run(ctx)}
 }
 
 func (i *Instance) subscriber() *config.Subscriber {
--- a/internal/timer/timer.go
+++ b/internal/timer/timer.go
@@ -48,3 +48,13 @@
 	}()
 	return out
 }
+
+// Sleep waits for a time, or until the context ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
