--- a/internal/config/subscriber.go
+++ b/internal/config/subscriber.go
@@ -11,6 +11,7 @@
 
 	"github.com/vanillaward/vanillaward/internal/inifile"
 	"github.com/vanillaward/vanillaward/internal/peer"
+	"github.com/vanillaward/vanillaward/internal/timer"
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
@@ -103,7 +104,7 @@
 		close(s.initialSyncDone)
 		for ctx.Err() == nil {
 			s.followAny(ctx)
-			sleep(ctx, retryDelay)
+			timer.Sleep(ctx, retryDelay)
 		}
 		for _, src := range s.sources {
 			src.client.Close()
@@ -202,15 +203,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // PeerService serves the configuration to other instances of the failure domain.
 type PeerService struct {
 	store *Store
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -10,6 +10,7 @@
 	"github.com/vanillaward/vanillaward/internal/delivery"
 	"github.com/vanillaward/vanillaward/internal/idempotency"
 	"github.com/vanillaward/vanillaward/internal/keeper"
+	"github.com/vanillaward/vanillaward/internal/timer"
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
@@ -88,7 +89,7 @@
 			return ex.replay(answer), false
 		case idempotency.StatusNotRun:
 			ex.server.guard.ReleaseRecord(record)
-			sleep(ex.r.Context(), duplicatePollInterval)
+			timer.Sleep(ex.r.Context(), duplicatePollInterval)
 			return "", true
 		case idempotency.StatusUnknown:
 			return ex.answerProblem(unknownProblem(codeOutcomeUnknown, "an earlier copy of the request may or may not have run", ex.set.Fleet().RetryAfter())), false
@@ -96,7 +97,7 @@
 		if ex.server.timers.Now() > deadline || ex.r.Context().Err() != nil {
 			return ex.answerProblem(unknownProblem(codeStillRunning, "an earlier copy of the request is still running", ex.set.Fleet().RetryAfter())), false
 		}
-		sleep(ex.r.Context(), duplicatePollInterval)
+		timer.Sleep(ex.r.Context(), duplicatePollInterval)
 	}
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -21,6 +21,7 @@
 	"github.com/vanillaward/vanillaward/internal/idempotency"
 	"github.com/vanillaward/vanillaward/internal/settings"
 	"github.com/vanillaward/vanillaward/internal/telemetry"
+	"github.com/vanillaward/vanillaward/internal/timer"
 	"github.com/vanillaward/vanillaward/internal/trace"
 	"github.com/vanillaward/vanillaward/internal/upstream"
 )
@@ -151,11 +152,11 @@
 	s.log.Info("stopping", "open", s.open.Load())
 	s.recorder.Record(trace.Event{Kind: trace.Stop})
 	s.ready.Store(false)
-	sleep(ctx, s.settings.Entry.ReadinessDelay)
+	timer.Sleep(ctx, s.settings.Entry.ReadinessDelay)
 	s.stopping.Store(true)
 	s.httpServer.SetKeepAlivesEnabled(false)
 	for s.open.Load() > 0 && ctx.Err() == nil {
-		sleep(ctx, stopPollInterval)
+		timer.Sleep(ctx, stopPollInterval)
 	}
 	s.guard.Flush()
 	s.guard.TransferRecords(ctx)
@@ -165,15 +166,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // followConfiguration passes each version to the dispatcher and the load reader.
 func (s *Server) followConfiguration(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
--- a/internal/follow/fetch.go
+++ b/internal/follow/fetch.go
@@ -12,6 +12,7 @@
 	"github.com/vanillaward/vanillaward/internal/control"
 	"github.com/vanillaward/vanillaward/internal/difference"
 	"github.com/vanillaward/vanillaward/internal/peer"
+	"github.com/vanillaward/vanillaward/internal/timer"
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
@@ -82,7 +83,7 @@
 		if err := f.fetch(ctx, address); err != nil && ctx.Err() == nil {
 			failed = address
 			f.log.Info("cannot fetch document", "replica", address, "reason", err.Error(), "number", f.sink.Number(), "received", f.documents.current.received())
-			sleep(ctx, retryDelay)
+			timer.Sleep(ctx, retryDelay)
 		}
 	}
 }
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -15,6 +15,7 @@
 	"github.com/vanillaward/vanillaward"
 	"github.com/vanillaward/vanillaward/internal/control"
 	"github.com/vanillaward/vanillaward/internal/peer"
+	"github.com/vanillaward/vanillaward/internal/timer"
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
@@ -146,14 +147,7 @@
 			f.follow(ctx, address)
 			f.release(address)
 		}
-		sleep(ctx, retryDelay)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+		timer.Sleep(ctx, retryDelay)
 	}
 }
 
@@ -250,7 +244,7 @@
 		// The leader responds at once, because the uses that it receives and the sums
 		// that it returns must be up to date.
 		if !first {
-			sleep(ctx, interval)
+			timer.Sleep(ctx, interval)
 		}
 		request.Uses = f.sink.LocalUses()
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -13,6 +13,7 @@
 
 	"github.com/vanillaward/vanillaward/internal/engine"
 	"github.com/vanillaward/vanillaward/internal/engineapi"
+	"github.com/vanillaward/vanillaward/internal/timer"
 )
 
 const (
@@ -97,7 +98,7 @@
 	done := make(chan error, 1)
 	go func() {
 		for ctx.Err() == nil {
-			sleep(ctx, e.step())
+			timer.Sleep(ctx, e.step())
 		}
 		done <- nil
 	}()
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -144,12 +144,3 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v) // the caller may have disconnected
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/vanillaward/vanillaward/internal/timer"
 )
 
 const maxPlainBody = 1 << 20
@@ -79,7 +81,7 @@
 		return
 	}
 	if faults.LateMillis > 0 {
-		sleep(r.Context(), time.Duration(faults.LateMillis)*time.Millisecond)
+		timer.Sleep(r.Context(), time.Duration(faults.LateMillis)*time.Millisecond)
 	}
 	number := p.run(request)
 	if faults.ResetAfterRun {
