Quarantine: an answer that refutes a crash is told, though the crash was heard of later

Such an answer was news to others only if its instance had already heard of a crash since the answer before, or after 5 s. An instance that heard of the crash a moment later kept to itself that it was refuted; the part that all requests have was held back.

Ruled out: news that travels too slowly (exchanges come once a second, the crashes lay 0.4 to 1.1 s apart and the hold lasted until an answer happened to follow the news).

Change: when a crash comes that an answer known here refutes, and what others were last told of is older, the answer becomes news. The same for whole requests.

--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -123,7 +123,7 @@
 		l.held = append(l.held, g)
 		unexplained = without(unexplained, g)
 	}
-	maps.DeleteFunc(l.soundNews, func(part string, _ news) bool {
+	maps.DeleteFunc(l.soundNews, func(part string, _ soundNews) bool {
 		sound, known := l.sound.get(part)
 		return !l.suspected(part) && (!known || now-sound > soundNewsTime)
 	})
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -37,7 +37,7 @@
 	instance  string
 	crashes   []crash
 	sound     recent
-	soundNews map[string]news // by part that was in the request of a crash
+	soundNews map[string]soundNews // by part that was in the request of a crash
 	held      []*group
 	requests  map[string]*repeated     // by name
 	answered  recent                   // requests that this instance saw answered
@@ -53,6 +53,12 @@
 	own     uint64 // grows with the news that did not come from other instances
 }
 
+// soundNews is the whole answer with a part that others are told of.
+type soundNews struct {
+	news news
+	at   time.Duration
+}
+
 // crash is one engine's crash, as the instance saw it that waited for the answer to a request.
 type crash struct {
 	id     string // of the request and the engine
@@ -66,7 +72,7 @@
 
 // New returns an empty ledger of an instance.
 func New(instance string) *Ledger {
-	return &Ledger{instance: instance, soundNews: map[string]news{}, claims: map[string]claim{}, requests: map[string]*repeated{}, ended: map[string]time.Duration{}, latest: news{own: 1}}
+	return &Ledger{instance: instance, soundNews: map[string]soundNews{}, claims: map[string]claim{}, requests: map[string]*repeated{}, ended: map[string]time.Duration{}, latest: news{own: 1}}
 }
 
 // record returns the number of a new record. Own is true for one of this instance.
@@ -108,15 +114,16 @@
 }
 
 // add adds a crash if it is new and matters. What this instance knows of whole answers with these
-// parts becomes news.
+// parts becomes news: for others, if it refutes the crash.
 func (l *Ledger) add(c crash, own bool, now time.Duration) {
 	if l.known(c) || len(c.parts) == 0 || now-c.at > crashLifetime {
 		return
 	}
 	for _, part := range c.parts {
-		_, told := l.soundNews[part]
-		if _, known := l.sound.get(part); known && !told {
-			l.soundNews[part] = l.record(true)
+		sound, known := l.sound.get(part)
+		told, was := l.soundNews[part]
+		if known && (!was || told.at < c.at && c.at <= sound) {
+			l.soundNews[part] = soundNews{l.record(true), sound}
 		}
 	}
 	if !l.matters(c, now) {
@@ -153,7 +160,7 @@
 	}
 	crashedSince := slices.ContainsFunc(l.crashes, func(c crash) bool { return c.at >= before && c.at <= at && slices.Contains(c.parts, part) })
 	if !known || crashedSince || at-before >= soundRefresh {
-		l.soundNews[part] = l.record(own)
+		l.soundNews[part] = soundNews{l.record(own), at}
 	}
 	if crashedSince || !known {
 		l.decide(now)
@@ -203,8 +210,8 @@
 			out.Crashes = append(out.Crashes, &wire.EngineCrash{Id: c.id, Target: c.target, Parts: c.parts, AgeMs: uint64((now - c.at).Milliseconds()), AnsweringMs: uint32(c.answering.Milliseconds())})
 		}
 	}
-	for part, n := range l.soundNews {
-		if at, known := l.sound.get(part); known && wanted(n) {
+	for part, told := range l.soundNews {
+		if at, known := l.sound.get(part); known && wanted(told.news) {
 			out.Sound = append(out.Sound, &wire.SoundPart{Part: part, AgeMs: uint64((now - at).Milliseconds())})
 		}
 	}
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -64,6 +64,7 @@
 	known   bool           // a request with the name is known to have been answered
 	sound   time.Duration  // when the last one was
 	news    news           // of sound
+	told    time.Duration  // the time of the answer that was news last
 }
 
 // requestCrash is a target's crash, as the instance saw it that waited for the answer.
@@ -200,9 +201,12 @@
 		r = &repeated{}
 		l.requests[name] = r
 		if r.sound, r.known = l.answered.get(name); r.known {
-			r.news = l.record(true)
+			r.news, r.told = l.record(true), r.sound
 		}
 	}
+	if r.known && r.told < c.at && c.at <= r.sound {
+		r.news, r.told = l.record(true), r.sound // others may not know that the crash is refuted
+	}
 	if slices.ContainsFunc(r.crashes, func(other requestCrash) bool { return other.id == c.id }) {
 		return
 	}
@@ -253,7 +257,7 @@
 	}
 	crashedSince := slices.ContainsFunc(r.crashes, func(c requestCrash) bool { return c.at <= at && (!r.known || c.at > r.sound) })
 	if !r.known || crashedSince || at-r.sound >= soundRefresh {
-		r.news = l.record(own)
+		r.news, r.told = l.record(own), at
 	}
 	r.known, r.sound = true, at
 }
