Quarantine: while a part is held back, a further one needs four crashes in place of three

Three ends without an answer are what a guilty part looks like, so a quarter of all sound requests was refused for 20 s and more.

Four only for what becomes suspect while another part is held back costs an engine only where two parts crash engines at the same time; which one was first goes by when each had its third crash, so that the order in which parts are considered does not matter.

--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -19,6 +19,9 @@
 	// then: at first, each part of all requests looks as suspect as any other.
 	minCrashes        = 3
 	minCrashesUnclear = 5
+	// minCrashesFurther is the number in place of minCrashes once another part is held back: two that
+	// crash engines at the same time are rarer than engines that crash for other reasons.
+	minCrashesFurther = 4
 	// A part is nearly as likely as another one if it has nearlyFactor of nearlyDivisor of its
 	// crashes.
 	nearlyFactor  = 3
@@ -43,12 +46,14 @@
 // group is a set of parts that the same crashes speak against equally, or one request. Only a request
 // with all of the parts is held back; one with some of them shows which it is.
 type group struct {
-	parts     []string // sorted
-	crashes   int      // of different targets
-	trials    int      // of the crashes, those that lengthen the time
-	final     int      // number of trials from which on there is no other
-	known     bool     // a request with it was answered before, so that it may be blamed wrongly
-	lastCrash time.Duration
+	parts   []string // sorted
+	crashes int      // of different targets
+	trials  int      // of the crashes, those that lengthen the time
+	final   int      // number of trials from which on there is no other
+	// suspectedAt is as in suspect.
+	suspectedAt time.Duration
+	known       bool // a request with it was answered before, so that it may be blamed wrongly
+	lastCrash   time.Duration
 }
 
 // Held is why a request is held back.
@@ -162,6 +167,8 @@
 	trials  int           // as in group
 	last    time.Duration // when the last crash was
 	enough  bool          // the crashes are enough to hold the part back
+	// suspectedAt is when the last of the first minCrashes crashes was.
+	suspectedAt time.Duration
 }
 
 // suspects returns the parts that at least minCrashes of the given crashes speak against, the
@@ -179,7 +186,10 @@
 			needed = minCrashes
 		}
 		counted := against(part, crashes, s.sound)
-		s.crashes, s.trials, s.last = counted.count, counted.trials, counted.last
+		s.crashes, s.trials, s.last, s.suspectedAt = counted.count, counted.trials, counted.last, counted.suspectedAt
+		if needed == minCrashes && l.heldBefore(s.suspectedAt) {
+			needed = minCrashesFurther
+		}
 		if s.crashes >= minCrashes {
 			s.enough = s.crashes >= needed
 			out = append(out, s)
@@ -192,11 +202,16 @@
 		case a.known != b.known:
 			return 1
 		}
-		return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(a.sound, b.sound))
+		return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(a.sound, b.sound), cmp.Compare(a.suspectedAt, b.suspectedAt))
 	})
 	return out
 }
 
+// heldBefore reports whether a group that is held back was suspected before a time.
+func (l *Ledger) heldBefore(at time.Duration) bool {
+	return slices.ContainsFunc(l.held, func(g *group) bool { return g.suspectedAt < at })
+}
+
 // othersSound reports whether another part of the requests that crashed engines with a part was in
 // a request that was answered whole.
 func (l *Ledger) othersSound(part string, crashes []crash) bool {
@@ -211,7 +226,7 @@
 // newGroup returns the worst suspect together with those that are nearly as likely and were
 // in the same requests: which of them it is shows when a request has only some of them.
 func newGroup(worst suspect, suspects []suspect, crashes []crash) *group {
-	g := &group{parts: []string{worst.part}, crashes: worst.crashes, trials: worst.trials, final: minCrashesUnclear + maxTrials, known: worst.known, lastCrash: worst.last}
+	g := &group{parts: []string{worst.part}, crashes: worst.crashes, trials: worst.trials, final: minCrashesUnclear + maxTrials, known: worst.known, lastCrash: worst.last, suspectedAt: worst.suspectedAt}
 	for _, s := range suspects {
 		nearly := s.part != worst.part && nearlyDivisor*s.crashes >= nearlyFactor*worst.crashes && s.sound == worst.sound
 		if !nearly || !onlyWith(s.part, worst.part, crashes) {
@@ -270,7 +285,9 @@
 	trials    int // as in group
 	last      time.Duration
 	lastTrial time.Duration
-	lastOf    map[string]time.Duration // by target
+	// suspectedAt is when the count reached minCrashes.
+	suspectedAt time.Duration
+	lastOf      map[string]time.Duration // by target
 }
 
 func (c *crashCounter) add(target string, at time.Duration) {
@@ -279,6 +296,9 @@
 	}
 	if before, seen := c.lastOf[target]; !seen || at-before > restartTime {
 		c.count++
+		if c.count == minCrashes {
+			c.suspectedAt = at
+		}
 		if c.count <= minCrashesUnclear || at-c.lastTrial > burstTime {
 			c.trials, c.lastTrial = c.trials+1, at
 		}
