--- a/internal/quarantine/trial_test.go
+++ b/internal/quarantine/trial_test.go
@@ -40,3 +40,29 @@
 		})
 	}
 }
+
+// TestPartOfAllRequestsIsFoundAtFirst guards against a part that all requests have, and that crashes each
+// engine, which is not held back because other parts were in many of the first crashes too.
+func TestPartOfAllRequestsIsFoundAtFirst(t *testing.T) {
+	const known = 5 // crashes before every instance must know
+	for seed := range uint64(spreadSeeds) {
+		d := newDeployment(seed, 0)
+		d.failing = 1
+		var crashes []time.Duration
+		for step := range spreadSteps {
+			d.tick(step)
+			if refused := d.refused; step%2 == 0 {
+				if d.send(false); d.refused == refused {
+					crashes = append(crashes, d.now)
+				}
+			}
+		}
+		late := 0
+		for _, at := range crashes {
+			if at > crashes[known-1]+spreadTime {
+				late++
+			}
+		}
+		require.LessOrEqual(t, late, maxAfterwards, "seed %d, %d instances", seed, len(d.instances))
+	}
+}
