Revert: each load is sent to an instance once

Suspected, not shown: a report for an engine that is not in the instance's list yet is dropped there, and was repaired by the next repeat.

--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -65,12 +65,10 @@
 	p.notifyFollowers()
 }
 
-// loadReport is an engine's report, the time at which it was read and the call of PublishLoads that
-// brought it.
+// loadReport is an engine's report and the time at which it was read.
 type loadReport struct {
-	load    *wire.Load
-	at      time.Duration
-	version uint64
+	load *wire.Load
+	at   time.Duration
 }
 
 // loadTTL is the age beyond which PublishLoads discards a report.
@@ -81,11 +79,10 @@
 func (p *Publisher) PublishLoads(loads []*wire.Load, now time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.loadsVersion++
 	for _, l := range loads {
 		at := now - time.Duration(l.GetAgeMs())*time.Millisecond
 		if old, ok := p.loads[l.GetTarget()]; !ok || at > old.at {
-			p.loads[l.GetTarget()] = loadReport{load: l, at: at, version: p.loadsVersion}
+			p.loads[l.GetTarget()] = loadReport{load: l, at: at}
 		}
 	}
 	for id, r := range p.loads {
@@ -93,6 +90,7 @@
 			delete(p.loads, id)
 		}
 	}
+	p.loadsVersion++
 }
 
 // Targets returns the latest published list of targets.
@@ -147,22 +145,16 @@
 		}
 	}
 	answer.LoadsVersion = p.loadsVersion
-	known := r.GetLoadsVersion()
-	if r.GetListEpoch() != p.epoch {
-		known = 0
+	if r.GetListEpoch() != p.epoch || r.GetLoadsVersion() != p.loadsVersion {
+		answer.Loads = p.currentLoads(now)
 	}
-	answer.Loads = p.loadsSince(known, now)
 	return answer, p.changed
 }
 
-// loadsSince returns the loads that came after a version, with their present age. It is called with the lock
-// held.
-func (p *Publisher) loadsSince(version uint64, now time.Duration) []*wire.Load {
-	var out []*wire.Load
+// currentLoads returns the loads with their present age. It is called with the lock held.
+func (p *Publisher) currentLoads(now time.Duration) []*wire.Load {
+	out := make([]*wire.Load, 0, len(p.loads))
 	for _, r := range p.loads {
-		if r.version <= version {
-			continue
-		}
 		l := proto.CloneOf(r.load)
 		l.AgeMs = uint32(max(0, now-r.at).Milliseconds())
 		out = append(out, l)
