Gateway: what is logged of a target is read under the lock

Cause: lines on failures and choices read a target's number of open requests and its failure domain without the lock under which lists and results write them.

Change: Target.Open and Target.Domain are gone; the balancer tells both under its lock. No other accessor of a target reads what changes.

TestListsBesideRequests (lists that come while requests choose, fail and are turned away): a race before, none after. No wrong answer is known to have come of it.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -139,12 +139,6 @@
 // Address returns the target's address as ip:port.
 func (t *Target) Address() string { return t.address }
 
-// Domain returns the target's failure domain.
-func (t *Target) Domain() string { return t.domain }
-
-// Open returns the number of this instance's requests in flight at the target.
-func (t *Target) Open() int { return t.open }
-
 // Balancer holds the state of the targets of all services. It is not safe for concurrent
 // use.
 type Balancer struct {
@@ -209,6 +203,9 @@
 	})
 }
 
+// Open returns the number of this instance's requests at a target.
+func (b *Balancer) Open(t *Target) int { return t.open }
+
 // Target returns a target by its identity, or nil.
 func (b *Balancer) Target(id string) *Target { return b.targets[id] }
 
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -151,6 +151,8 @@
 
 // LoadState is the state of an engine on which its choice was based.
 type LoadState struct {
+	// Domain is the engine's failure domain.
+	Domain string
 	// Known is false without a valid report.
 	Known bool
 	// ReportAge is the age of the report.
@@ -167,7 +169,7 @@
 func (b *Balancer) LoadState(t *Target, now time.Duration) LoadState {
 	memory, known := t.memory(0, now)
 	return LoadState{
-		Known: known, ReportAge: now - t.load.at, Memory: memory, Waiting: t.load.waiting,
+		Domain: t.domain, Known: known, ReportAge: now - t.load.at, Memory: memory, Waiting: t.load.waiting,
 		Prefilling: t.prefilling + t.peerUse.prefilling,
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -120,7 +120,7 @@
 // logChoice logs the load state on which the choice of an engine was based. For plain
 // services the request's own log line is sufficient.
 func (req *request) logChoice(t *balance.Target, s balance.LoadState) {
-	req.server.base.Log.Info("engine chosen", "request", req.caller.ID, "target", t.ID(), "failure-domain", t.Domain(), "tokens", req.tokens(),
+	req.server.base.Log.Info("engine chosen", "request", req.caller.ID, "target", t.ID(), "failure-domain", s.Domain, "tokens", req.tokens(),
 		"report", s.Known, "report-age-ms", s.ReportAge.Milliseconds(), "memory-percent", int(100*s.Memory), "waiting", s.Waiting,
 		"prefilling", s.Prefilling)
 }
@@ -208,7 +208,7 @@
 // logFailure logs why a target did not serve the request.
 func (req *request) logFailure(message string, t *balance.Target, err error) {
 	req.server.base.Log.Info(message, "request", req.caller.ID, "target", t.ID(), "address", t.Address(),
-		"reason", err.Error(), "open-there", t.Open(), "took-ms", (req.server.base.Timers.Now() - req.arrived).Milliseconds(),
+		"reason", err.Error(), "open-there", req.server.openAt(t), "took-ms", (req.server.base.Timers.Now() - req.arrived).Milliseconds(),
 		"answering-ms", req.answeringTime().Milliseconds(), "parts", strings.Join(req.caller.SharedParts, ","))
 }
 
@@ -238,7 +238,7 @@
 	if info.OtherTarget {
 		result.reason, targetResult = reasonMisdirected, balance.Misdirected
 	}
-	req.server.base.Log.Info("target did not run the request", "request", req.caller.ID, "target", t.ID(), "status", response.StatusCode, "open-there", t.Open())
+	req.server.base.Log.Info("target did not run the request", "request", req.caller.ID, "target", t.ID(), "status", response.StatusCode, "open-there", req.server.openAt(t))
 	if _, err := io.CopyN(io.Discard, response.Body, maxBufferedBytes); errors.Is(err, io.EOF) && !info.Closing && !response.Close && !info.OtherTarget {
 		req.server.pool.Put(conn, info.KeepFor)
 		return targetResult
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -533,3 +534,33 @@
 	require.NoError(t, response.Body.Close())
 	return response.StatusCode
 }
+
+// TestListsBesideRequests lets lists of targets come while requests choose targets, fail and are turned away,
+// for the race detector.
+func TestListsBesideRequests(t *testing.T) {
+	targets := []*standin{newStandin(t, "target-0", "stream"), newStandin(t, "target-1", "stream:2"), newStandin(t, "target-2", "refuse")}
+	r := newRig(t, configuration(1, route.Stream, 2, 3*time.Second), targets...)
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				r.updateTargets(targets...)
+			}
+		}
+	}()
+	var callers sync.WaitGroup
+	for caller := range 4 {
+		callers.Go(func() {
+			for n := range 20 {
+				r.send(t, http.MethodPost, "/r/x", "", map[string]string{testID: fmt.Sprint("request-", caller, "-", n)})
+			}
+		})
+	}
+	callers.Wait()
+	close(stop)
+	<-stopped
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -267,6 +267,13 @@
 	return g.balancer.AtCapacity(service, tokens, g.base.Timers.Now())
 }
 
+// openAt returns the number of this instance's requests at a target.
+func (g *Server) openAt(t *balance.Target) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.balancer.Open(t)
+}
+
 // end records the result of a request at a target.
 func (g *Server) end(t *balance.Target, tokens int, result balance.Result) {
 	g.mu.Lock()
