--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -21,17 +21,41 @@
 	writeBytes = 32 << 10
 )
 
-// TestHeadWithoutEnd guards against a target whose head never ends, which a gateway kept in memory
-// until the request's deadline.
-func TestHeadWithoutEnd(t *testing.T) {
+// endless is an answer that never ends: what comes first, and what comes again and again.
+type endless struct{ first, again string }
+
+// endlessHeads returns heads without end, by what does not end.
+func endlessHeads() map[string]endless {
 	line := strings.Repeat("x", writeBytes)
-	for name, c := range map[string]struct{ first, again string }{
+	return map[string]endless{
 		"one line":        {"HTTP/1.1 200 OK\r\nLong: ", line},
 		"many lines":      {"HTTP/1.1 200 OK\r\n", strings.Repeat("Name: value\r\n", writeBytes/13)},
 		"a status line":   {"HTTP/1.1 200 ", line},
 		"no head at all":  {"", line},
 		"interim answers": {"", strings.Repeat("HTTP/1.1 103 Early\r\n\r\n", writeBytes/22)},
-	} {
+	}
+}
+
+// endlessStreamParts returns streams with a part without end which has to be read whole, by what does not end.
+func endlessStreamParts() map[string]endless {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	chunk := func(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
+	line := strings.Repeat("x", writeBytes)
+	return map[string]endless{
+		"an event":                 {head + chunk("id: 1\ndata: "), chunk(line)},
+		"an event of many lines":   {head + chunk("id: 1\n"), chunk(strings.Repeat("data: x\n", writeBytes/8))},
+		"a comment":                {head + chunk(":"), chunk(line)},
+		"an extension of a chunk":  {head + "5;", line},
+		"a trailer":                {head + chunk("id: 1\ndata: x\n\n") + "0\r\nTrailer: ", line},
+		"a refusal":                {"HTTP/1.1 503 X\r\n" + testNotRun + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n", chunk(line)},
+		"an answer to another one": {"HTTP/1.1 200 X\r\n" + testID + ": other\r\nTransfer-Encoding: chunked\r\n\r\n", chunk(line)},
+	}
+}
+
+// TestHeadWithoutEnd guards against a target whose head never ends, which a gateway kept in memory
+// until the request's deadline.
+func TestHeadWithoutEnd(t *testing.T) {
+	for name, c := range endlessHeads() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			target, taken := newEndlessStandin(t, c.first, c.again)
@@ -46,18 +70,7 @@
 // TestStreamPartWithoutEnd guards against a target that never ends a part of a stream which has to be
 // read whole: the gateway must not keep it in memory until the request's deadline.
 func TestStreamPartWithoutEnd(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-	chunk := func(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
-	line := strings.Repeat("x", writeBytes)
-	for name, c := range map[string]struct{ first, again string }{
-		"an event":                 {head + chunk("id: 1\ndata: "), chunk(line)},
-		"an event of many lines":   {head + chunk("id: 1\n"), chunk(strings.Repeat("data: x\n", writeBytes/8))},
-		"a comment":                {head + chunk(":"), chunk(line)},
-		"an extension of a chunk":  {head + "5;", line},
-		"a trailer":                {head + chunk("id: 1\ndata: x\n\n") + "0\r\nTrailer: ", line},
-		"a refusal":                {"HTTP/1.1 503 X\r\n" + testNotRun + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n", chunk(line)},
-		"an answer to another one": {"HTTP/1.1 200 X\r\n" + testID + ": other\r\nTransfer-Encoding: chunked\r\n\r\n", chunk(line)},
-	} {
+	for name, c := range endlessStreamParts() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			target, taken := newEndlessStandin(t, c.first, c.again)
