Peer: credentials that cannot be read again are logged

Cause: changed files that cannot be read leave the previous credentials in use, which is right, but without a word: an operator who replaced a certificate by a broken one found out when the old one expired.

Change: one line when that begins or its reason changes, one when it ends. TestFailedReloadIsLogged: there was no way to see it before, so that the test did not compile; with the call of logReload taken out it fails for want of the first line (not run).

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -68,6 +68,7 @@
 	traffic := peer.NewTraffic(func(m peer.Message) { measured.PeerMessage(m.Method(), m.Sent(), m.Bytes()) })
 	logs := telemetry.NewWriter(os.Stdout)
 	log := telemetry.NewLog(logs, s.Log.Level).WithValues("instance", s.Instance.Name)
+	creds.SetLog(log)
 	i := &Instance{
 		base: base.Base{
 			Log: log, Settings: s, Timers: timer.New(), Credentials: creds, Traffic: traffic, Metrics: measured,
--- a/internal/peer/credentials.go
+++ b/internal/peer/credentials.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 )
 
@@ -35,6 +36,8 @@
 	dial   Dial
 
 	mu      sync.Mutex // guards the rest; never held while another lock is taken
+	log     logr.Logger
+	failed  string // why the files could not be read again last; empty if they could
 	modTime time.Time
 	cert    *tls.Certificate
 	trusted *x509.CertPool
@@ -63,13 +66,20 @@
 // folder. authority.crt may hold several certificates while an authority is being
 // replaced. It returns an error if a file cannot be read or parsed.
 func LoadCredentials(folder string) (*Credentials, error) {
-	c := &Credentials{folder: folder}
+	c := &Credentials{folder: folder, log: logr.Discard()}
 	if _, _, err := c.current(); err != nil {
 		return nil, err
 	}
 	return c, nil
 }
 
+// SetLog sets where it is logged that changed files cannot be read, and that they can again.
+func (c *Credentials) SetLog(log logr.Logger) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.log = log
+}
+
 // Dial opens a connection to an address.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -83,7 +93,7 @@
 // connections between its processes are neither encrypted nor authenticated, and
 // every peer is treated as an instance.
 func PlainCredentials(options ...Option) *Credentials {
-	c := &Credentials{plain: true}
+	c := &Credentials{plain: true, log: logr.Discard()}
 	c.dial = c.dialer.DialContext
 	for _, option := range options {
 		option(c)
@@ -135,9 +145,23 @@
 	if c.cert == nil {
 		return nil, nil, errors.Wrap(err, "credentials")
 	}
+	c.logReload(err)
 	return c.cert, c.trusted, nil
 }
 
+// logReload logs a failure to read changed files, once for each reason, and its end. It is called with the
+// lock held.
+func (c *Credentials) logReload(err error) {
+	switch {
+	case err == nil && c.failed != "":
+		c.log.Info("credentials can be read again", "folder", c.folder)
+		c.failed = ""
+	case err != nil && c.failed != err.Error():
+		c.log.Error(err, "cannot read changed credentials; the previous ones stay in use", "folder", c.folder)
+		c.failed = err.Error()
+	}
+}
+
 // latestModTime returns the latest modification time of the files.
 func (c *Credentials) latestModTime() (time.Time, error) {
 	var newest time.Time
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/require"
 
 	"github.com/vanillaward/vanillaward/internal/peer"
@@ -36,8 +38,9 @@
 }
 
 type setup struct {
-	folder  string
-	address netip.AddrPort
+	folder      string
+	address     netip.AddrPort
+	credentials *peer.Credentials // of the server
 }
 
 func start(t *testing.T) *setup {
@@ -45,6 +48,7 @@
 	s := &setup{folder: t.TempDir()}
 	require.NoError(t, peer.WriteAuthority(filepath.Join(s.folder, "authority")))
 	creds := s.newCredentials(t, "server", "authority", peer.RoleInstance)
+	s.credentials = creds
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s.address = netip.MustParseAddrPort(listener.Addr().String())
@@ -156,6 +160,31 @@
 	require.Equal(t, "i2/instance", name)
 }
 
+// TestFailedReloadIsLogged guards against changed credentials that cannot be read and are not used without a
+// word: one line when that begins or its reason changes, one when it ends.
+func TestFailedReloadIsLogged(t *testing.T) {
+	s := start(t)
+	logged := make(chan string, 10)
+	s.credentials.SetLog(funcr.New(func(_, args string) { logged <- args }, funcr.Options{}))
+	fresh := s.newCredentials(t, "i2", "authority", peer.RoleInstance)
+	call := func() {
+		_, err := s.call(fresh, "Echo.Name")
+		require.NoError(t, err, "the previous credentials stay in use")
+	}
+	call()
+	require.Empty(t, logged)
+	folder := filepath.Join(s.folder, "server")
+	require.NoError(t, os.WriteFile(filepath.Join(folder, "instance.crt"), []byte("no certificate"), 0o600))
+	call()
+	call()
+	require.Len(t, logged, 1)
+	require.Contains(t, <-logged, "cannot read changed credentials")
+	require.NoError(t, peer.WriteCredentials(folder, filepath.Join(s.folder, "authority"), "server", peer.RoleInstance))
+	call()
+	require.Len(t, logged, 1)
+	require.Contains(t, <-logged, "can be read again")
+}
+
 // TestUnreachable checks that a call returns ErrUnreachable when no connection could be
 // made, so that it certainly did not arrive.
 func TestUnreachable(t *testing.T) {
