Check: addresses that two settings files use are found, however they are written

Cause: the addresses of settings files were compared as texts, and those for readiness and operators were left out. ::ffff:10.0.0.1 and 10.0.0.1 are the same; 0.0.0.0 in two files is not a conflict, since they may belong to two machines, but was reported as one.

Change: addresses are compared by value, from the one list of what an instance listens at that the settings' own check uses; of unspecified ones nothing is said. TestCheckFindsAddressesUsedTwice.

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"net/netip"
 	"os"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -54,7 +55,7 @@
 func checkFiles(files []string) (finding.List, error) {
 	var found finding.List
 	var sections []*inifile.Section
-	fileByAddress := map[string]string{}
+	fileByAddress := map[netip.AddrPort]string{}
 	for _, name := range files {
 		data, err := os.ReadFile(name)
 		if err != nil {
@@ -86,12 +87,17 @@
 	return false
 }
 
-// checkAddresses reports addresses that two settings files use.
-func checkAddresses(s *settings.Settings, file string, fileByAddress map[string]string, found *finding.List) {
-	for _, a := range []string{s.Listen.Callers.String(), s.Listen.Peers.String(), s.Listen.Health.String()} {
-		if other, dup := fileByAddress[a]; dup && a != "invalid AddrPort" && other != file {
-			found.Add(file, 0, "", "address %s is already used by %s", a, other)
+// checkAddresses reports addresses that two settings files use. Of an unspecified IP address nothing is known: it
+// may belong to different machines.
+func checkAddresses(s *settings.Settings, file string, fileByAddress map[netip.AddrPort]string, found *finding.List) {
+	for _, listener := range s.Listen.Listeners() {
+		if listener.Address.Addr().IsUnspecified() {
+			continue
+		}
+		address := netip.AddrPortFrom(listener.Address.Addr().Unmap(), listener.Address.Port())
+		if other, dup := fileByAddress[address]; dup && other != file {
+			found.Add(file, 0, "", "address %s is already used by %s", listener.Address, other)
 		}
-		fileByAddress[a] = file
+		fileByAddress[address] = file
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -262,25 +262,25 @@
 	return false
 }
 
+// Listener is an address at which an instance listens.
+type Listener struct {
+	Key     string // of the setting
+	Address netip.AddrPort
+}
+
+// Listeners returns the addresses at which the instance listens.
+func (l *Listen) Listeners() []Listener {
+	all := []Listener{{"callers", l.Callers}, {"readiness", l.Readiness}, {"operators", l.Operators}, {"peers", l.Peers}, {"health", l.Health}}
+	return slices.DeleteFunc(all, func(listener Listener) bool { return !listener.Address.IsValid() })
+}
+
 func (s *Settings) checkAddresses(found *finding.List) {
 	used := map[netip.AddrPort]string{}
-	for _, listener := range []struct {
-		key     string
-		address netip.AddrPort
-	}{
-		{"callers", s.Listen.Callers},
-		{"readiness", s.Listen.Readiness},
-		{"operators", s.Listen.Operators},
-		{"peers", s.Listen.Peers},
-		{"health", s.Listen.Health},
-	} {
-		if !listener.address.IsValid() {
-			continue
-		}
-		if first, dup := used[listener.address]; dup {
-			s.addFinding(found, "listen", listener.key, "%s is the address of %s already", listener.address, first)
+	for _, listener := range s.Listen.Listeners() {
+		if first, dup := used[listener.Address]; dup {
+			s.addFinding(found, "listen", listener.Key, "%s is the address of %s already", listener.Address, first)
 		}
-		used[listener.address] = listener.key
+		used[listener.Address] = listener.Key
 	}
 	checkPeers(s, "replicas", s.Control.Replicas, found)
 	checkPeers(s, "domain-peers", s.Control.DomainPeers, found)
