Quarantine: two parts that crash engines at first do not make what all requests have look guilty

One is held back together with system; the other crashes on until eight crashes speak against system, which was then held back by itself: 251 of 1,323 sound requests refused.

Change: from the eighth crash on a part in half of the crashes is still enough if one other part explains nearly all the rest.

The script "two parts crash engines before anything was answered" failed before (system held back at the eighth crash), passes now; TestPartOfAllRequestsIsFoundAtFirst and TestTrialsEnd as before.

--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -242,16 +242,29 @@
 
 // newGroup returns the worst suspect together with those that are nearly as likely and were
 // in the same requests: which of them it is shows when a request has only some of them. A part that may
-// be in all requests of a deployment is held back by itself only after as many crashes as trials may cause.
+// be in all requests of a deployment is held back by itself only after as many crashes as trials may cause,
+// and if no two other parts explain these.
 func (l *Ledger) newGroup(worst suspect, suspects []suspect, crashes []crash) *group {
 	g := groupOf(worst, suspects, crashes, nearlyDivisor)
-	unclear := !worst.known && !l.othersSound(worst.part, crashes)
-	if unclear && len(g.parts) == 1 && against(worst.part, l.crashes, worst.sound).count < minCrashesUnclear+maxTrials {
-		return groupOf(worst, suspects, crashes, nearlyDivisorUnclear)
+	if worst.known || l.othersSound(worst.part, crashes) || len(g.parts) > 1 {
+		return g
+	}
+	wider := groupOf(worst, suspects, crashes, nearlyDivisorUnclear)
+	few := against(worst.part, l.crashes, worst.sound).count < minCrashesUnclear+maxTrials
+	if few || explainedByOne(worst.part, without(crashes, wider)) {
+		return wider
 	}
 	return g
 }
 
+// explainedByOne reports whether one other part is in nearly all crashes that speak against a part.
+func explainedByOne(part string, crashes []crash) bool {
+	all := countWith([]string{part}, crashes)
+	return slices.ContainsFunc(partsOf(crashes), func(other string) bool {
+		return other != part && nearlyDivisor*countWith([]string{part, other}, crashes) >= nearlyFactor*all
+	})
+}
+
 // groupOf returns the worst suspect with those that have nearlyFactor of divisor of its crashes.
 func groupOf(worst suspect, suspects []suspect, crashes []crash, divisor int) *group {
 	g := &group{
