--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -178,7 +178,6 @@
 // whole the longest ago.
 func (l *Ledger) suspects(crashes []crash) []suspect {
 	var out []suspect
-	repeats := l.repeatCrashes()
 	for _, part := range partsOf(crashes) {
 		s, needed := suspect{part: part}, minCrashesUnclear
 		s.sound, s.known = l.sound.get(part)
@@ -194,8 +193,7 @@
 			needed = minCrashesFurther
 		}
 		if s.crashes >= minCrashes {
-			clear := against(part, l.withoutRepeats(part, crashes, repeats), s.sound).count
-			s.enough = clear >= needed || s.crashes >= minCrashesUnclear
+			s.enough = s.crashes >= needed
 			out = append(out, s)
 		}
 	}
@@ -211,19 +209,6 @@
 	return out
 }
 
-// withoutRepeats returns the crashes that one of the given requests without the part does not explain.
-func (l *Ledger) withoutRepeats(part string, crashes []crash, repeats []requestCrash) []crash {
-	if len(repeats) == 0 {
-		return crashes
-	}
-	hasPart := func(r requestCrash) bool {
-		return slices.ContainsFunc(l.crashes, func(c crash) bool { return c.id == r.id && slices.Contains(c.parts, part) })
-	}
-	return slices.DeleteFunc(slices.Clone(crashes), func(c crash) bool {
-		return slices.ContainsFunc(repeats, func(r requestCrash) bool { return r.beside(c) && !hasPart(r) })
-	})
-}
-
 // heldBefore reports whether a group that is held back was suspected before a time.
 func (l *Ledger) heldBefore(at time.Duration) bool {
 	return slices.ContainsFunc(l.held, func(g *group) bool { return g.suspectedAt < at })
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -16,9 +16,6 @@
 	// the crashes under one of them.
 	maxRequests       = 128
 	maxRequestCrashes = 16
-	// repeatedCrashes is the number of crashes from which on a request explains what ran beside better than
-	// the parts of the latter do.
-	repeatedCrashes = 2
 	// tellCrashes is the number of crashes from which on a replica tells instances of a request: a
 	// single one may have any reason, and most requests do not come again.
 	tellCrashes = 2
@@ -191,7 +188,7 @@
 	l.addNamedCrash(c.exact, c, own)
 	count := l.requests[c.exact].against().count
 	l.forgetRequests(now)
-	if count >= repeatedCrashes {
+	if count >= minCrashes {
 		l.decide(now)
 	}
 	return count
@@ -224,36 +221,21 @@
 
 // heldCrashes returns the crashes under requests that are held back.
 func (l *Ledger) heldCrashes() []requestCrash {
-	return l.crashesOf(func(name string, _ *repeated) bool { return l.heldName(name) != nil })
-}
-
-// repeatCrashes returns the crashes under requests on which several targets crashed, so that they are the
-// likelier reason for these than what ran beside.
-func (l *Ledger) repeatCrashes() []requestCrash {
-	return l.crashesOf(func(_ string, r *repeated) bool { return r.against().count >= repeatedCrashes })
-}
-
-func (l *Ledger) crashesOf(wanted func(name string, r *repeated) bool) []requestCrash {
 	var out []requestCrash
 	for name, r := range l.requests {
-		if wanted(name, r) {
+		if l.heldName(name) != nil {
 			out = append(out, r.crashes...)
 		}
 	}
 	return out
 }
 
-// beside reports whether the request of a crash ended together with another request.
-func (r requestCrash) beside(c crash) bool {
-	return r.id != c.id && r.target == c.target && (r.at-c.at).Abs() <= restartTime
-}
-
 // besideRequests returns the crashes without those of requests that ran beside one that is held back, and
 // ended with it: that one explains them. Its own stay, since another request may have the same parts.
 func besideRequests(crashes []crash, held []requestCrash) []crash {
 	return slices.DeleteFunc(crashes, func(c crash) bool {
 		own := slices.ContainsFunc(held, func(h requestCrash) bool { return h.id == c.id })
-		return !own && slices.ContainsFunc(held, func(h requestCrash) bool { return h.beside(c) })
+		return !own && slices.ContainsFunc(held, func(h requestCrash) bool { return h.target == c.target && (h.at-c.at).Abs() <= restartTime })
 	})
 }
 
