Entry test: a target that crashed is down, as a crashed target is

Traced by printing each end: attempts went to t6, t3 and t6 again, since a request avoids only the target that lost it last. The stand-in of t6 had "crashed" but served on at once and crashed a second time; the ledger rightly counts what is sent to a target that ended a moment ago only once, so that a fourth attempt was made.

Change: a target that crashed ends every connection until all are back, like the stand-in of the test for prompts. The bound of three stays.

Seen and left: the role entry avoids only the last target that lost a request, not all of them.

--- a/internal/entry/repeat_test.go
+++ b/internal/entry/repeat_test.go
@@ -14,16 +14,18 @@
 )
 
 // crashBeforeAnswer returns a target that ends the connection of a request with the word crash in its
-// body before it answers, and answers others. It counts these in crashes.
-func crashBeforeAnswer(crashes *atomic.Int64) http.Handler {
+// body before it answers, and stays down until all are back. It counts these in crashes, and answers others.
+func crashBeforeAnswer(crashes *atomic.Int64, allBack *atomic.Bool) http.Handler {
 	sound := cutEngine("chunks", 1<<20)
+	var down atomic.Bool
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
-		if err != nil {
+		if err != nil || down.Load() && !allBack.Load() {
 			panic(http.ErrAbortHandler)
 		}
 		if strings.Contains(string(body), "crash") {
 			crashes.Add(1)
+			down.Store(true)
 			panic(http.ErrAbortHandler)
 		}
 		if strings.HasPrefix(r.URL.Path, "/plain") {
@@ -41,9 +43,10 @@
 	for _, path := range []string{"/services/p/plain", "/v1/completions"} {
 		t.Run(path, func(t *testing.T) {
 			var crashes atomic.Int64
+			var allBack atomic.Bool
 			var addresses []string
 			for range 8 {
-				target := httptest.NewServer(crashBeforeAnswer(&crashes))
+				target := httptest.NewServer(crashBeforeAnswer(&crashes, &allBack))
 				defer target.Close()
 				addresses = append(addresses, target.Listener.Addr().String())
 			}
@@ -68,6 +71,7 @@
 			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode, body)
 			require.Equal(t, "not-run", response.Header.Get(headerOutcome))
 			require.NotEmpty(t, response.Header.Get(headerRetryAfter))
+			allBack.Store(true)
 			response, body = ask("sound") //nolint:bodyclose // send closes it
 			require.Equal(t, http.StatusOK, response.StatusCode, body)
 		})
