Gateway tests: connecting to a target in the same process may take as long as the machine is busy

A dial is given up after 250 ms; the sole target is then left out for a moment, and the request is refused, rightly and truthfully.

Change: the rig's dial timeout is 10 s.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -32,6 +32,8 @@
 	testHost    = "example.test"
 	otherDomain = "other-domain"
 	ownDomain   = "own-domain"
+	// testDialTimeout is long, since connecting to a target in the same process takes as long as the machine is busy.
+	testDialTimeout = 10 * time.Second
 )
 
 // rig is a gateway with stand-in targets.
@@ -70,6 +72,7 @@
 	s := &settings.Settings{}
 	require.Empty(t, inifile.Decode(inifile.NewSection("test", "gateway", "", 0), &s.Gateway))
 	s.Gateway.StopDelay = 2 * time.Second
+	s.Gateway.DialTimeout = testDialTimeout
 	s.Instance.FailureDomain = ownDomain
 	b := base.Base{Log: logr.Discard(), Settings: s, Timers: timer.New(), Metrics: telemetry.NewMetrics()}
 	r := &rig{stop: make(chan struct{}), engines: &engines{}}
