Gateway: a buffered answer is noted once, not twice

bufferAnswer notes that the request was answered before it looks at the status, and noteWholeAnswer noted it again for each success: two locks and two updates of the ledger a request. What the parts of a prompt gain from a success is a step of its own now, and takes no lock where there are no parts. What is recorded is the same; the tests of the package passed.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -274,7 +274,7 @@
 		return balance.Failed
 	}
 	buffered.write(req)
-	req.noteWholeAnswer()
+	req.notePartsAnswered()
 	result.outcome = delivered
 	return balance.Served
 }
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -53,14 +53,19 @@
 
 // noteWholeAnswer records that the request was answered whole, with success.
 func (req *request) noteWholeAnswer() {
-	if req.framing == upstream.FramedByClose {
-		return // a crash can look the same
-	}
-	req.server.crashes.PartsAnswered(req.caller.SharedParts)
 	req.noteAnswered()
+	req.notePartsAnswered()
+}
+
+// notePartsAnswered records that a prompt with the request's parts was answered whole, with success.
+func (req *request) notePartsAnswered() {
+	if req.framing != upstream.FramedByClose && len(req.caller.SharedParts) > 0 {
+		req.server.crashes.PartsAnswered(req.caller.SharedParts)
+	}
 }
 
-// noteAnswered records that the request was answered completely, so that its target did not crash on it.
+// noteAnswered records that the request was answered completely, so that its target did not crash on it. An
+// answer that ends with its connection shows nothing: a crash can look the same.
 func (req *request) noteAnswered() {
 	if req.framing != upstream.FramedByClose {
 		req.server.crashes.RequestAnswered(req.identity, req.target)
