Quarantine: the body of a request is hashed once for both of its names

The name with the parts of the prompt was hashed from the beginning again, body included, for each request with parts. The hash goes on from where the first name was taken.

--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/binary"
+	"hash"
 	"maps"
 	"slices"
 	"time"
@@ -32,29 +33,33 @@
 // NewRequest returns the identity of a request. Path includes the query; parts are those that its prompt
 // shares with others.
 func NewRequest(caller, method, host, path string, body []byte, parts []string) Request {
-	fields := [][]byte{[]byte(caller), []byte(method), []byte(host), []byte(path), body}
-	r := Request{name: requestName(fields)}
-	r.exact = r.name
+	h := sha256.New()
+	writeField(h, []byte(caller))
+	writeField(h, []byte(method))
+	writeField(h, []byte(host))
+	writeField(h, []byte(path))
+	writeField(h, body)
+	r := Request{name: requestName(h)}
 	for _, part := range parts {
-		fields = append(fields, []byte(part))
-	}
-	if len(parts) > 0 {
-		r.exact = requestName(fields)
+		writeField(h, []byte(part))
 	}
+	r.exact = requestName(h)
 	return r
 }
 
 // Name returns the name of the request for logs.
 func (r Request) Name() string { return r.exact }
 
-func requestName(fields [][]byte) string {
-	h := sha256.New()
+// writeField adds a field with its length, so that names differ wherever fields are divided.
+func writeField(h hash.Hash, field []byte) {
 	var length [8]byte
-	for _, field := range fields {
-		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
-		_, _ = h.Write(length[:]) // writing to a hash never fails
-		_, _ = h.Write(field)
-	}
+	binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+	_, _ = h.Write(length[:]) // writing to a hash never fails
+	_, _ = h.Write(field)
+}
+
+// requestName returns the name for what was written to the hash so far.
+func requestName(h hash.Hash) string {
 	return requestMark + base64.RawURLEncoding.EncodeToString(h.Sum(nil))[:maxNameBytes-len(requestMark)]
 }
 
