Evidence: one check before an attempt for a request and the parts of its prompt

Both ways of serving asked the shared ledger twice in the same order, parts first, with a lock each, before each attempt and each resumption. The ledger does both under one lock now, and what holds a request back says whether it is the whole request.

--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -15,13 +15,14 @@
 // heldBack returns the problem for a request that targets crash on, or on a part of its prompt, or nil. It
 // is asked before each attempt.
 func (ex *exchange) heldBack(parts []string) *problem {
-	code, message, held := codePromptHeldBack, "engines crashed on a part of the prompt", ex.server.crashes.CheckParts(parts)
-	if held == nil {
-		code, message, held = codeRequestHeldBack, "targets crashed on the request", ex.server.crashes.CheckRequest(ex.identity)
-	}
+	held := ex.server.crashes.Check(ex.identity, parts)
 	if held == nil {
 		return nil
 	}
+	code, message := codePromptHeldBack, "engines crashed on a part of the prompt"
+	if held.Whole {
+		code, message = codeRequestHeldBack, "targets crashed on the request"
+	}
 	ex.reason = string(code)
 	ex.server.metrics.Refusal(string(code))
 	ex.server.log.Info("held back: targets crashed on it", "request", ex.id, "what", string(code), "part", held.Part,
--- a/internal/evidence/exchanger_test.go
+++ b/internal/evidence/exchanger_test.go
@@ -121,8 +121,8 @@
 
 		a.crash("first")
 		time.Sleep(toldWithin)
-		require.NotNil(t, b.CheckRequest(request("first")))
-		require.Nil(t, b.CheckRequest(request("other")))
+		require.NotNil(t, b.Check(request("first"), nil))
+		require.Nil(t, b.Check(request("other"), nil))
 
 		before := b.traffic.Sent() + b.traffic.Received()
 		time.Sleep(time.Minute)
@@ -134,7 +134,7 @@
 		stops[1]()
 		b.crash("second")
 		time.Sleep(toldWithin)
-		require.NotNil(t, a.CheckRequest(request("second")), "told by the replica that is left")
+		require.NotNil(t, a.Check(request("second"), nil), "told by the replica that is left")
 
 		stops[2]()
 		for i := range replicaCount {
@@ -143,8 +143,8 @@
 		time.Sleep(toldWithin)
 		c, stopC := d.startInstance("c")
 		time.Sleep(toldWithin)
-		require.NotNil(t, c.CheckRequest(request("first")), "replicas that forgot were told again")
-		require.NotNil(t, c.CheckRequest(request("second")))
+		require.NotNil(t, c.Check(request("first"), nil), "replicas that forgot were told again")
+		require.NotNil(t, c.Check(request("second"), nil))
 
 		for _, stop := range append(stops, stopA, stopB, stopC) {
 			stop()
--- a/internal/evidence/ledger.go
+++ b/internal/evidence/ledger.go
@@ -25,18 +25,15 @@
 	return &Ledger{base: b, ledger: quarantine.New(b.Settings.Instance.Name)}
 }
 
-// CheckParts reports whether a request with the given parts of a prompt may be sent. It returns nil if so.
-func (l *Ledger) CheckParts(parts []string) *quarantine.Held {
+// Check reports whether a request whose prompt has the given parts may be sent. It returns nil if so.
+func (l *Ledger) Check(r quarantine.Request, parts []string) *quarantine.Held {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.ledger.Check(parts, l.base.Timers.Now())
-}
-
-// CheckRequest reports whether a request may be sent. It returns nil if so.
-func (l *Ledger) CheckRequest(r quarantine.Request) *quarantine.Held {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.ledger.CheckRequest(r, l.base.Timers.Now())
+	now := l.base.Timers.Now()
+	if held := l.ledger.Check(parts, now); held != nil {
+		return held
+	}
+	return l.ledger.CheckRequest(r, now)
 }
 
 // PartsCrashed records that a target crashed when it had been answering a request for a time of at most
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -17,13 +17,14 @@
 // on a part of its prompt. It returns 0 if it may be sent. It is asked before each attempt and each
 // resumption.
 func (req *request) heldBack() (reason, time.Duration) {
-	why, held := reasonPartHeldBack, req.server.crashes.CheckParts(req.caller.SharedParts)
-	if held == nil {
-		why, held = reasonHeldBack, req.server.crashes.CheckRequest(req.identity)
-	}
+	held := req.server.crashes.Check(req.identity, req.caller.SharedParts)
 	if held == nil {
 		return "", 0
 	}
+	why := reasonPartHeldBack
+	if held.Whole {
+		why = reasonHeldBack
+	}
 	req.server.base.Log.Info("held back: targets crashed on it", "request", req.caller.ID, "what", string(why), "part", held.Part,
 		"crashes", held.Crashes, "last-crash-ms", held.Age.Milliseconds(), "wait-ms", held.Wait.Milliseconds())
 	return why, held.Wait
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -60,6 +60,8 @@
 type Held struct {
 	// Part is one of the request's parts that crashed engines, or the name of the request.
 	Part string
+	// Whole reports that targets crashed on the request, not only on a part of it.
+	Whole bool
 	// Crashes is the number of engines that crashed.
 	Crashes int
 	// Age is the time since the last crash.
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -140,7 +140,11 @@
 	if g == nil {
 		return nil
 	}
-	return l.checkGroup(g, now)
+	held := l.checkGroup(g, now)
+	if held != nil {
+		held.Whole = true
+	}
+	return held
 }
 
 // variesInParts reports whether the crashes of the requests with a name had prompts with different parts,
