Tests: one stand-in for targets that crash, one writer of answers without end

The role entry had two stand-ins that differ in whether an answer has begun when the target ends; since the second one stays down too, they were the same but for that. The gateway's test of memory wrote answers without end by a loop of its own.

--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -13,9 +13,10 @@
 	"github.com/stretchr/testify/require"
 )
 
-// crashEngine returns an engine that ends when it begins to answer a prompt with the word crash, and
-// stays down until all are back. It counts these in crashes.
-func crashEngine(crashes *atomic.Int64, allBack *atomic.Bool) http.Handler {
+// crashingTarget returns a target that crashes on a request with the word crash in its body, before it
+// answers or when it has begun to, and stays down until all are back. It counts these in crashes, and answers
+// others.
+func crashingTarget(crashes *atomic.Int64, allBack *atomic.Bool, begins bool) http.Handler {
 	sound := cutEngine("chunks", 1<<20)
 	var down atomic.Bool
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -23,15 +24,20 @@
 		if err != nil || down.Load() && !allBack.Load() {
 			panic(http.ErrAbortHandler)
 		}
-		if !strings.Contains(string(body), "crash") {
+		switch {
+		case strings.Contains(string(body), "crash"):
+			crashes.Add(1)
+			down.Store(true)
+			if begins {
+				w.Header().Set("Content-Type", "text/event-stream")
+				_ = http.NewResponseController(w).Flush()
+			}
+			panic(http.ErrAbortHandler)
+		case strings.HasPrefix(r.URL.Path, "/plain"):
+			_, _ = io.WriteString(w, "answer")
+		default:
 			sound.ServeHTTP(w, r)
-			return
 		}
-		crashes.Add(1)
-		down.Store(true)
-		w.Header().Set("Content-Type", "text/event-stream")
-		_ = http.NewResponseController(w).Flush()
-		panic(http.ErrAbortHandler)
 	})
 }
 
@@ -42,7 +48,7 @@
 	var allBack atomic.Bool
 	var addresses []string
 	for range 9 {
-		engine := httptest.NewServer(crashEngine(&crashes, &allBack))
+		engine := httptest.NewServer(crashingTarget(&crashes, &allBack, true))
 		defer engine.Close()
 		addresses = append(addresses, engine.Listener.Addr().String())
 	}
--- a/internal/entry/repeat_test.go
+++ b/internal/entry/repeat_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,29 +12,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-// crashBeforeAnswer returns a target that ends the connection of a request with the word crash in its
-// body before it answers, and stays down until all are back. It counts these in crashes, and answers others.
-func crashBeforeAnswer(crashes *atomic.Int64, allBack *atomic.Bool) http.Handler {
-	sound := cutEngine("chunks", 1<<20)
-	var down atomic.Bool
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(r.Body)
-		if err != nil || down.Load() && !allBack.Load() {
-			panic(http.ErrAbortHandler)
-		}
-		if strings.Contains(string(body), "crash") {
-			crashes.Add(1)
-			down.Store(true)
-			panic(http.ErrAbortHandler)
-		}
-		if strings.HasPrefix(r.URL.Path, "/plain") {
-			_, _ = io.WriteString(w, "answer")
-			return
-		}
-		sound.ServeHTTP(w, r)
-	})
-}
-
 // TestRepeatedRequestThatCrashesTargetsIsHeldBack guards against a request that comes again and again and
 // ends one target after another before a head: a call of a plain service, and a generation.
 func TestRepeatedRequestThatCrashesTargetsIsHeldBack(t *testing.T) {
@@ -46,7 +22,7 @@
 			var allBack atomic.Bool
 			var addresses []string
 			for range 8 {
-				target := httptest.NewServer(crashBeforeAnswer(&crashes, &allBack))
+				target := httptest.NewServer(crashingTarget(&crashes, &allBack, false))
 				defer target.Close()
 				addresses = append(addresses, target.Listener.Addr().String())
 			}
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -22,17 +22,32 @@
 )
 
 // endless is an answer that never ends: what comes first, and what comes again and again.
-type endless struct{ first, again string }
+type endless struct {
+	first string
+	again []byte
+}
+
+// write writes the answer until the connection is closed, and returns how many bytes after first were taken.
+func (e endless) write(conn net.Conn) int64 {
+	bytes := int64(0)
+	_, err := conn.Write([]byte(e.first))
+	for err == nil {
+		var n int
+		n, err = conn.Write(e.again)
+		bytes += int64(n)
+	}
+	return bytes
+}
 
 // endlessHeads returns heads without end, by what does not end.
 func endlessHeads() map[string]endless {
 	line := strings.Repeat("x", writeBytes)
 	return map[string]endless{
-		"one line":        {"HTTP/1.1 200 OK\r\nLong: ", line},
-		"many lines":      {"HTTP/1.1 200 OK\r\n", strings.Repeat("Name: value\r\n", writeBytes/13)},
-		"a status line":   {"HTTP/1.1 200 ", line},
-		"no head at all":  {"", line},
-		"interim answers": {"", strings.Repeat("HTTP/1.1 103 Early\r\n\r\n", writeBytes/22)},
+		"one line":        {"HTTP/1.1 200 OK\r\nLong: ", []byte(line)},
+		"many lines":      {"HTTP/1.1 200 OK\r\n", []byte(strings.Repeat("Name: value\r\n", writeBytes/13))},
+		"a status line":   {"HTTP/1.1 200 ", []byte(line)},
+		"no head at all":  {"", []byte(line)},
+		"interim answers": {"", []byte(strings.Repeat("HTTP/1.1 103 Early\r\n\r\n", writeBytes/22))},
 	}
 }
 
@@ -42,13 +57,13 @@
 	chunk := func(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
 	line := strings.Repeat("x", writeBytes)
 	return map[string]endless{
-		"an event":                 {head + chunk("id: 1\ndata: "), chunk(line)},
-		"an event of many lines":   {head + chunk("id: 1\n"), chunk(strings.Repeat("data: x\n", writeBytes/8))},
-		"a comment":                {head + chunk(":"), chunk(line)},
-		"an extension of a chunk":  {head + "5;", line},
-		"a trailer":                {head + chunk("id: 1\ndata: x\n\n") + "0\r\nTrailer: ", line},
-		"a refusal":                {"HTTP/1.1 503 X\r\n" + testNotRun + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n", chunk(line)},
-		"an answer to another one": {"HTTP/1.1 200 X\r\n" + testID + ": other\r\nTransfer-Encoding: chunked\r\n\r\n", chunk(line)},
+		"an event":                 {head + chunk("id: 1\ndata: "), []byte(chunk(line))},
+		"an event of many lines":   {head + chunk("id: 1\n"), []byte(chunk(strings.Repeat("data: x\n", writeBytes/8)))},
+		"a comment":                {head + chunk(":"), []byte(chunk(line))},
+		"an extension of a chunk":  {head + "5;", []byte(line)},
+		"a trailer":                {head + chunk("id: 1\ndata: x\n\n") + "0\r\nTrailer: ", []byte(line)},
+		"a refusal":                {"HTTP/1.1 503 X\r\n" + testNotRun + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n", []byte(chunk(line))},
+		"an answer to another one": {"HTTP/1.1 200 X\r\n" + testID + ": other\r\nTransfer-Encoding: chunked\r\n\r\n", []byte(chunk(line))},
 	}
 }
 
@@ -58,7 +73,7 @@
 	for name, c := range endlessHeads() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			target, taken := newEndlessStandin(t, c.first, c.again)
+			target, taken := newEndlessStandin(t, c)
 			r := newRig(t, configuration(1, route.Once, 1, 3*time.Second), target)
 			got := r.send(t, http.MethodPost, "/r/x", "", nil)
 			require.Equal(t, http.StatusBadGateway, got.status, "it may have run, and its time has not passed")
@@ -73,7 +88,7 @@
 	for name, c := range endlessStreamParts() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			target, taken := newEndlessStandin(t, c.first, c.again)
+			target, taken := newEndlessStandin(t, c)
 			config := configuration(1, route.Stream, 1, time.Minute)
 			config.Services[0].ContinuousCopies, config.Services[0].Moves = false, false
 			r := newRig(t, config, target)
@@ -84,21 +99,12 @@
 	}
 }
 
-// newEndlessStandin returns a target that answers a request by first and then by again until its
-// connection is closed, and a channel that receives how many bytes it got rid of after first.
-func newEndlessStandin(t *testing.T, first, again string) (*standin, <-chan int64) {
+// newEndlessStandin returns a target with an answer that never ends, and a channel that receives how many
+// bytes it got rid of after the first ones.
+func newEndlessStandin(t *testing.T, answer endless) (*standin, <-chan int64) {
 	t.Helper()
 	taken := make(chan int64, 1)
-	return newRawStandin(t, "target-0", func(conn net.Conn, _ *http.Request) {
-		bytes := int64(0)
-		_, err := conn.Write([]byte(first))
-		for err == nil {
-			var n int
-			n, err = conn.Write([]byte(again))
-			bytes += int64(n)
-		}
-		taken <- bytes
-	}), taken
+	return newRawStandin(t, "target-0", func(conn net.Conn, _ *http.Request) { taken <- answer.write(conn) }), taken
 }
 
 // TestBytesAfterAnswer guards against an idle connection on which its target goes on writing after a
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -54,13 +54,9 @@
 	}
 	for _, kinds := range []map[string]endless{endlessHeads(), endlessStreamParts()} {
 		for name, c := range kinds {
-			again := []byte(c.again)
 			add(newRawStandin(t, name, func(conn net.Conn, _ *http.Request) {
 				wait()
-				_, err := conn.Write([]byte(c.first))
-				for err == nil {
-					_, err = conn.Write(again)
-				}
+				c.write(conn)
 			}), "endless")
 		}
 	}
