List: an odd entry of another writer leaves the others readable

Report (another operator): one odd entry among those of the runners, very deeply nested, with a number too large or with a port out of range, and the machines that read the list ended or stopped following it.

Cause: a page was decoded as a whole. encoding/json refuses a document that is nested more than 10,000 deep anywhere, so one such entry (20 KB are enough) failed every reading as long as it stood there. The same mistake elsewhere, found by reading: a field of a report that cannot be decoded hid the state of the engine; targets were known by their identity alone, so an entry with the identity of a sound target replaced it, made it leaving in merged lists, and gave it the other one's reports; an entry with its address was tried every 2 s for ever. Taken as sound were port 0, unspecified, multicast, broadcast and scoped addresses, a warm-up of 1e300 ms (converted differently by x86-64 and arm64), names of 1 MB or with a line break. Ruled out: processes that end (no panic was found; a page is bounded by 4 MB; Go's stack is not used by the splitting); numbers that do not fit and ports above 65535 were left out before.

A target is known by identity, address and service; reports for an identity that is listed twice are not used. An address where another target answers is tried ever more seldom (2 s doubling to 5 min). Numbers from outside are bounded before they are converted. One log line when what is left out changes, a counter at each reading.

TestLargeConfigurationOverNarrowLink used a target without address and service; it has both now, its checks are the same.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -80,8 +80,9 @@
 	// maxEjection bounds the doubling.
 	maxEjection = 4 * time.Second
 	// misdirectedEjection is how long an address is not used after another target
-	// answered there.
-	misdirectedEjection = 2 * time.Second
+	// answered there; it doubles with each further such answer, up to maxMisdirectedEjection.
+	misdirectedEjection    = 2 * time.Second
+	maxMisdirectedEjection = 5 * time.Minute
 )
 
 // Result is how an attempt at a target ended.
@@ -124,6 +125,7 @@
 	open         int     // requests of this instance
 	copies       int     // copies of the KV caches of this instance's runs
 	failures     int     // consecutive failures
+	misdirected  int     // consecutive answers of another target at the address
 	failureRate  float64 // moving average, 0 to 1
 	prefilling   int     // prompt tokens of this instance that were sent and not answered yet
 	load         load
@@ -144,7 +146,8 @@
 type Balancer struct {
 	domain    string
 	random    *rand.Rand
-	targets   map[string]*Target
+	targets   map[targetKey]*Target
+	byID      map[string][]*Target // more than one only if the list has an identity twice
 	byService map[string][]*Target
 	hasList   bool
 	// pairs counts this instance's copies by the run's engine and the holder.
@@ -172,7 +175,7 @@
 // New returns a balancer for an instance in a failure domain.
 func New(domain string, random *rand.Rand) *Balancer {
 	return &Balancer{
-		domain: domain, random: random, targets: map[string]*Target{}, byService: map[string][]*Target{},
+		domain: domain, random: random, targets: map[targetKey]*Target{}, byID: map[string][]*Target{}, byService: map[string][]*Target{},
 		pairs: map[pair]int{}, partitionedUntil: map[string]time.Duration{}, departed: map[targetKey]departedTarget{},
 		demand: map[string]*ratelimit.Demand{},
 	}
@@ -182,18 +185,31 @@
 func (b *Balancer) HasList() bool { return b.hasList }
 
 // Update applies a list of targets. The state of a target that stays on the list, or was on
-// it shortly before, is kept; a target with the same identity at another address is a new one.
+// it shortly before, is kept. A target with the same identity at another address or of another
+// service is another one, also if both are listed. One that is listed twice is leaving if
+// either entry says so.
 func (b *Balancer) Update(list []*wire.Target, now time.Duration) {
 	b.hasList = true
-	next := make(map[string]*Target, len(list))
-	b.byService = map[string][]*Target{}
+	leaving := map[targetKey]bool{}
 	for _, l := range list {
+		if l.GetState() != wire.TargetState_TARGET_STATE_READY {
+			leaving[listedKey(l)] = true
+		}
+	}
+	next := make(map[targetKey]*Target, len(list))
+	b.byID, b.byService = make(map[string][]*Target, len(list)), map[string][]*Target{}
+	for _, l := range list {
+		key := listedKey(l)
+		if next[key] != nil {
+			continue
+		}
 		t := b.listed(l, now)
 		t.domain = l.GetFailureDomain()
 		t.slots = int(l.GetSlots())
-		t.setListedLeaving(l.GetState() != wire.TargetState_TARGET_STATE_READY, now)
+		t.setListedLeaving(leaving[key], now)
 		t.warmupUntil = now + time.Duration(l.GetColdMs())*time.Millisecond
-		next[t.id] = t
+		next[key] = t
+		b.byID[t.id] = append(b.byID[t.id], t)
 		b.byService[t.service] = append(b.byService[t.service], t)
 	}
 	b.rememberDeparted(next, now)
@@ -206,9 +222,6 @@
 // Open returns the number of this instance's requests at a target.
 func (b *Balancer) Open(t *Target) int { return t.open }
 
-// Target returns a target by its identity, or nil.
-func (b *Balancer) Target(id string) *Target { return b.targets[id] }
-
 // Choose returns the best target of a service that is not among the avoided ones,
 // or nil. Tokens is the memory, in tokens, that a generation needs; 0 for other requests.
 // A target that asked to wait is chosen only if there is no other, and once.
@@ -286,9 +299,11 @@
 	return best
 }
 
+func (b *Balancer) isListed(t *Target) bool { return b.targets[t.key()] == t }
+
 // Leaving reports whether a target is leaving or no longer listed.
 func (b *Balancer) Leaving(t *Target, now time.Duration) bool {
-	return t.isLeaving(now) || b.targets[t.id] != t
+	return t.isLeaving(now) || !b.isListed(t)
 }
 
 // isLeaving reports whether a target is known or suspected to be leaving.
@@ -318,7 +333,7 @@
 // Resumable reports whether a request may still be sent to the holder of its run's copy. An
 // engine is sent no more requests once it has been known to be leaving for leavingGrace.
 func (b *Balancer) Resumable(t *Target, now time.Duration) bool {
-	if b.targets[t.id] != t || !t.accepts(now) && !t.mayBeProbed(now) || !b.resumableWithinLimit(t, now) {
+	if !b.isListed(t) || !t.accepts(now) && !t.mayBeProbed(now) || !b.resumableWithinLimit(t, now) {
 		return false
 	}
 	return !t.knownLeaving() || now < t.leavingSince+leavingGrace
@@ -408,7 +423,7 @@
 	t.stated.end()
 	switch result {
 	case Served:
-		t.failures = 0
+		t.failures, t.misdirected = 0, 0
 		t.failureRate -= failureWeight * t.failureRate
 	case Failed, Unreachable:
 		t.failures++
@@ -422,6 +437,7 @@
 	case Full:
 		t.ejectedUntil = max(t.ejectedUntil, now+baseEjection/2)
 	case Misdirected:
-		t.ejectedUntil = now + misdirectedEjection
+		t.ejectedUntil = now + min(misdirectedEjection<<min(t.misdirected, 8), maxMisdirectedEjection)
+		t.misdirected++
 	}
 }
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -172,9 +172,16 @@
 }
 
 func (r *scriptRunner) addTarget() {
+	address, state := "10.0.0.1:1", wire.TargetState_TARGET_STATE_READY
+	if r.values["address"] != "" {
+		address = r.values["address"]
+	}
+	if r.values["leaving"] != "" {
+		state = wire.TargetState_TARGET_STATE_LEAVING
+	}
 	r.list = append(r.list, &wire.Target{
-		Id: r.words[1], Service: "s", Address: "10.0.0.1:1", FailureDomain: r.values["domain"], Slots: r.number("slots"),
-		State: wire.TargetState_TARGET_STATE_READY, ColdMs: r.number("cold"),
+		Id: r.words[1], Service: "s", Address: address, FailureDomain: r.values["domain"], Slots: r.number("slots"),
+		State: state, ColdMs: r.number("cold"),
 	})
 	r.balancer.Update(r.list, r.now)
 }
@@ -202,6 +209,9 @@
 		id = got.ID()
 	}
 	require.Contains(r.t, strings.Split(r.values["is"], "|"), id, r.position)
+	if r.values["address"] != "" {
+		require.Equal(r.t, r.values["address"], got.Address(), r.position)
+	}
 }
 
 // TestManyInstances: several instances that share their uses of engines distribute a burst
--- a/internal/balance/demand_test.go
+++ b/internal/balance/demand_test.go
@@ -24,7 +24,7 @@
 		b.StateLimit(target, true, 1, 0)
 	}
 	require.Len(t, b.demand, 3)
-	b.StateLimit(b.targets["b"], false, 0, time.Second)
+	b.StateLimit(b.byID["b"][0], false, 0, time.Second)
 	b.Update(list[:2], time.Second)
 	require.Len(t, b.demand, 1)
 	require.Contains(t, b.demand, "one")
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -48,10 +48,11 @@
 // time that it describes, so these are discarded. A report older than the last one is ignored.
 func (b *Balancer) UpdateLoads(loads []*wire.Load, now time.Duration) {
 	for _, l := range loads {
-		t := b.targets[l.GetTarget()]
-		if t == nil {
+		listed := b.byID[l.GetTarget()]
+		if len(listed) != 1 { // not listed, or the report may be that of another one with this identity
 			continue
 		}
+		t := listed[0]
 		at := now - time.Duration(l.GetAgeMs())*time.Millisecond - reportLag
 		if t.load.known && at < t.load.at {
 			continue
@@ -194,7 +195,7 @@
 		t.peerUse = peerUse{demand: left * t.peerUse.demand}
 	}
 	for _, u := range uses {
-		if t := b.targets[u.GetTarget()]; t != nil {
+		for _, t := range b.byID[u.GetTarget()] {
 			t.peerUse = peerUse{
 				requests: int(u.GetRequests()), tokens: int(u.GetTokens()), prefilling: int(u.GetPrefilling()), copyTokens: int(u.GetCopyTokens()),
 				demand:         max(t.peerUse.demand, float64(u.GetLimitedDemand())/demandUnit),
--- a/internal/balance/statements.go
+++ b/internal/balance/statements.go
@@ -54,7 +54,7 @@
 // before is used again, since an older list can hide a target for a moment.
 func (b *Balancer) listed(l *wire.Target, now time.Duration) *Target {
 	key := listedKey(l)
-	if t := b.targets[l.GetId()]; t != nil && t.key() == key {
+	if t := b.targets[key]; t != nil {
 		return t
 	}
 	if d, ok := b.departed[key]; ok && now <= d.until {
@@ -67,15 +67,15 @@
 
 // rememberDeparted keeps the targets that are not on the next list, and drops those that have
 // been kept long enough.
-func (b *Balancer) rememberDeparted(next map[string]*Target, now time.Duration) {
+func (b *Balancer) rememberDeparted(next map[targetKey]*Target, now time.Duration) {
 	for key, d := range b.departed {
 		if now > d.until {
 			delete(b.departed, key)
 		}
 	}
-	for id, t := range b.targets {
-		if next[id] != t {
-			b.departed[t.key()] = departedTarget{target: t, until: now + staleListDuration}
+	for key, t := range b.targets {
+		if next[key] != t {
+			b.departed[key] = departedTarget{target: t, until: now + staleListDuration}
 		}
 	}
 }
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -77,12 +78,7 @@
 		r.log.Info("list of targets can be read again", "listed", len(targets))
 	}
 	r.failed = false
-	slices.SortFunc(targets, func(a, b *wire.Target) int {
-		if a.GetId() < b.GetId() {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(targets, compareTargets)
 	changed := !r.hasRead || !equalTargets(r.last, targets)
 	if changed {
 		r.log.Info("list of targets changed", "listed", len(targets), "changes", differences(r.last, targets))
@@ -91,6 +87,14 @@
 	r.publisher.PublishTargets(targets, changed, startedAt)
 }
 
+// compareTargets orders targets by identity, and those with the same identity by address and service.
+func compareTargets(a, b *wire.Target) int {
+	return cmp.Or(
+		cmp.Compare(a.GetId(), b.GetId()), cmp.Compare(a.GetAddress(), b.GetAddress()), cmp.Compare(a.GetService(), b.GetService()),
+		cmp.Compare(a.GetState(), b.GetState()),
+	)
+}
+
 // equalTargets reports whether two readings are equal apart from the remaining warm-up times
 // (ColdMs), which change in every reading.
 func equalTargets(a, b []*wire.Target) bool {
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -14,6 +14,7 @@
 
 	"github.com/vanillaward/vanillaward"
 	"github.com/vanillaward/vanillaward/internal/control"
+	"github.com/vanillaward/vanillaward/internal/fleet"
 	"github.com/vanillaward/vanillaward/internal/peer"
 	"github.com/vanillaward/vanillaward/internal/timer"
 	"github.com/vanillaward/vanillaward/internal/wire"
@@ -365,12 +366,36 @@
 	if !resp.GetListChanged() {
 		return
 	}
-	l.epoch, l.version, l.targets = resp.GetListEpoch(), resp.GetListVersion(), resp.GetTargets()
+	l.epoch, l.version, l.targets = resp.GetListEpoch(), resp.GetListVersion(), f.checkTargets(address, resp.GetTargets())
 	merged := mergeLists(f.lists)
 	f.log.Info("targets", "replica", address, "age-ms", resp.GetListAgeMs(), "ready", countReady(merged), "listed", len(merged))
 	f.sink.UpdateTargets(merged)
 }
 
+// checkTargets returns the targets of a replica's list that are usable.
+func (f *Follower) checkTargets(address string, list []*wire.Target) []*wire.Target {
+	usable := make([]*wire.Target, 0, len(list))
+	var first error
+	for _, t := range list {
+		err := fleet.CheckTarget(t)
+		switch {
+		case err == nil:
+			usable = append(usable, t)
+		case first == nil:
+			first = err
+		}
+	}
+	if first != nil {
+		f.log.Info("targets of a replica's list that are not usable", "replica", address, "targets", len(list)-len(usable), "first-reason", first.Error())
+	}
+	return usable
+}
+
+// targetKey tells targets apart that an odd list names by the same identity.
+type targetKey struct{ id, address, service string }
+
+func keyOf(t *wire.Target) targetKey { return targetKey{t.GetId(), t.GetAddress(), t.GetService()} }
+
 // mergeLists returns the newest list, in which a target is leaving if any list that is at
 // most maxListLag older reports it as leaving.
 func mergeLists(lists map[string]*targetList) []*wire.Target {
@@ -380,20 +405,20 @@
 			newest = l
 		}
 	}
-	leaving := map[string]bool{}
+	leaving := map[targetKey]bool{}
 	for _, l := range lists {
 		if newest.readAt-l.readAt > maxListLag {
 			continue
 		}
 		for _, t := range l.targets {
 			if t.GetState() == wire.TargetState_TARGET_STATE_LEAVING {
-				leaving[t.GetId()] = true
+				leaving[keyOf(t)] = true
 			}
 		}
 	}
 	out := make([]*wire.Target, 0, len(newest.targets))
 	for _, t := range newest.targets {
-		if leaving[t.GetId()] && t.GetState() == wire.TargetState_TARGET_STATE_READY {
+		if leaving[keyOf(t)] && t.GetState() == wire.TargetState_TARGET_STATE_READY {
 			t = &wire.Target{
 				Id: t.GetId(), Service: t.GetService(), Address: t.GetAddress(), FailureDomain: t.GetFailureDomain(),
 				Slots: t.GetSlots(), State: wire.TargetState_TARGET_STATE_LEAVING, ColdMs: t.GetColdMs(), Engine: t.GetEngine(),
--- a/internal/follow/spread_test.go
+++ b/internal/follow/spread_test.go
@@ -237,7 +237,7 @@
 				received := d.network.Received(gatewayHost)
 				d.offer(t, 2, newDocument(2, routesBefore+routesMore))
 				confirmed := d.sink.clock.Now()
-				d.replicas[0].publisher.PublishTargets([]*wire.Target{{Id: "t", State: wire.TargetState_TARGET_STATE_LEAVING}}, true, confirmed)
+				d.replicas[0].publisher.PublishTargets([]*wire.Target{{Id: "t", Service: "s", Address: "10.0.0.1:1", State: wire.TargetState_TARGET_STATE_LEAVING}}, true, confirmed)
 				at := d.sink.awaitNumber(2)
 				t.Logf("%d bytes for %d of which %d are new", d.network.Received(gatewayHost)-received, len(newDocument(2, routesBefore+routesMore)), len(newDocument(2, routesMore)))
 				require.NotZero(t, at, "never in force")
--- a/internal/instance/seeded.go
+++ b/internal/instance/seeded.go
@@ -139,7 +139,7 @@
 	s.componentsDone = append(s.componentsDone, s.node.Run(ctx), service.MaintainMembership(ctx, s.seeds.Peers), service.KeepEvidence(ctx))
 	if cfg.Platform.ListURL != "" {
 		assignment := control.NewEngineAssignment(service, cfg.Instance.FailureDomain)
-		reader := fleet.NewReader(log, s.base.Timers, platform.NewDirectory(log, cfg.Platform.ListURL), publisher, cfg.Platform.PollInterval, s.shouldReadList(ctx))
+		reader := fleet.NewReader(log, s.base.Timers, platform.NewDirectory(log, s.base.Metrics, cfg.Platform.ListURL), publisher, cfg.Platform.PollInterval, s.shouldReadList(ctx))
 		prober := fleet.NewProber(log, s.base.Timers, platform.NewEngines(), publisher, assignment, cfg.Platform.ReportInterval)
 		s.componentsDone = append(s.componentsDone, assignment.Run(ctx), reader.Run(ctx), prober.Run(ctx))
 	}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -121,6 +121,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_answer_ends_total{framing=%q,outcome=%q}", framing, outcome)).Inc()
 }
 
+// EntriesLeftOut counts entries of the platform's list of targets that are not usable.
+func (m *Metrics) EntriesLeftOut(n int) {
+	m.set.GetOrCreateCounter("vanillaward_list_entries_left_out_total").Add(n)
+}
+
 // Statement counts a target's statement about itself in an answer.
 func (m *Metrics) Statement(statement string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_target_statements_total{statement=%q}", statement)).Inc()
