Gateway: an answer belongs to a request only if it names it, or if the connection carried no other

Report (another operator): a faulty runner wrote an earlier refusal once more on a kept connection; clients were told 'not run, try again' for requests that a runner had run, or such a request ran at a second runner.

Cause: an answer without the ID of a request was taken for the answer to whatever had been sent last, also on a connection that had carried others; one with the ID of a caller that sends its request again under the same ID was taken for the second one. The class is any statement of an earlier answer: refusals, successes (a caller got another one's answer), streams, interim answers that ask to wait. Ruled out: copies that name another request (skipped before and now), and copies that arrive before the next request is sent or after its answer (the connection is found to be written on and closed).

Change: the rule stands at upstream.Pool and Conn. An answer that names the request is its answer; no connection carries two requests of the same name (hashes of up to 256 are kept, then a new connection is made), and a request without a name has a connection of its own. Waits and limits are believed only of the request's own answer; that a target is leaving is believed of any, since it is never taken back. Weighed: closing after each refusal (costs a connection a refusal, and does not help with copies of other answers); comparing with earlier bytes (a true second refusal is the same bytes).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -96,7 +96,7 @@
 	}
 	req.target, req.answerBegan = t.ID(), 0
 	result := attemptResult{target: t.ID(), tried: len(avoid) + 1}
-	conn, err := req.server.pool.Get(ctx, t.ID(), t.Address())
+	conn, err := req.server.pool.Get(ctx, t.ID(), t.Address(), req.caller.ID)
 	if err != nil {
 		req.endUnreached(t, err)
 		result.outcome, result.reason = notSent, reasonUnreachable
@@ -153,7 +153,7 @@
 		return req.classifyFailure(ctx, "request not sent completely", t, err)
 	}
 	req.server.addPrefill(t, req.caller.PromptTokens)
-	response, err := conn.ReadAnswer(req.r.Method, req.inspect(t)) //nolint:bodyclose // closing the connection or reading to the end releases it
+	response, err := conn.ReadAnswer(req.r.Method, req.inspect(t, conn)) //nolint:bodyclose // closing the connection or reading to the end releases it
 	req.server.addPrefill(t, -req.caller.PromptTokens)
 	if err != nil {
 		conn.Close()
@@ -182,16 +182,28 @@
 }
 
 // inspect returns a function that records what the head of an answer states about its target,
-// and reports whether the answer belongs to this request. An answer without a request ID does,
-// because a connection carries one request at a time.
-func (req *request) inspect(t *balance.Target) func(*http.Response) bool {
-	return func(response *http.Response) bool {
+// and tells which request the answer names.
+func (req *request) inspect(t *balance.Target, conn *upstream.Conn) func(*http.Response) upstream.Ownership {
+	return func(response *http.Response) upstream.Ownership {
 		info := req.server.dialect.ReadAnswer(response.StatusCode, response.Header)
-		req.server.recordStatements(t, req.caller.ID, response.StatusCode, info)
-		return info.RequestID == "" || info.RequestID == req.caller.ID
+		ownership := req.ownership(info)
+		own := ownership == upstream.Named || ownership == upstream.Unnamed && !conn.Reused()
+		req.server.recordStatements(t, req.caller.ID, response.StatusCode, own, info)
+		return ownership
 	}
 }
 
+// ownership tells which request an answer names.
+func (req *request) ownership(info vanillaward.TargetAnswer) upstream.Ownership {
+	switch {
+	case info.RequestID == "" || info.SeveralRequests:
+		return upstream.Unnamed
+	case info.RequestID == req.caller.ID:
+		return upstream.Named
+	}
+	return upstream.Foreign
+}
+
 // classifyFailure logs an attempt without a complete answer and returns the result to
 // record for the target.
 func (req *request) classifyFailure(ctx context.Context, message string, t *balance.Target, err error) balance.Result {
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -107,7 +107,7 @@
 // resume the run, sendToHolder returns nil and the result to record for the holder.
 func (req *request) sendToHolder(ctx context.Context, held *heldCopy, lastEvent uint64) (*resumption, balance.Result) {
 	holder := held.holder
-	conn, err := req.server.pool.Get(ctx, holder.ID(), holder.Address())
+	conn, err := req.server.pool.Get(ctx, holder.ID(), holder.Address(), req.caller.ID)
 	if err != nil {
 		req.logFailure("holder of the copy not reached", holder, err)
 		return nil, balance.Unreachable
@@ -141,7 +141,7 @@
 	if err := conn.Send(req.outgoing(held.holder, resumed, resume)); err != nil {
 		return nil, err
 	}
-	return conn.ReadAnswer(req.r.Method, req.inspect(held.holder))
+	return conn.ReadAnswer(req.r.Method, req.inspect(held.holder, conn))
 }
 
 // cancelResumption cancels a resumption that is not needed, because the run's engine has sent
--- a/internal/gateway/standin_test.go
+++ b/internal/gateway/standin_test.go
@@ -72,8 +72,9 @@
 	wait, _ := strconv.Atoi(h.Get(testWait))
 	keep, _ := strconv.Atoi(h.Get(testKeep))
 	limit, noLimit := strconv.ParseFloat(h.Get(testLimit), 64)
+	named := h.Values(testID)
 	return vanillaward.TargetAnswer{
-		RequestID: h.Get(testID), NotRun: h.Get(testNotRun) != "", Closing: h.Get("Connection") == "close",
+		RequestID: h.Get(testID), SeveralRequests: len(slices.Compact(slices.Clone(named))) > 1, NotRun: h.Get(testNotRun) != "", Closing: h.Get("Connection") == "close",
 		Leaving: h.Get(testLeaving) != "", Wait: time.Duration(wait) * time.Millisecond,
 		Limited: noLimit == nil, Limit: limit, KeepFor: time.Duration(keep) * time.Second,
 	}
--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -17,8 +17,10 @@
 
 // recordStatements records what an answer states about its target. Every answer to a request
 // passes here as soon as its head has been read. The statements of an answer that another target
-// gave at the address are not about this one.
-func (g *Server) recordStatements(t *balance.Target, request string, status int, info vanillaward.TargetAnswer) {
+// gave at the address are not about this one. Own tells whether the answer is this request's: any
+// other one may be an earlier answer that the target repeats, in which only that the target is
+// leaving holds still.
+func (g *Server) recordStatements(t *balance.Target, request string, status int, own bool, info vanillaward.TargetAnswer) {
 	if info.OtherTarget {
 		return
 	}
@@ -26,7 +28,10 @@
 		g.base.Metrics.Statement(statementLeaving)
 		g.base.Log.Info("target states that it is leaving", "request", request, "target", t.ID(), "status", status)
 	}
-	if belongs := info.RequestID == "" || info.RequestID == request; belongs && status >= http.StatusOK && g.stateLimit(t, info) {
+	if !own {
+		return
+	}
+	if status >= http.StatusOK && g.stateLimit(t, info) {
 		g.base.Metrics.Statement(statementLimit)
 		g.base.Log.Info("target states another limit", "request", request, "target", t.ID(), "status", status,
 			"limited", info.Limited, "limit-per-second", info.Limit)
@@ -50,8 +55,7 @@
 	return news
 }
 
-// stateLimit reports whether the statement is news. An answer without a limit ends it; one to
-// another request, which may be late, does not.
+// stateLimit reports whether the statement is news. An answer without a limit ends it.
 func (g *Server) stateLimit(t *balance.Target, info vanillaward.TargetAnswer) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -28,6 +28,9 @@
 	maxSkippedAnswers = 3
 	// maxSkippedBytes bounds the size in bytes of a skipped answer.
 	maxSkippedBytes = 1 << 20
+	// maxCarried bounds the number of requests that one connection carries, since they are
+	// remembered.
+	maxCarried = 256
 )
 
 // Errors of exchanges.
@@ -36,6 +39,23 @@
 	ErrUnreachable = errors.New("target is unreachable")
 	// ErrUnrelatedAnswer means that the target sent only answers to other requests.
 	ErrUnrelatedAnswer = errors.New("target answered another request")
+	// ErrUnnamedAnswer means that the answer does not name its request and may belong to an earlier
+	// one.
+	ErrUnnamedAnswer = errors.New("answer names no request, on a connection that has carried others")
+)
+
+// Ownership is what the head of an answer tells of the request that it answers.
+type Ownership int
+
+// Ownerships.
+const (
+	// Named means that the answer names the request that was sent.
+	Named Ownership = iota
+	// Unnamed means that the answer names no request, or several. It belongs to the request only if
+	// the connection has carried no other one.
+	Unnamed
+	// Foreign means that the answer names another request.
+	Foreign
 )
 
 // Conn is a connection to one target. It carries one request at a time.
@@ -46,6 +66,8 @@
 	writer    *bufio.Writer
 	key       string
 	reused    bool
+	carried   []uint64      // hashes of the requests that it has carried
+	unnamed   bool          // its target does not name the requests that it answers
 	idleSince time.Time     // when it became idle
 	idleLimit time.Duration // how long it may stay idle
 	bodyErr   chan error    // result of writing a body concurrently with reading the answer
@@ -112,17 +134,24 @@
 }
 
 // ReadAnswer reads the head of the answer to the request. The function inspect is called
-// with every head that is read, informational ones included, and reports whether an answer
-// belongs to the request; other answers are skipped. The error matches ErrUnrelatedAnswer if
-// only other answers were received.
-func (c *Conn) ReadAnswer(method string, inspect func(*http.Response) bool) (*http.Response, error) {
-	for range maxSkippedAnswers {
-		response, belongs, err := c.readHead(method, inspect)
+// with every head that is read, informational ones included, and tells which request an answer
+// names. Answers to other requests are skipped. The error matches ErrUnrelatedAnswer if
+// only such answers were received, and ErrUnnamedAnswer if an answer names none and may belong to
+// an earlier request.
+func (c *Conn) ReadAnswer(method string, inspect func(*http.Response) Ownership) (*http.Response, error) {
+	for skipped := range maxSkippedAnswers {
+		response, ownership, err := c.readHead(method, inspect)
 		if err != nil {
 			return nil, err
 		}
-		if belongs {
+		switch {
+		case ownership == Named:
 			return response, nil
+		case ownership == Unnamed && !c.reused && skipped == 0:
+			c.unnamed = true
+			return response, nil
+		case ownership == Unnamed:
+			return nil, ErrUnnamedAnswer
 		}
 		if _, err := io.CopyN(io.Discard, response.Body, maxSkippedBytes); !errors.Is(err, io.EOF) {
 			return nil, errors.Wrap(ErrUnrelatedAnswer, "answer is too long to skip")
@@ -135,29 +164,32 @@
 }
 
 // readHead reads the head of the next final response and skips informational
-// responses. It returns what inspect reports of the final one. The error matches ErrHeadTooLong if
+// responses. It returns what inspect tells of the final one. The error matches ErrHeadTooLong if
 // these heads are too long.
-func (c *Conn) readHead(method string, inspect func(*http.Response) bool) (*http.Response, bool, error) {
+func (c *Conn) readHead(method string, inspect func(*http.Response) Ownership) (*http.Response, Ownership, error) {
 	c.source.bound(MaxHeadBytes)
 	defer c.source.free()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, false, err
+			return nil, Foreign, err
 		}
-		belongs := inspect(response)
+		ownership := inspect(response)
 		if response.StatusCode >= http.StatusOK {
-			return response, belongs, nil
+			return response, ownership, nil
 		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, false, errors.New("target switched protocols, which is not supported")
+			return nil, Foreign, errors.New("target switched protocols, which is not supported")
 		}
 	}
 }
 
 // reusable reports whether the connection can carry another request: the previous
-// one was sent completely and no bytes were received beyond its answer.
+// one was sent completely, its answer named it, and no bytes were received beyond the answer.
 func (c *Conn) reusable() bool {
+	if c.unnamed || len(c.carried) == 0 || len(c.carried) >= maxCarried {
+		return false
+	}
 	if !c.bodySent {
 		select {
 		case err := <-c.bodyErr:
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,9 +26,15 @@
 )
 
 // Pool keeps idle connections to targets. It is safe for concurrent use.
+//
+// A target may write an earlier answer once more on a connection that is in use again. An answer
+// that names its request is told apart from that by the name, unless an earlier request on the
+// connection had the same name: so no connection carries two requests with the same name, and one
+// without a name has a connection of its own.
 type Pool struct {
 	dialTimeout time.Duration
 	maxIdle     int
+	seed        maphash.Seed // of the hashes of requests
 
 	mu   sync.Mutex // guards idle; never held while another lock is taken
 	idle map[string][]*Conn
@@ -35,17 +43,30 @@
 // NewPool returns an empty pool that keeps at most maxIdle idle connections per
 // target.
 func NewPool(dialTimeout time.Duration, maxIdle int) *Pool {
-	return &Pool{dialTimeout: dialTimeout, maxIdle: maxIdle, idle: map[string][]*Conn{}}
+	return &Pool{dialTimeout: dialTimeout, maxIdle: maxIdle, seed: maphash.MakeSeed(), idle: map[string][]*Conn{}}
 }
 
-// Get returns an idle or new connection to the target with the given identity at
-// the given address. The error matches ErrUnreachable when no connection could be
-// made.
-func (p *Pool) Get(ctx context.Context, identity, address string) (*Conn, error) {
+// Get returns an idle or new connection, for a request with the given name, to the target with the
+// given identity at the given address. The name is empty for a request without one. The error matches
+// ErrUnreachable when no connection could be made.
+func (p *Pool) Get(ctx context.Context, identity, address, request string) (*Conn, error) {
 	key := identity + "@" + address
-	if c := p.takeIdle(key); c != nil {
-		return c, nil
+	if request == "" {
+		return p.dial(ctx, key, address)
 	}
+	hash := maphash.String(p.seed, request)
+	c := p.takeIdle(key, hash)
+	if c == nil {
+		var err error
+		if c, err = p.dial(ctx, key, address); err != nil {
+			return nil, err
+		}
+	}
+	c.carried = append(c.carried, hash)
+	return c, nil
+}
+
+func (p *Pool) dial(ctx context.Context, key, address string) (*Conn, error) {
 	dialer := net.Dialer{Timeout: p.dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -59,10 +80,11 @@
 	}, nil
 }
 
-func (p *Pool) takeIdle(key string) *Conn {
+// takeIdle returns an idle connection that can carry a request with the given hash, or nil.
+func (p *Pool) takeIdle(key string, hash uint64) *Conn {
 	now := time.Now()
 	for {
-		c := p.popIdle(key)
+		c := p.popIdle(key, hash)
 		if c == nil {
 			return nil
 		}
@@ -74,18 +96,23 @@
 	}
 }
 
-func (p *Pool) popIdle(key string) *Conn {
+// popIdle removes and returns the newest of the idle connections that have not carried a request with
+// the given hash, or nil.
+func (p *Pool) popIdle(key string, hash uint64) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[key]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1]
-	if p.idle[key] = list[:len(list)-1]; len(list) == 1 {
-		delete(p.idle, key)
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		if slices.Contains(c.carried, hash) {
+			continue
+		}
+		if p.idle[key] = slices.Delete(list, i, i+1); len(list) == 1 {
+			delete(p.idle, key)
+		}
+		return c
 	}
-	return c
+	return nil
 }
 
 // Put returns a connection to the pool after its answer was read completely. The
--- a/vanillaward.go
+++ b/vanillaward.go
@@ -230,6 +230,8 @@
 	// RequestID is the request that the answer belongs to; empty when the header
 	// is absent.
 	RequestID string
+	// SeveralRequests is true when the answer names more than one request.
+	SeveralRequests bool
 	// NotRun is true when the target states that it did not run the request.
 	NotRun bool
 	// OtherTarget is true when another target than the one the request is meant for
