Entry: each new run and each call of a plain service has a connection of its own

Idempotent requests went over kept connections, and the answers of plain services, as well as the refusals of engines, name no request: a plain service that wrote its last answer once more gave it to the next caller, and an engine that repeated a refusal had the caller told "not-run" for a request that it ran. Both shown by TestRepeatedAnswer, which failed.

Change: new runs and plain calls go over the transport that opens a connection each, as requests that may run once did already. Resumed streams stay on kept ones: their events name their run. "Unsent" is now told for idempotent requests too when no byte was sent. Cost: a connection for each idempotent request to a declared target.

--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -150,22 +150,20 @@
 			r.Header[name] = values
 		}
 	}
-	client := c.server.pooled
-	if !c.class.Idempotent() {
-		client = c.server.unpooled
-	}
-	response, err := client.Do(r) //nolint:bodyclose // readAnswer closes it
-	if c.class.Idempotent() || sent.Load() > 0 {
+	response, err := c.server.unpooled.Do(r) //nolint:bodyclose // readAnswer closes it
+	if sent.Load() > 0 {
 		c.core.Sent()
 	}
 	if err != nil {
-		return nil, c.classifySendError(sent.Load(), err)
+		return nil, classifySendError(sent.Load(), err)
 	}
 	return c.readAnswer(response)
 }
 
-func (c *plainCall) classifySendError(sent int64, err error) error {
-	if !c.class.Idempotent() && sent == 0 {
+// classifySendError returns how a request was lost that has no answer, from the number of bytes that
+// were sent.
+func classifySendError(sent int64, err error) error {
+	if sent == 0 {
 		return newLossError(delivery.Unsent, err)
 	}
 	return newLossError(delivery.LostGeneration, err)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -108,19 +108,12 @@
 	if err != nil {
 		return nil, newLossError(delivery.Unsent, err)
 	}
-	client := g.server.pooled
-	if !g.class.Idempotent() {
-		client = g.server.unpooled
-	}
-	response, err := client.Do(r)
-	if g.class.Idempotent() || sent.Load() > 0 {
+	response, err := g.server.unpooled.Do(r)
+	if sent.Load() > 0 {
 		g.core.Sent()
 	}
 	if err != nil {
-		if !g.core.RunSent() {
-			return nil, newLossError(delivery.Unsent, err)
-		}
-		return nil, newLossError(delivery.LostGeneration, err)
+		return nil, classifySendError(sent.Load(), err)
 	}
 	return g.checkResponse(response)
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -53,13 +53,16 @@
 	metrics  *telemetry.Metrics
 	recorder *trace.Recorder
 
-	dispatch   *dispatcher
-	watchdog   *watchdog
-	loads      *loadReader
-	memory     answerMemory
-	crashes    *evidence.Ledger
-	pooled     *http.Client // reuses connections; for idempotent requests, resumes and cancellations
-	unpooled   *http.Client // one connection per request, never retried; for non-idempotent requests
+	dispatch *dispatcher
+	watchdog *watchdog
+	loads    *loadReader
+	memory   answerMemory
+	crashes  *evidence.Ledger
+	pooled   *http.Client // reuses connections; for resumes, whose events name their run, and cancellations
+	// unpooled opens a connection for each request and never retries one. Refusals and the answers of
+	// plain services name no request: on a connection that is used again, an earlier one that the
+	// target repeats could not be told from the answer.
+	unpooled   *http.Client
 	httpServer *http.Server
 	open       atomic.Int64 // number of open requests
 	stopping   atomic.Bool
