Placement: a generation is placed by what all instances have begun until now

Cause: on the large deployment first tokens came late where an engine had other prompts to process first. An instance knew what the others had begun as of 200 to 400 ms ago (uses are exchanged every 200 ms at 200 instances), a prompt takes 250 ms and 45 begin a second, often several at once, so 27 of 100 went to an engine with two or more; the choice believed in none in 98 of 100 cases.

Change: before an engine is chosen the instance exchanges its uses with the leader at once and waits for the answer, 40 ms at most and not at all without a leader, and after the choice, and when the prompt was processed, it tells its uses at once. The message and its interval are as before: at 0.23 generations a second an instance this is 0.7 exchanges more than the 5 a second. A prompt counts from the choice on, not only once it was sent. The random part of the scores shrinks with the age of what is known.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -60,9 +60,12 @@
 	highUtilisation = 0.9
 	// jitterPerInstance is the width of the random part of an engine's score for each
 	// instance that chooses among the same engines, up to maxJitter: an instance does not
-	// know yet what other instances have just sent, and all would choose the same engine.
+	// know yet what other instances have just sent, and all would choose the same engine. It
+	// is less while what they have sent is known as of shorter ago than jitterAge.
 	jitterPerInstance = 0.004
 	maxJitter         = 0.3
+	jitterAge         = 200 * time.Millisecond
+	minJitter         = 0.03
 	// suspectDuration is how long an engine that closes a connection is considered to be
 	// leaving; after that time its report shows whether it is.
 	suspectDuration = 1500 * time.Millisecond
@@ -152,8 +155,6 @@
 	hasList   bool
 	// pairs counts this instance's copies by the run's engine and the holder.
 	pairs map[pair]int
-	// jitter is the width of the random part of a score.
-	jitter float64
 	// partitionedUntil is the time until which a failure domain is considered partitioned.
 	partitionedUntil map[string]time.Duration
 	// demand is what this instance wants to send to each service of which a target states a limit.
@@ -365,7 +366,7 @@
 func (b *Balancer) score(t *Target, tokens int, now time.Duration) float64 {
 	score := t.loadScore(tokens, now) + failureCost*t.failureRate
 	if tokens > 0 {
-		score += b.jitter * b.random.Float64()
+		score += b.jitter(now) * b.random.Float64()
 	}
 	if t.domain != b.domain {
 		score += crossDomainCost
@@ -382,6 +383,13 @@
 	return score
 }
 
+// jitter returns the width of the random part of an engine's score.
+func (b *Balancer) jitter(now time.Duration) float64 {
+	width := min(maxJitter, jitterPerInstance*float64(b.instances))
+	age := min(1, float64(now-b.peersAt)/float64(jitterAge))
+	return min(width, max(minJitter, width*age))
+}
+
 // loadScore returns the load of a target with another request: the fraction of its slots
 // in use for a plain service, and a weighted sum of prompts in flight, batch, waiting
 // requests and memory for an engine.
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -187,7 +187,6 @@
 // UpdatePeerUses applies the sums of what other instances have in flight at targets, and
 // the number of instances.
 func (b *Balancer) UpdatePeerUses(uses []*wire.Use, instances int, now time.Duration) {
-	b.jitter = min(maxJitter, jitterPerInstance*float64(instances))
 	left := math.Exp(-(now - b.peersAt).Seconds() / forgetTime.Seconds())
 	b.instances = max(instances, int(left*float64(b.instances)))
 	b.peersAt = now
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -86,6 +86,7 @@
 	sink   Sink
 
 	documents documents
+	refresher *refresher
 
 	mu             sync.Mutex // guards the fields below; held while the sink is called, except for Install
 	replicas       []string
@@ -119,7 +120,7 @@
 		log: log, timers: timers, peers: peers, name: name, domain: domain, seeds: seeds, sink: sink,
 		usesInterval: minUsesInterval, followed: map[string]bool{}, lists: map[string]*targetList{}, exchanges: map[string]*exchange{},
 		statuses: map[string]string{}, currentAt: timers.Now(), heard: map[string]uint64{},
-		documents: documents{news: make(chan struct{}, 1)},
+		documents: documents{news: make(chan struct{}, 1)}, refresher: newRefresher(),
 	}
 }
 
@@ -196,10 +197,14 @@
 	for first := true; ctx.Err() == nil; first = false {
 		resp, err := f.poll(ctx, client, address, first)
 		if err != nil {
+			f.refresher.end()
 			f.recordFailure(address, err)
 			return
 		}
 		f.handleResponse(address, resp)
+		if resp.GetLeader() {
+			f.refresher.end()
+		}
 		if d := resp.GetDocument(); d != nil { // of a replica that cannot send pieces
 			f.install(d)
 		}
@@ -245,8 +250,9 @@
 		// The leader responds at once, because the uses that it receives and the sums
 		// that it returns must be up to date.
 		if !first {
-			timer.Sleep(ctx, interval)
+			f.refresher.awaitNext(ctx, interval)
 		}
+		f.refresher.begin()
 		request.Uses = f.sink.LocalUses()
 	}
 	sent := f.addEvidence(address, request)
--- /dev/null
+++ b/internal/follow/refresh_test.go
@@ -0,0 +1,43 @@
+package follow
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestRefresher checks that a wait is ended only by an exchange that began after it, and that an exchange
+// which is asked for does not wait for the interval.
+func TestRefresher(t *testing.T) {
+	r := newRefresher()
+	r.begin()
+	waited := make(chan struct{})
+	go func() {
+		r.wait(context.Background())
+		close(waited)
+	}()
+	r.awaitNext(context.Background(), time.Hour) // returns since an exchange is asked for
+	r.end()                                      // of the exchange that had begun before
+	select {
+	case <-waited:
+		require.Fail(t, "the exchange began before the wait")
+	default:
+	}
+	r.begin()
+	r.end()
+	<-waited
+}
+
+// TestRefresherEnds checks that a wait ends with its context, and that a wait for the next exchange does.
+func TestRefresherEnds(t *testing.T) {
+	r := newRefresher()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	r.wait(ctx)
+	<-r.asked
+	r.awaitNext(ctx, time.Hour)
+	r.begin()
+	r.end() // ends nothing that still waits
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -87,7 +88,7 @@
 	if why, wait := req.heldBack(); wait > 0 {
 		return attemptResult{outcome: heldBack, reason: why, wait: wait}
 	}
-	t, state := req.server.begin(req.service, req.tokens(), avoid)
+	t, state := req.server.begin(ctx, req.service, req.tokens(), req.promptTokens(), avoid)
 	if t == nil {
 		return attemptResult{outcome: noTarget}
 	}
@@ -132,6 +133,7 @@
 	if req.r.Context().Err() != nil {
 		targetResult = balance.Abandoned
 	}
+	req.server.endPrefill(t, req.promptTokens())
 	req.server.end(t, req.tokens(), targetResult)
 	req.logFailure("target not reached", t, err)
 }
@@ -148,13 +150,14 @@
 // exchange sends the request and handles the answer.
 func (req *request) exchange(ctx context.Context, t *balance.Target, conn *upstream.Conn, result *attemptResult) balance.Result {
 	result.outcome, result.reason = failed, reasonBroken
+	prefilled := sync.OnceFunc(func() { req.server.endPrefill(t, req.promptTokens()) })
+	defer prefilled()
 	if err := conn.Send(req.outgoing(t, req.stream.run, nil)); err != nil {
 		conn.Close()
 		return req.classifyFailure(ctx, "request not sent completely", t, err)
 	}
-	req.server.addPrefill(t, req.caller.PromptTokens)
 	response, err := conn.ReadAnswer(req.r.Method, req.inspect(t, conn)) //nolint:bodyclose // closing the connection or reading to the end releases it
-	req.server.addPrefill(t, -req.caller.PromptTokens)
+	prefilled()
 	if err != nil {
 		conn.Close()
 		req.noteCrash(ctx, t, err)
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -178,6 +178,14 @@
 	return max(1, req.caller.PromptTokens+req.likelyOutput()/2)
 }
 
+// promptTokens returns the size of a generation's prompt; 0 for requests that no engine runs.
+func (req *request) promptTokens() int {
+	if !req.route.Generation() {
+		return 0
+	}
+	return req.caller.PromptTokens
+}
+
 // likelyOutput estimates the output of a generation in tokens.
 func (req *request) likelyOutput() int {
 	if req.caller.ExpectedTokens > 0 {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -36,6 +36,20 @@
 // errors.
 type Decoder func(body []byte) (*route.Configuration, error)
 
+// UsesExchange exchanges the uses of targets with other instances.
+type UsesExchange interface {
+	// Refresh exchanges uses at once and returns when that has happened, or soon if it cannot.
+	Refresh(ctx context.Context)
+	// Announce has the others told of this instance's uses at once, and does not wait.
+	Announce()
+}
+
+// noExchange is the exchange of an instance without others.
+type noExchange struct{}
+
+func (noExchange) Refresh(context.Context) {}
+func (noExchange) Announce()               {}
+
 // Server is the gateway of one instance.
 type Server struct {
 	base     base.Base
@@ -46,6 +60,7 @@
 	pool     *upstream.Pool
 	unused   chan unusedCopy
 	crashes  *evidence.Ledger
+	exchange UsesExchange
 
 	table        atomic.Pointer[route.Table]
 	open         atomic.Int64 // requests that are being served
@@ -67,7 +82,7 @@
 		base: b, settings: s, dialect: dialect, engines: engines, decode: decode,
 		pool:     upstream.NewPool(s.DialTimeout, maxIdleConns),
 		balancer: balance.New(b.Settings.Instance.FailureDomain, random), unused: make(chan unusedCopy, freeQueue),
-		budgets: map[string]*retry.Budget{}, random: random, runs: map[*run]struct{}{}, crashes: evidence.New(b),
+		budgets: map[string]*retry.Budget{}, random: random, runs: map[*run]struct{}{}, crashes: evidence.New(b), exchange: noExchange{},
 	}
 	b.Metrics.Gauge("vanillaward_gateway_open_requests", func() float64 { return float64(g.open.Load()) })
 	b.Metrics.Gauge("vanillaward_gateway_parts_held_back", func() float64 { return float64(g.crashes.Parts()) })
@@ -75,6 +90,9 @@
 	return g
 }
 
+// UseExchange sets how uses of targets are exchanged with other instances. It must be called before Run.
+func (g *Server) UseExchange(e UsesExchange) { g.exchange = e }
+
 // Number returns the number of the configuration in force at this instance, 0 for none.
 func (g *Server) Number() uint64 {
 	if t := g.table.Load(); t != nil {
@@ -233,8 +251,14 @@
 	maps.DeleteFunc(g.budgets, func(service string, _ *retry.Budget) bool { return table.Service(service) == nil })
 }
 
-// begin chooses a target and counts the request there. It returns nil without a target.
-func (g *Server) begin(service string, tokens int, avoid []string) (*balance.Target, balance.LoadState) {
+// begin chooses a target and counts the request there, with the tokens of its prompt that the target
+// has to process. It returns nil without a target. An engine is chosen by what all instances have begun
+// until now, and the others are told of the choice.
+func (g *Server) begin(ctx context.Context, service string, tokens, prompt int, avoid []string) (*balance.Target, balance.LoadState) {
+	if tokens > 0 {
+		g.exchange.Refresh(ctx)
+		defer g.exchange.Announce()
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.base.Timers.Now()
@@ -244,6 +268,7 @@
 	}
 	state := g.balancer.LoadState(t, now)
 	g.balancer.Begin(t, tokens, now)
+	g.balancer.AddPrefill(t, prompt)
 	return t, state
 }
 
@@ -281,12 +306,15 @@
 	g.balancer.End(t, tokens, result, g.base.Timers.Now())
 }
 
-// addPrefill adds the tokens of a prompt that a target is prefilling; a negative number
-// removes them when the target is done.
-func (g *Server) addPrefill(t *balance.Target, tokens int) {
+// endPrefill removes the tokens of a prompt that a target has processed, or will not.
+func (g *Server) endPrefill(t *balance.Target, tokens int) {
+	if tokens == 0 {
+		return
+	}
+	defer g.exchange.Announce()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.balancer.AddPrefill(t, tokens)
+	g.balancer.AddPrefill(t, -tokens)
 }
 
 // suspectLeaving records that an engine is probably leaving.
--- a/internal/instance/seeded.go
+++ b/internal/instance/seeded.go
@@ -201,6 +201,7 @@
 	}
 	g := gateway.New(s.base, platform.Dialect{}, platform.NewEngines(), platform.DecodeConfig, randomSeed())
 	follower := follow.New(s.base.Log, s.base.Timers, s.peers, cfg.Instance.Name, cfg.Instance.FailureDomain, s.seeds.Peers, g)
+	g.UseExchange(follower)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.PathReadiness, func(w http.ResponseWriter, _ *http.Request) {
 		if !g.Ready() {
