Migration: a run that has ended at its engine is not copied from it

Cause: when an engine ended, its runs resumed from their copies and were registered at the old engine until the holder had accepted them. In that time they had no copy and a leaving engine, so up to three more copies of each were asked for at an address where nothing listens. Change: the end of a run's stream is recorded, and nothing is copied after it.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -27,6 +27,7 @@
 
 	engine   *balance.Target
 	started  bool // the engine has sent an event of the run
+	ended    bool // the run's stream has ended at the engine
 	copy     *heldCopy
 	moving   chan struct{} // closed when the copying on demand in progress ends; nil if there is none
 	failures int           // copies on demand that failed
@@ -72,6 +73,16 @@
 	}
 }
 
+// markEnded records that a run's stream has ended at its engine.
+func (g *Server) markEnded(r *run) {
+	if r == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r.ended = true
+}
+
 // startContinuousCopy chooses the engine that is to hold a continuously updated copy of a
 // run's KV cache, if the run is to have one, and records the copy. It is called with the lock
 // held.
@@ -168,7 +179,7 @@
 	now := g.base.Timers.Now()
 	for r := range g.runs {
 		state := migration.RunState{
-			EngineLeaving: g.balancer.Leaving(r.engine, now), Started: r.started, CopyUsable: g.usable(r.copy, now),
+			EngineLeaving: g.balancer.Leaving(r.engine, now), Ended: r.ended, Started: r.started, CopyUsable: g.usable(r.copy, now),
 			Moving: r.moving != nil, Movable: r.movable, Failures: r.failures,
 		}
 		if migration.NextStep(state) != migration.StepCopy {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -54,6 +54,7 @@
 		return balance.Served
 	}
 	conn.Close()
+	req.server.markEnded(req.stream.run)
 	req.noteCrash(ctx, t, err)
 	if !isCallerError(err) {
 		_ = http.NewResponseController(req.w).Flush() // sends complete events that are still buffered; fails if the caller has disconnected
--- a/internal/migration/migration.go
+++ b/internal/migration/migration.go
@@ -6,6 +6,8 @@
 type RunState struct {
 	// EngineLeaving is true when the run's engine is leaving.
 	EngineLeaving bool
+	// Ended is true once the run's stream has ended at its engine: an engine copies only what it runs.
+	Ended bool
 	// Started is true once the run has produced its first event; before that, the engine
 	// has nothing to copy.
 	Started bool
@@ -47,7 +49,7 @@
 
 // NextStep returns the step to take for a run.
 func NextStep(s RunState) Step {
-	if !s.EngineLeaving || !s.Started || s.CopyUsable || s.Moving || !s.Movable || s.Failures >= maxCopyFailures {
+	if !s.EngineLeaving || s.Ended || !s.Started || s.CopyUsable || s.Moving || !s.Movable || s.Failures >= maxCopyFailures {
 		return StepNone
 	}
 	return StepCopy
--- a/internal/migration/migration_test.go
+++ b/internal/migration/migration_test.go
@@ -22,6 +22,7 @@
 	require.Equal(t, migration.StepCopy, migration.NextStep(needs))
 	for name, change := range map[string]func(*migration.RunState){
 		"its engine is not leaving": func(v *migration.RunState) { v.EngineLeaving = false },
+		"the run has ended there":   func(v *migration.RunState) { v.Ended = true },
 		"the run has not started":   func(v *migration.RunState) { v.Started = false },
 		"a usable copy exists":      func(v *migration.RunState) { v.CopyUsable = true },
 		"a copy is being made":      func(v *migration.RunState) { v.Moving = true },
