Copies: only for runs that their engine's notice cannot save, or in free memory

Cause: each long run had a copy that grows with it, up to 0.8 of the holder's memory. Change: an engine's notice saves the runs that its link can copy in the time between its leaving becoming known and its end. That time is learned from the reports of leaving engines, the rate is in the configuration (platform: size of a token's cache, rate of the link), and what has no copy is told with the uses. A run beyond that gets a growing copy as before, any other one only up to half of the holder's memory. Without a notice seen or a known rate all is as before.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -53,6 +53,13 @@
 	lowUtilisationCopyLimit  = 0.8
 	highUtilisationCopyLimit = 0.2
 	migrationCopyLimit       = 0.97
+	// spareCopyLimit is the limit for a copy that is not needed if the run's engine gives notice.
+	spareCopyLimit = 0.5
+	// noticeUse is the fraction of the time of notice that copying may take: other engines that
+	// leave copy over the same links.
+	noticeUse = 0.6
+	// noticeWeight is the weight of the newest notice in the mean time of notice.
+	noticeWeight = 0.2
 	// fullMemory is the fraction of an engine's memory, used and reserved, up to which it
 	// accepts another generation.
 	fullMemory      = 1.0
@@ -135,6 +142,7 @@
 	peerUse      peerUse
 	tokens       int           // memory that this instance's requests and copies will need
 	copyTokens   int           // the part of tokens that copies need
+	uncopied     int           // tokens of this instance's runs here that have no copy
 	ejectedUntil time.Duration // until when it is ejected
 }
 
@@ -163,6 +171,9 @@
 	// their uses were last heard of.
 	instances int
 	peersAt   time.Duration
+	// notices is the mean time, in seconds, from when an engine of a service was known to be leaving
+	// until it ended; services of which no engine gave notice are missing.
+	notices map[string]float64
 	// departed holds the targets that were listed shortly before.
 	departed map[targetKey]departedTarget
 }
@@ -178,7 +189,7 @@
 	return &Balancer{
 		domain: domain, random: random, targets: map[targetKey]*Target{}, byID: map[string][]*Target{}, byService: map[string][]*Target{},
 		pairs: map[pair]int{}, partitionedUntil: map[string]time.Duration{}, departed: map[targetKey]departedTarget{},
-		demand: map[string]*ratelimit.Demand{},
+		demand: map[string]*ratelimit.Demand{}, notices: map[string]float64{},
 	}
 }
 
@@ -259,9 +270,38 @@
 }
 
 // ChooseCopyHolder returns the engine that should hold a continuously updated copy of a
-// run's KV cache, or nil when none has the capacity.
-func (b *Balancer) ChooseCopyHolder(source *Target, tokens int, avoid []string, now time.Duration) *Target {
-	return b.chooseHolder(source, tokens, avoid, b.copyLimit(source.service, now), now)
+// run's KV cache, or nil when none has the capacity. Rate is how many tokens an engine copies in a
+// second, 0 if unknown. A run that can be copied once its engine gives notice gets such a copy only
+// where much memory is free.
+func (b *Balancer) ChooseCopyHolder(source *Target, tokens int, rate float64, avoid []string, now time.Duration) *Target {
+	limit := b.copyLimit(source.service, now)
+	if b.movableInTime(source, tokens, rate) {
+		limit = min(limit, spareCopyLimit)
+	}
+	return b.chooseHolder(source, tokens, avoid, limit, now)
+}
+
+// movableInTime reports whether a further run without a copy could be copied from an engine between
+// its notice and its end, after all others that have none.
+func (b *Balancer) movableInTime(source *Target, tokens int, rate float64) bool {
+	notice, known := b.notices[source.service]
+	if !known || rate <= 0 {
+		return false
+	}
+	return float64(source.uncopied+source.peerUse.uncopied+tokens)/rate <= noticeUse*notice
+}
+
+// AddUncopied adds to the tokens of this instance's runs at an engine that have no copy, or subtracts
+// from them with a negative number.
+func (b *Balancer) AddUncopied(t *Target, tokens int) { t.uncopied += tokens }
+
+// noteNotice records how long before its end an engine is known to be leaving.
+func (b *Balancer) noteNotice(t *Target, left time.Duration) {
+	mean, known := b.notices[t.service]
+	if !known {
+		mean = left.Seconds()
+	}
+	b.notices[t.service] = mean + noticeWeight*(left.Seconds()-mean)
 }
 
 // ChooseMigrationDestination returns the engine that the KV cache of a run should be copied
@@ -385,11 +425,17 @@
 
 // jitter returns the width of the random part of an engine's score.
 func (b *Balancer) jitter(now time.Duration) float64 {
-	width := min(maxJitter, jitterPerInstance*float64(b.instances))
+	width := b.jitterWidth()
 	age := min(1, float64(now-b.peersAt)/float64(jitterAge))
 	return min(width, max(minJitter, width*age))
 }
 
+// jitterWidth returns the width of the random part where other instances choose at the same moment: all
+// that have runs at an engine learn together that it is leaving.
+func (b *Balancer) jitterWidth() float64 {
+	return min(maxJitter, jitterPerInstance*float64(b.instances))
+}
+
 // loadScore returns the load of a target with another request: the fraction of its slots
 // in use for a plain service, and a weighted sum of prompts in flight, batch, waiting
 // requests and memory for an engine.
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -92,17 +92,21 @@
 	case "report":
 		r.balancer.UpdateLoads([]*wire.Load{{
 			Target: r.words[1], Running: r.number("running"), Waiting: r.number("waiting"), UsedTokens: r.number("used"),
-			CapacityTokens: 30000, Leaving: r.values["leaving"] != "", StartedMs: uint64(r.number("started")),
+			CapacityTokens: 30000, Leaving: r.values["leaving"] != "", LeavesMs: r.number("leaves"), StartedMs: uint64(r.number("started")),
 		}}, r.now)
 	case "others":
 		r.balancer.UpdatePeerUses([]*wire.Use{{
 			Target: r.words[1], Requests: r.number("requests"), Tokens: r.number("tokens"), Prefilling: r.number("prefilling"),
-			SuspectedMs: r.number("suspected"),
+			SuspectedMs: r.number("suspected"), UncopiedTokens: r.number("uncopied"),
 		}}, 1, r.now)
 	case "wait":
 		r.now += time.Duration(r.number("ms")) * time.Millisecond
 	case "suspect":
 		r.balancer.SuspectLeaving(r.commandTarget(), r.now)
+	case "uncopied":
+		tokens, err := strconv.Atoi(r.values["tokens"])
+		require.NoError(r.t, err, r.position)
+		r.balancer.AddUncopied(r.commandTarget(), tokens)
 	case "prefill":
 		r.balancer.AddPrefill(r.commandTarget(), int(r.number("tokens")))
 	case "begin":
@@ -137,7 +141,7 @@
 	case "choose":
 		r.expect(r.balancer.Choose("s", tokens, avoided(r.values["avoid"]), r.now))
 	case "copy":
-		r.expect(r.balancer.ChooseCopyHolder(r.commandTarget(), tokens, nil, r.now))
+		r.expect(r.balancer.ChooseCopyHolder(r.commandTarget(), tokens, float64(r.number("rate")), nil, r.now))
 	case "refuge":
 		r.expect(r.balancer.ChooseMigrationDestination(r.commandTarget(), tokens, avoided(r.values["avoid"]), r.now))
 	case "resumable":
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -64,6 +64,9 @@
 		t.load.discardBefore(at)
 		if l.GetLeaving() {
 			t.noteLeaving(now)
+			if left := time.Duration(l.GetLeavesMs())*time.Millisecond - (now - at); l.GetLeavesMs() > 0 && !t.reportsLeaving {
+				b.noteNotice(t, max(0, left))
+			}
 		}
 		t.reportsLeaving = l.GetLeaving()
 	}
@@ -197,6 +200,7 @@
 		for _, t := range b.byID[u.GetTarget()] {
 			t.peerUse = peerUse{
 				requests: int(u.GetRequests()), tokens: int(u.GetTokens()), prefilling: int(u.GetPrefilling()), copyTokens: int(u.GetCopyTokens()),
+				uncopied:       int(u.GetUncopiedTokens()),
 				demand:         max(t.peerUse.demand, float64(u.GetLimitedDemand())/demandUnit),
 				suspectedUntil: now + time.Duration(u.GetSuspectedMs())*time.Millisecond,
 			}
@@ -217,7 +221,7 @@
 			out = append(out, &wire.Use{
 				Target: t.id, Requests: uint32(max(0, t.open)), Tokens: uint32(max(0, t.tokens)), Prefilling: uint32(max(0, t.prefilling)),
 				SuspectedMs: uint32(suspected.Milliseconds()), CopyTokens: uint32(max(0, t.copyTokens)),
-				LimitedDemand: demand,
+				UncopiedTokens: uint32(max(0, t.uncopied)), LimitedDemand: demand,
 			})
 		}
 	}
@@ -230,6 +234,7 @@
 	tokens         int
 	prefilling     int
 	copyTokens     int
+	uncopied       int
 	demand         float64       // requests a second for a target that states a limit
 	suspectedUntil time.Duration // until when one of these instances considers the target to be leaving
 }
--- a/internal/control/uses.go
+++ b/internal/control/uses.go
@@ -39,6 +39,7 @@
 	tokens     uint32
 	prefilling uint32
 	copyTokens uint32
+	uncopied   uint32
 	demand     uint32
 	suspected  map[string]time.Duration // until when each instance suspects the target
 }
@@ -118,6 +119,7 @@
 	t.tokens += use.GetTokens()
 	t.prefilling += use.GetPrefilling()
 	t.copyTokens += use.GetCopyTokens()
+	t.uncopied += use.GetUncopiedTokens()
 	t.demand += use.GetLimitedDemand()
 	if use.GetSuspectedMs() > 0 {
 		t.suspected[instance] = at + time.Duration(use.GetSuspectedMs())*time.Millisecond
@@ -130,6 +132,7 @@
 	t.tokens -= use.GetTokens()
 	t.prefilling -= use.GetPrefilling()
 	t.copyTokens -= use.GetCopyTokens()
+	t.uncopied -= use.GetUncopiedTokens()
 	t.demand -= use.GetLimitedDemand()
 	delete(t.suspected, instance)
 }
@@ -140,7 +143,7 @@
 	out := &wire.Use{
 		Target: target, Requests: t.requests - ownUse.GetRequests(), Tokens: t.tokens - ownUse.GetTokens(),
 		Prefilling: t.prefilling - ownUse.GetPrefilling(), CopyTokens: t.copyTokens - ownUse.GetCopyTokens(),
-		LimitedDemand: t.demand - ownUse.GetLimitedDemand(),
+		LimitedDemand: t.demand - ownUse.GetLimitedDemand(), UncopiedTokens: t.uncopied - ownUse.GetUncopiedTokens(),
 	}
 	for instance, until := range t.suspected {
 		if instance != except && until > now {
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -26,7 +26,7 @@
 	req.stream.run = &run{
 		ctx: ctx, request: req.caller.ID, tokens: req.tokens(), engine: engine,
 		continuousCopy: service.ContinuousCopies() && req.caller.LongestTokens >= req.server.settings.CopyFromTokens,
-		movable:        service.Moves(), copyLifetime: service.CopyLifetime(),
+		movable:        service.Moves(), copyLifetime: service.CopyLifetime(), copyRate: service.CopyTokensPerSecond(),
 	}
 	req.server.addRun(req.stream.run)
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -24,11 +24,13 @@
 	continuousCopy bool          // a continuously updated copy is kept at another engine
 	movable        bool          // its engines can copy it on demand
 	copyLifetime   time.Duration // how long the engines keep a copy made on demand
+	copyRate       float64       // tokens that an engine copies in a second; 0 if unknown
 
 	engine   *balance.Target
 	started  bool // the engine has sent an event of the run
 	ended    bool // the run's stream has ended at the engine
 	copy     *heldCopy
+	uncopied bool          // it is counted as a run without a copy
 	moving   chan struct{} // closed when the copying on demand in progress ends; nil if there is none
 	failures int           // copies on demand that failed
 	avoid    []string      // IDs of engines to which copying failed, or that ran the run before its resumption
@@ -49,12 +51,25 @@
 	defer g.mu.Unlock()
 	g.runs[r] = struct{}{}
 	g.startContinuousCopy(r)
+	g.countUncopied(r, r.copy == nil)
+}
+
+// countUncopied counts the run among those without a copy, or no longer. It is called with the lock
+// held.
+func (g *Server) countUncopied(r *run, uncopied bool) {
+	switch {
+	case uncopied && !r.uncopied:
+		g.balancer.AddUncopied(r.engine, r.tokens)
+	case !uncopied && r.uncopied:
+		g.balancer.AddUncopied(r.engine, -r.tokens)
+	}
+	r.uncopied = uncopied
 }
 
 // resumedAt returns the run as it is resumed at another engine.
 func (r *run) resumedAt(engine *balance.Target) *run {
 	return &run{
-		ctx: r.ctx, request: r.request, tokens: r.tokens, continuousCopy: r.continuousCopy, movable: r.movable, copyLifetime: r.copyLifetime, engine: engine,
+		ctx: r.ctx, request: r.request, tokens: r.tokens, continuousCopy: r.continuousCopy, movable: r.movable, copyLifetime: r.copyLifetime, copyRate: r.copyRate, engine: engine,
 		avoid: []string{r.engine.ID()},
 	}
 }
@@ -91,7 +106,7 @@
 		return
 	}
 	now := g.base.Timers.Now()
-	holder := g.balancer.ChooseCopyHolder(r.engine, r.tokens, r.avoid, now)
+	holder := g.balancer.ChooseCopyHolder(r.engine, r.tokens, r.copyRate, r.avoid, now)
 	if holder == nil {
 		g.base.Log.Info("no engine has capacity for a copy", "request", r.request, "target", r.engine.ID())
 		return
@@ -105,12 +120,14 @@
 	c.source = r.engine
 	g.balancer.AddCopy(c.source, c.holder, r.tokens, g.base.Timers.Now())
 	r.copy = c
+	g.countUncopied(r, false)
 }
 
 // removeRun removes a run and frees a copy made on demand that was not used.
 func (g *Server) removeRun(r *run) {
 	g.mu.Lock()
 	delete(g.runs, r) // recordMove frees a copy that completes later
+	g.countUncopied(r, false)
 	g.mu.Unlock()
 	unused := g.takeCopy(r)
 	if unused != nil && unused.expires > 0 { // engines drop continuously updated copies themselves
--- a/internal/route/spec.go
+++ b/internal/route/spec.go
@@ -80,6 +80,9 @@
 	// CopyLifetime is how long they keep such a copy.
 	Moves        bool
 	CopyLifetime time.Duration
+	// CopyTokensPerSecond is how many tokens of KV cache an engine copies in a second to an engine of
+	// its failure domain; 0 if unknown.
+	CopyTokensPerSecond float64
 }
 
 // OrganisationSpec is one organisation with its keys.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -159,5 +159,9 @@
 // Moves reports whether the service's engines copy the KV cache of a run on demand.
 func (s *Service) Moves() bool { return s != nil && s.spec.Moves }
 
+// CopyTokensPerSecond returns how many tokens of KV cache an engine copies in a second to an engine
+// of its failure domain, or 0 if that is unknown.
+func (s *Service) CopyTokensPerSecond() float64 { return s.spec.CopyTokensPerSecond }
+
 // CopyLifetime returns how long an engine keeps a copy made on demand.
 func (s *Service) CopyLifetime() time.Duration { return s.spec.CopyLifetime }
