Copies: instances that choose at the same moment choose different holders

Cause: all instances with runs at an engine learn together that it is leaving, and each chose the destination with the most free memory, the same one: the copies queued on its link or it had no room (503). Change: the choice has the random part that choices of engines had, as wide as the number of instances. TestReclaimedEngineIsCopiedToMany: 24 of 24 to one engine before, at most 6 now.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -332,7 +332,7 @@
 		if t.domain != source.domain {
 			score += crossDomainCopyCost
 		}
-		score += pairCost * float64(b.pairs[pair{source.id, t.id}])
+		score += pairCost*float64(b.pairs[pair{source.id, t.id}]) + b.jitterWidth()*b.random.Float64()
 		if best == nil || score < bestScore {
 			best, bestScore = t, score
 		}
--- a/internal/balance/freshness_test.go
+++ b/internal/balance/freshness_test.go
@@ -152,3 +152,18 @@
 	require.LessOrEqual(t, fresh, 0.02)
 	require.GreaterOrEqual(t, stale, 0.05)
 }
+
+// TestReclaimedEngineIsCopiedToMany: the instances with runs at an engine that gives notice learn of it at the
+// same moment. They copy the runs to many engines, whose links would else carry one copy after another for
+// longer than the notice.
+func TestReclaimedEngineIsCopiedToMany(t *testing.T) {
+	c := newClumps()
+	at := map[string]int{}
+	for i, b := range c.instances[:24] {
+		c.exchange(i, time.Second)
+		at[b.ChooseMigrationDestination(b.Target("e0"), clumpPrompt, nil, time.Second).ID()]++
+	}
+	for id, n := range at {
+		require.LessOrEqual(t, n, 6, id)
+	}
+}
