--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -444,19 +444,27 @@
 
 // TestCopyWhenEngineLeaves checks that a run without a copy is copied when its engine reports
 // that it is leaving, and is resumed from that copy with the event after the caller's last
-// one.
+// one, also when the engine does not run it at the moment, as one that preempted it, and is asked
+// again.
 func TestCopyWhenEngineLeaves(t *testing.T) {
+	for name, absent := range map[string]int{"running": 0, "preempted": 5} {
+		t.Run(name, func(t *testing.T) { copyWhenEngineLeaves(t, absent) })
+	}
+}
+
+func copyWhenEngineLeaves(t *testing.T, absent int) {
 	c := configuration(1, route.Stream, 1, 30*time.Second)
 	c.Services[0].ContinuousCopies = false
 	first := newStandin(t, "target-0", "stream-held:2")
 	second := newStandin(t, "target-1", "stream:")
 	r := newRig(t, c, first, second)
+	r.engines.absent = absent
 	got := make(chan reply, 1)
 	go func() { got <- r.send(t, http.MethodPost, "/r/x", "", map[string]string{testBudget: "30000"}) }()
 	require.Eventually(t, func() bool { return first.runCount() == 1 }, 20*time.Second, time.Millisecond)
 	require.Eventually(t, func() bool {
 		r.gateway.UpdateLoads([]*wire.Load{{Target: "target-0", CapacityTokens: 10000, Leaving: true}})
-		return r.engines.moveCount() > 0
+		return r.engines.moveCount() > absent
 	}, 20*time.Second, time.Millisecond, "no copy was requested")
 	close(first.held)
 	answer := <-got
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/vanillaward/vanillaward"
 	"github.com/vanillaward/vanillaward/internal/balance"
 	"github.com/vanillaward/vanillaward/internal/migration"
@@ -259,7 +261,9 @@
 }
 
 // endMove marks a move as ended. After a failure it excludes the destination from further
-// moves of the run, and starts another move if the request is still in progress.
+// moves of the run, and starts another move if the request is still in progress. A run that its
+// engine does not run at present is tried again at the next news of the engines: neither the
+// destination nor the run is the reason.
 func (g *Server) endMove(r *run, destination *balance.Target, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -267,9 +271,12 @@
 	if err == nil {
 		return
 	}
+	g.base.Log.Info("run not copied", "request", r.request, "target", r.engine.ID(), "to", destination.ID(), "reason", err.Error())
+	if errors.Is(err, vanillaward.ErrNotRunning) {
+		return
+	}
 	r.failures++
 	r.avoid = append(r.avoid, destination.ID())
-	g.base.Log.Info("run not copied", "request", r.request, "target", r.engine.ID(), "to", destination.ID(), "reason", err.Error())
 	if r.ctx.Err() == nil {
 		g.startMoves()
 	}
--- a/internal/gateway/standin_test.go
+++ b/internal/gateway/standin_test.go
@@ -88,9 +88,10 @@
 type engines struct {
 	hold chan struct{} // if set, moves wait until it is closed
 
-	mu    sync.Mutex // guards the fields below
-	moves []vanillaward.Move
-	drops []string
+	mu     sync.Mutex // guards the fields below
+	absent int        // number of moves that still find that the engine does not run the request
+	moves  []vanillaward.Move
+	drops  []string
 }
 
 func (*engines) Load(context.Context, string) (*wire.Load, error) { return &wire.Load{}, nil }
@@ -98,7 +99,12 @@
 func (e *engines) Move(ctx context.Context, m vanillaward.Move) (vanillaward.MoveResult, error) {
 	e.mu.Lock()
 	e.moves = append(e.moves, m)
+	absent := e.absent > 0
+	e.absent--
 	e.mu.Unlock()
+	if absent {
+		return vanillaward.MoveResult{}, vanillaward.ErrNotRunning
+	}
 	if e.hold != nil {
 		select {
 		case <-e.hold:
--- a/vanillaward.go
+++ b/vanillaward.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
@@ -133,13 +135,17 @@
 	// Load reads the load report of the engine at an address.
 	Load(ctx context.Context, address string) (*wire.Load, error)
 	// Move copies the KV cache of a run to another engine while the run continues.
-	// It returns when the copy is complete.
+	// It returns when the copy is complete. The error matches ErrNotRunning if the source does not
+	// run the request, for example because it has preempted it for the moment.
 	Move(ctx context.Context, m Move) (MoveResult, error)
 	// Drop frees the copy that a move made, at both engines. Address is that of the move's
 	// source.
 	Drop(ctx context.Context, address, handle string) error
 }
 
+// ErrNotRunning means that an engine does not run a request at present.
+var ErrNotRunning = errors.New("the engine does not run the request at present")
+
 // Move identifies a run and the engine that its KV cache is copied to.
 type Move struct {
 	// Source and Destination are the addresses of the run's engine and of the engine that
