Copies: those on demand stay in the failure domain, and half of the notice is counted on

Cause: of the copies that an engine makes at its notice two to four were complete in the 0.9 to 1.3 s that were left, where its link could carry five in its failure domain: those to other domains take twice as long, and the random part of the choice outweighed their cost. Change: a cost above the random part for destinations abroad; what the notice can save is counted by half of it, not 0.6. Lines 'engine chosen' show the age of what was known of other instances' uses.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -35,9 +35,12 @@
 	// affect its score; memoryCost is the weight of the fraction beyond it.
 	memoryThreshold = 0.6
 	memoryCost      = 3.0
-	// crossDomainCopyCost is added for a holder of a copy in another failure domain than
-	// the run's engine: copying between domains takes twice as long.
+	// crossDomainCopyCost is added for a holder of a continuously updated copy in another failure
+	// domain than the run's engine, and crossDomainMoveCost for the destination of a copy on demand:
+	// copying between domains takes twice as long, for which the copies behind it on the engine's
+	// link wait, and less time than that may be left.
 	crossDomainCopyCost = 0.15
+	crossDomainMoveCost = 0.5
 	// pairCost is added for each other copy that the holder has of runs of the same engine:
 	// when that engine terminates, all of these runs resume at the holder at once.
 	pairCost = 0.1
@@ -57,7 +60,7 @@
 	spareCopyLimit = 0.5
 	// noticeUse is the fraction of the time of notice that copying may take: other engines that
 	// leave copy over the same links.
-	noticeUse = 0.6
+	noticeUse = 0.5
 	// noticeWeight is the weight of the newest notice in the mean time of notice.
 	noticeWeight = 0.2
 	// fullMemory is the fraction of an engine's memory, used and reserved, up to which it
@@ -278,7 +281,7 @@
 	if b.movableInTime(source, tokens, rate) {
 		limit = min(limit, spareCopyLimit)
 	}
-	return b.chooseHolder(source, tokens, avoid, limit, now)
+	return b.chooseHolder(source, tokens, avoid, limit, crossDomainCopyCost, now)
 }
 
 // movableInTime reports whether a further run without a copy could be copied from an engine between
@@ -308,14 +311,14 @@
 // to because the run's engine is leaving, or nil. Such a copy is needed soon and for a short
 // time, so it may use more of the destination's memory than a continuously updated one.
 func (b *Balancer) ChooseMigrationDestination(source *Target, tokens int, avoid []string, now time.Duration) *Target {
-	return b.chooseHolder(source, tokens, avoid, migrationCopyLimit, now)
+	return b.chooseHolder(source, tokens, avoid, migrationCopyLimit, crossDomainMoveCost, now)
 }
 
 // chooseHolder returns the best engine for a copy of a run whose engine is source, among
 // those whose memory stays within limit, or nil. It prefers engines in the failure domain of
 // source: a partition between domains would stop the copying, and copying between domains
 // takes twice as long.
-func (b *Balancer) chooseHolder(source *Target, tokens int, avoid []string, limit float64, now time.Duration) *Target {
+func (b *Balancer) chooseHolder(source *Target, tokens int, avoid []string, limit, crossDomain float64, now time.Duration) *Target {
 	var best *Target
 	bestScore := 0.0
 	for _, t := range b.byService[source.service] {
@@ -330,7 +333,7 @@
 			continue
 		}
 		if t.domain != source.domain {
-			score += crossDomainCopyCost
+			score += crossDomain
 		}
 		score += pairCost*float64(b.pairs[pair{source.id, t.id}]) + b.jitterWidth()*b.random.Float64()
 		if best == nil || score < bestScore {
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -161,6 +161,8 @@
 	Known bool
 	// ReportAge is the age of the report.
 	ReportAge time.Duration
+	// UsesAge is the age of what is known of other instances' uses of the engines.
+	UsesAge time.Duration
 	// Memory is the fraction of the memory that is used or reserved; 0 without a valid report.
 	Memory float64
 	// Waiting is the number of requests that the report shows as waiting.
@@ -173,7 +175,7 @@
 func (b *Balancer) LoadState(t *Target, now time.Duration) LoadState {
 	memory, known := t.memory(0, now)
 	return LoadState{
-		Domain: t.domain, Known: known, ReportAge: now - t.load.at, Memory: memory, Waiting: t.load.waiting,
+		Domain: t.domain, Known: known, ReportAge: now - t.load.at, UsesAge: now - b.peersAt, Memory: memory, Waiting: t.load.waiting,
 		Prefilling: t.prefilling + t.peerUse.prefilling,
 	}
 }
