--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -12,70 +12,13 @@
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
-// Weights and bounds of the choice. The score of a plain service's target is the fraction of
-// its slots in use plus the costs below; that of an engine is a comparable weighted sum. The
-// target with the lowest score is chosen.
+// Bounds of what is concluded from attempts.
 const (
-	// crossDomainCost is added for a target in another failure domain: the traffic
-	// between domains has a cost, and a partition would break the request.
-	crossDomainCost = 0.5
-	// failureCost is added for a target of which every recent request failed.
-	failureCost = 2.0
-	// warmupCost is added for a target that is warming up.
-	warmupCost = 0.25
 	// failureWeight is the weight of the newest request in the failure rate.
 	failureWeight = 0.2
-	// prefillUnit is the number of prompt tokens in flight to an engine that adds 1 to its
-	// score, as much as all slots in use add for a plain service.
-	prefillUnit = 8000
-	// batchWeight is the weight of an engine's batch: each further request slows its
-	// steps slightly.
-	batchWeight = 0.3
-	// memoryThreshold is the fraction of an engine's memory up to which memory does not
-	// affect its score; memoryCost is the weight of the fraction beyond it.
-	memoryThreshold = 0.6
-	memoryCost      = 3.0
-	// crossDomainCopyCost is added for a holder of a continuously updated copy in another failure
-	// domain than the run's engine, and crossDomainMoveCost for the destination of a copy on demand:
-	// copying between domains takes twice as long, for which the copies behind it on the engine's
-	// link wait, and less time than that may be left.
-	crossDomainCopyCost = 0.15
-	crossDomainMoveCost = 0.5
-	// pairCost is added for each other copy that the holder has of runs of the same engine:
-	// when that engine terminates, all of these runs resume at the holder at once.
-	pairCost = 0.1
-	// partitionCost is added for the targets of another failure domain that is considered
-	// partitioned because one of its targets was unreachable. The domain is considered so for
-	// partitionDuration.
-	partitionCost     = 1.0
+	// partitionDuration is how long a failure domain is considered partitioned after one of its
+	// targets was unreachable.
 	partitionDuration = time.Second
-	// A copy is placed on an engine only if the used memory of the engine, with the copy, does
-	// not exceed a fraction: lowUtilisationCopyLimit while runs need at most lowUtilisation of
-	// the memory of all engines, highUtilisationCopyLimit while they need at least
-	// highUtilisation, and migrationCopyLimit for copies of runs whose engine is leaving.
-	lowUtilisationCopyLimit  = 0.8
-	highUtilisationCopyLimit = 0.2
-	migrationCopyLimit       = 0.97
-	// spareCopyLimit is the limit for a copy that is not needed if the run's engine gives notice.
-	spareCopyLimit = 0.5
-	// noticeUse is the fraction of the time of notice that copying may take: other engines that
-	// leave copy over the same links.
-	noticeUse = 0.5
-	// noticeWeight is the weight of the newest notice in the mean time of notice.
-	noticeWeight = 0.2
-	// fullMemory is the fraction of an engine's memory, used and reserved, up to which it
-	// accepts another generation.
-	fullMemory      = 1.0
-	lowUtilisation  = 0.7
-	highUtilisation = 0.9
-	// jitterPerInstance is the width of the random part of an engine's score for each
-	// instance that chooses among the same engines, up to maxJitter: an instance does not
-	// know yet what other instances have just sent, and all would choose the same engine. It
-	// is less while what they have sent is known as of shorter ago than jitterAge.
-	jitterPerInstance = 0.004
-	maxJitter         = 0.3
-	jitterAge         = 200 * time.Millisecond
-	minJitter         = 0.03
 	// suspectDuration is how long an engine that closes a connection is considered to be
 	// leaving; after that time its report shows whether it is.
 	suspectDuration = 1500 * time.Millisecond
@@ -181,12 +124,6 @@
 	departed map[targetKey]departedTarget
 }
 
-// pair is the engine of a run and the engine that holds a copy of it.
-type pair struct {
-	source string
-	holder string
-}
-
 // New returns a balancer for an instance in a failure domain.
 func New(domain string, random *rand.Rand) *Balancer {
 	return &Balancer{
@@ -272,77 +209,6 @@
 	return best
 }
 
-// ChooseCopyHolder returns the engine that should hold a continuously updated copy of a
-// run's KV cache, or nil when none has the capacity. Rate is how many tokens an engine copies in a
-// second, 0 if unknown. A run that can be copied once its engine gives notice gets such a copy only
-// where much memory is free.
-func (b *Balancer) ChooseCopyHolder(source *Target, tokens int, rate float64, avoid []string, now time.Duration) *Target {
-	limit := b.copyLimit(source.service, now)
-	if b.movableInTime(source, tokens, rate) {
-		limit = min(limit, spareCopyLimit)
-	}
-	return b.chooseHolder(source, tokens, avoid, limit, crossDomainCopyCost, now)
-}
-
-// movableInTime reports whether a further run without a copy could be copied from an engine between
-// its notice and its end, after all others that have none.
-func (b *Balancer) movableInTime(source *Target, tokens int, rate float64) bool {
-	notice, known := b.notices[source.service]
-	if !known || rate <= 0 {
-		return false
-	}
-	return float64(source.uncopied+source.peerUse.uncopied+tokens)/rate <= noticeUse*notice
-}
-
-// AddUncopied adds to the tokens of this instance's runs at an engine that have no copy, or subtracts
-// from them with a negative number.
-func (b *Balancer) AddUncopied(t *Target, tokens int) { t.uncopied += tokens }
-
-// noteNotice records how long before its end an engine is known to be leaving.
-func (b *Balancer) noteNotice(t *Target, left time.Duration) {
-	mean, known := b.notices[t.service]
-	if !known {
-		mean = left.Seconds()
-	}
-	b.notices[t.service] = mean + noticeWeight*(left.Seconds()-mean)
-}
-
-// ChooseMigrationDestination returns the engine that the KV cache of a run should be copied
-// to because the run's engine is leaving, or nil. Such a copy is needed soon and for a short
-// time, so it may use more of the destination's memory than a continuously updated one.
-func (b *Balancer) ChooseMigrationDestination(source *Target, tokens int, avoid []string, now time.Duration) *Target {
-	return b.chooseHolder(source, tokens, avoid, migrationCopyLimit, crossDomainMoveCost, now)
-}
-
-// chooseHolder returns the best engine for a copy of a run whose engine is source, among
-// those whose memory stays within limit, or nil. It prefers engines in the failure domain of
-// source: a partition between domains would stop the copying, and copying between domains
-// takes twice as long.
-func (b *Balancer) chooseHolder(source *Target, tokens int, avoid []string, limit, crossDomain float64, now time.Duration) *Target {
-	var best *Target
-	bestScore := 0.0
-	for _, t := range b.byService[source.service] {
-		if t.isLeaving(now) || !t.accepts(now) || !b.withinLimit(t, now) || t == source || now < t.ejectedUntil || t.load.waiting > 0 || slices.Contains(avoid, t.id) {
-			continue
-		}
-		score, known := t.memory(tokens, now)
-		if !known {
-			score = unreportedMemory + float64(t.open+t.copies)/float64(max(t.slots, defaultSlots))
-		}
-		if score > limit {
-			continue
-		}
-		if t.domain != source.domain {
-			score += crossDomain
-		}
-		score += pairCost*float64(b.pairs[pair{source.id, t.id}]) + b.jitterWidth()*b.random.Float64()
-		if best == nil || score < bestScore {
-			best, bestScore = t, score
-		}
-	}
-	return best
-}
-
 func (b *Balancer) isListed(t *Target) bool { return b.targets[t.key()] == t }
 
 // Leaving reports whether a target is leaving or no longer listed.
@@ -383,80 +249,6 @@
 	return !t.knownLeaving() || now < t.leavingSince+leavingGrace
 }
 
-// AddCopy counts a copy, held by t, of a run whose engine is source.
-func (b *Balancer) AddCopy(source, t *Target, tokens int, now time.Duration) {
-	b.pairs[pair{source.id, t.id}]++
-	t.copies++
-	t.tokens += tokens
-	t.copyTokens += tokens
-	t.load.record(now, tokens, 0)
-}
-
-// RemoveCopy reverts what AddCopy counted.
-func (b *Balancer) RemoveCopy(source, t *Target, tokens int) {
-	if key := (pair{source.id, t.id}); b.pairs[key] > 1 {
-		b.pairs[key]--
-	} else {
-		delete(b.pairs, key)
-	}
-	t.copies--
-	t.tokens -= tokens
-	t.copyTokens -= tokens
-}
-
-// score ranks a target. An ejected target ranks after all that are not ejected, so that it is
-// used only if there is none of these.
-func (b *Balancer) score(t *Target, tokens int, now time.Duration) float64 {
-	score := t.loadScore(tokens, now) + failureCost*t.failureRate
-	if tokens > 0 {
-		score += b.jitter(now) * b.random.Float64()
-	}
-	if t.domain != b.domain {
-		score += crossDomainCost
-		if now < b.partitionedUntil[t.domain] {
-			score += partitionCost
-		}
-	}
-	if now < t.warmupUntil {
-		score += warmupCost
-	}
-	if now < t.ejectedUntil {
-		score += 100 * failureCost
-	}
-	return score
-}
-
-// jitter returns the width of the random part of an engine's score.
-func (b *Balancer) jitter(now time.Duration) float64 {
-	width := b.jitterWidth()
-	age := min(1, float64(now-b.peersAt)/float64(jitterAge))
-	return min(width, max(minJitter, width*age))
-}
-
-// jitterWidth returns the width of the random part where other instances choose at the same moment: all
-// that have runs at an engine learn together that it is leaving.
-func (b *Balancer) jitterWidth() float64 {
-	return min(maxJitter, jitterPerInstance*float64(b.instances))
-}
-
-// loadScore returns the load of a target with another request: the fraction of its slots
-// in use for a plain service, and a weighted sum of prompts in flight, batch, waiting
-// requests and memory for an engine.
-func (t *Target) loadScore(tokens int, now time.Duration) float64 {
-	slots := t.slots
-	if slots == 0 {
-		slots = defaultSlots
-	}
-	if tokens == 0 {
-		return float64(t.open) / float64(slots)
-	}
-	score := float64(t.prefilling+t.peerUse.prefilling)/prefillUnit + batchWeight*float64(t.batch())/float64(slots) + waitingCost*float64(t.load.waiting)
-	if memory, known := t.memory(tokens, now); known && memory > memoryThreshold {
-		score += memoryCost * (memory - memoryThreshold)
-	}
-	return score
-}
-
 // AddPrefill adds to the prompt tokens that a target is about to process, or subtracts
 // from them with a negative number. Prompts are processed one after another and delay
 // the tokens of all other requests there.
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -20,6 +20,9 @@
 	// with a limit, are forgotten when nothing is heard of them: a new leader has not heard of all
 	// yet.
 	forgetTime = 2 * time.Second
+	// fullMemory is the fraction of an engine's memory, used and reserved, up to which it
+	// accepts another generation.
+	fullMemory = 1.0
 	// waitingCost is added for each request that waits at an engine: a waiting request
 	// means that the engine is already at capacity.
 	waitingCost = 0.2
@@ -103,22 +106,6 @@
 	return float64(used+tokens) / float64(l.capacity), true
 }
 
-// utilisation returns the fraction of the memory of a service's engines that runs will
-// need, excluding copies.
-func (b *Balancer) utilisation(service string, now time.Duration) float64 {
-	needed, capacity := 0, 0
-	for _, t := range b.byService[service] {
-		needed += t.tokens - t.copyTokens + t.peerUse.tokens - t.peerUse.copyTokens
-		if !t.isLeaving(now) {
-			capacity += t.load.capacity
-		}
-	}
-	if capacity == 0 {
-		return 0
-	}
-	return float64(needed) / float64(capacity)
-}
-
 // AtCapacity reports whether, according to valid reports, no engine of a service has the
 // memory for a generation that needs the given number of tokens. An engine that accepts such
 // a generation processes its prompt, runs out of memory and has to process the prompts of
@@ -138,21 +125,6 @@
 	return known
 }
 
-// copyLimit returns the fraction of an engine's memory that copies may fill up to. It
-// decreases when runs need the memory: then it is more useful to start a waiting run than to
-// let another one resume elsewhere after the loss of its engine.
-func (b *Balancer) copyLimit(service string, now time.Duration) float64 {
-	utilisation := b.utilisation(service, now)
-	switch {
-	case utilisation <= lowUtilisation:
-		return lowUtilisationCopyLimit
-	case utilisation >= highUtilisation:
-		return highUtilisationCopyLimit
-	}
-	fraction := (utilisation - lowUtilisation) / (highUtilisation - lowUtilisation)
-	return lowUtilisationCopyLimit - fraction*(lowUtilisationCopyLimit-highUtilisationCopyLimit)
-}
-
 // LoadState is the state of an engine on which its choice was based.
 type LoadState struct {
 	// Domain is the engine's failure domain.
--- /dev/null
+++ b/internal/balance/score.go
@@ -0,0 +1,90 @@
+package balance
+
+import "time"
+
+// Weights of a score. That of a plain service's target is the fraction of its slots in use plus the
+// costs below; that of an engine is a comparable weighted sum. The target with the lowest score is
+// chosen.
+const (
+	// crossDomainCost is added for a target in another failure domain: the traffic
+	// between domains has a cost, and a partition would break the request.
+	crossDomainCost = 0.5
+	// failureCost is added for a target of which every recent request failed.
+	failureCost = 2.0
+	// warmupCost is added for a target that is warming up.
+	warmupCost = 0.25
+	// prefillUnit is the number of prompt tokens in flight to an engine that adds 1 to its
+	// score, as much as all slots in use add for a plain service.
+	prefillUnit = 8000
+	// batchWeight is the weight of an engine's batch: each further request slows its
+	// steps slightly.
+	batchWeight = 0.3
+	// memoryThreshold is the fraction of an engine's memory up to which memory does not
+	// affect its score; memoryCost is the weight of the fraction beyond it.
+	memoryThreshold = 0.6
+	memoryCost      = 3.0
+	// partitionCost is added for the targets of another failure domain that is considered
+	// partitioned because one of its targets was unreachable.
+	partitionCost = 1.0
+	// jitterPerInstance is the width of the random part of an engine's score for each
+	// instance that chooses among the same engines, up to maxJitter: an instance does not
+	// know yet what other instances have just sent, and all would choose the same engine. It
+	// is less while what they have sent is known as of shorter ago than jitterAge.
+	jitterPerInstance = 0.004
+	maxJitter         = 0.3
+	jitterAge         = 200 * time.Millisecond
+	minJitter         = 0.03
+)
+
+// score ranks a target. An ejected target ranks after all that are not ejected, so that it is
+// used only if there is none of these.
+func (b *Balancer) score(t *Target, tokens int, now time.Duration) float64 {
+	score := t.loadScore(tokens, now) + failureCost*t.failureRate
+	if tokens > 0 {
+		score += b.jitter(now) * b.random.Float64()
+	}
+	if t.domain != b.domain {
+		score += crossDomainCost
+		if now < b.partitionedUntil[t.domain] {
+			score += partitionCost
+		}
+	}
+	if now < t.warmupUntil {
+		score += warmupCost
+	}
+	if now < t.ejectedUntil {
+		score += 100 * failureCost
+	}
+	return score
+}
+
+// jitter returns the width of the random part of an engine's score.
+func (b *Balancer) jitter(now time.Duration) float64 {
+	width := b.jitterWidth()
+	age := min(1, float64(now-b.peersAt)/float64(jitterAge))
+	return min(width, max(minJitter, width*age))
+}
+
+// jitterWidth returns the width of the random part where other instances choose at the same moment: all
+// that have runs at an engine learn together that it is leaving.
+func (b *Balancer) jitterWidth() float64 {
+	return min(maxJitter, jitterPerInstance*float64(b.instances))
+}
+
+// loadScore returns the load of a target with another request: the fraction of its slots
+// in use for a plain service, and a weighted sum of prompts in flight, batch, waiting
+// requests and memory for an engine.
+func (t *Target) loadScore(tokens int, now time.Duration) float64 {
+	slots := t.slots
+	if slots == 0 {
+		slots = defaultSlots
+	}
+	if tokens == 0 {
+		return float64(t.open) / float64(slots)
+	}
+	score := float64(t.prefilling+t.peerUse.prefilling)/prefillUnit + batchWeight*float64(t.batch())/float64(slots) + waitingCost*float64(t.load.waiting)
+	if memory, known := t.memory(tokens, now); known && memory > memoryThreshold {
+		score += memoryCost * (memory - memoryThreshold)
+	}
+	return score
+}
