--- a/internal/balance/copies.go
+++ b/internal/balance/copies.go
@@ -26,7 +26,7 @@
 	highUtilisationCopyLimit = 0.2
 	migrationCopyLimit       = 0.97
 	// spareCopyLimit is the limit for a copy that is not needed if the run's engine gives notice.
-	spareCopyLimit = 0.5
+	spareCopyLimit = 0.6
 	// noticeUse is the fraction of the time of notice that copying may take: other engines that
 	// leave copy over the same links.
 	noticeUse = 0.5
