--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/vanillaward/vanillaward"
 	"github.com/vanillaward/vanillaward/internal/control"
@@ -197,13 +198,13 @@
 	for first := true; ctx.Err() == nil; first = false {
 		resp, err := f.poll(ctx, client, address, first)
 		if err != nil {
-			f.refresher.end()
+			f.refresher.end(0)
 			f.recordFailure(address, err)
 			return
 		}
 		f.handleResponse(address, resp)
 		if resp.GetLeader() {
-			f.refresher.end()
+			f.refresher.end(proto.Size(resp))
 		}
 		if d := resp.GetDocument(); d != nil { // of a replica that cannot send pieces
 			f.install(d)
--- a/internal/follow/refresh.go
+++ b/internal/follow/refresh.go
@@ -6,9 +6,15 @@
 	"time"
 )
 
-// maxAskedExchanges bounds the exchanges that are asked for in a row. Each interval between
-// exchanges permits one more, so that asking at most doubles their number.
-const maxAskedExchanges = 8
+// Bounds on the exchanges that are asked for, by the size of the leader's answers, which grows with the
+// number of targets: what they cost stays the same at any size, and where one answer exceeds the bound
+// none is asked for.
+const (
+	// maxAskedBytes bounds what is received by such exchanges in a row, in bytes.
+	maxAskedBytes = 40 << 10
+	// askedBytesPerSecond is how much of it is regained in a second.
+	askedBytesPerSecond = 5 << 10
+)
 
 // refreshTimeout bounds how long Refresh waits. An exchange with a leader that responds takes a few
 // milliseconds.
@@ -20,9 +26,11 @@
 	asked chan struct{} // holds an element while an exchange is asked for
 
 	mu sync.Mutex // guards the rest; never held while another lock is taken
-	// spent is how many of maxAskedExchanges were asked for and not regained yet, as of spentAt.
+	// spent is how much of maxAskedBytes was asked for and not regained yet, as of spentAt.
 	spent   float64
 	spentAt time.Duration
+	// answerBytes is the size of the last answer of the leader.
+	answerBytes int
 	// waiting and inFlight hold a channel for each call of wait: those that came before the exchange
 	// in flight began are ended by it, the others by the next one.
 	waiting  []chan struct{}
@@ -31,20 +39,20 @@
 
 func newRefresher() *refresher { return &refresher{asked: make(chan struct{}, 1)} }
 
-// ask has the next exchange begin at once, unless too many were asked for lately, and reports whether
-// it does. The interval is that between exchanges that nobody asks for.
-func (r *refresher) ask(now, interval time.Duration) bool {
+// ask has the next exchange begin at once, unless too much was asked for lately, and reports whether
+// it does.
+func (r *refresher) ask(now time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.asked) > 0 {
 		return true
 	}
-	r.spent = max(0, r.spent-float64(now-r.spentAt)/float64(interval))
+	r.spent = max(0, r.spent-askedBytesPerSecond*(now-r.spentAt).Seconds())
 	r.spentAt = now
-	if r.spent+1 > maxAskedExchanges {
+	if r.spent+float64(r.answerBytes) > maxAskedBytes {
 		return false
 	}
-	r.spent++
+	r.spent += float64(r.answerBytes)
 	select {
 	case r.asked <- struct{}{}:
 	default: // only this function fills it
@@ -71,10 +79,14 @@
 	r.waiting = nil
 }
 
-// end is called when an exchange has ended and its result is known, or has failed.
-func (r *refresher) end() {
+// end is called when an exchange has ended and its result is known, with the size of the answer in
+// bytes, or has failed, with 0.
+func (r *refresher) end(answerBytes int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if answerBytes > 0 {
+		r.answerBytes = answerBytes
+	}
 	for _, done := range r.inFlight {
 		close(done)
 	}
@@ -91,10 +103,10 @@
 }
 
 // wait asks for an exchange and returns when it has ended, or the context ends. It returns at once
-// if too many were asked for lately.
-func (r *refresher) wait(ctx context.Context, now, interval time.Duration) {
+// if too much was asked for lately.
+func (r *refresher) wait(ctx context.Context, now time.Duration) {
 	done := r.register()
-	if !r.ask(now, interval) {
+	if !r.ask(now) {
 		return
 	}
 	select {
@@ -109,21 +121,15 @@
 func (f *Follower) Refresh(ctx context.Context) {
 	f.mu.Lock()
 	follows := f.leader != "" && f.followed[f.leader] && !f.controlLost
-	interval := f.usesInterval
 	f.mu.Unlock()
 	if !follows {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
-	f.refresher.wait(ctx, f.timers.Now(), interval)
+	f.refresher.wait(ctx, f.timers.Now())
 }
 
-// Announce has the leader told of this instance's uses of targets at once, unless that was asked for
-// too often lately.
-func (f *Follower) Announce() {
-	f.mu.Lock()
-	interval := f.usesInterval
-	f.mu.Unlock()
-	f.refresher.ask(f.timers.Now(), interval)
-}
+// Announce has the leader told of this instance's uses of targets at once, unless too much was asked
+// for lately.
+func (f *Follower) Announce() { f.refresher.ask(f.timers.Now()) }
