Target: one key and one check for the entries of a list

The change had given the follower a copy of the balancer's key of a target (identity, address, service). Both use target.Key now, and the check of entries, which had nothing to do with the readers in fleet, stands beside it. No behaviour changed.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/vanillaward/vanillaward/internal/ratelimit"
+	"github.com/vanillaward/vanillaward/internal/target"
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
@@ -103,7 +104,7 @@
 type Balancer struct {
 	domain    string
 	random    *rand.Rand
-	targets   map[targetKey]*Target
+	targets   map[target.Key]*Target
 	byID      map[string][]*Target // more than one only if the list has an identity twice
 	byService map[string][]*Target
 	hasList   bool
@@ -121,14 +122,14 @@
 	// until it ended; services of which no engine gave notice are missing.
 	notices map[string]float64
 	// departed holds the targets that were listed shortly before.
-	departed map[targetKey]departedTarget
+	departed map[target.Key]departedTarget
 }
 
 // New returns a balancer for an instance in a failure domain.
 func New(domain string, random *rand.Rand) *Balancer {
 	return &Balancer{
-		domain: domain, random: random, targets: map[targetKey]*Target{}, byID: map[string][]*Target{}, byService: map[string][]*Target{},
-		pairs: map[pair]int{}, partitionedUntil: map[string]time.Duration{}, departed: map[targetKey]departedTarget{},
+		domain: domain, random: random, targets: map[target.Key]*Target{}, byID: map[string][]*Target{}, byService: map[string][]*Target{},
+		pairs: map[pair]int{}, partitionedUntil: map[string]time.Duration{}, departed: map[target.Key]departedTarget{},
 		demand: map[string]*ratelimit.Demand{}, notices: map[string]float64{},
 	}
 }
@@ -142,16 +143,16 @@
 // either entry says so.
 func (b *Balancer) Update(list []*wire.Target, now time.Duration) {
 	b.hasList = true
-	leaving := map[targetKey]bool{}
+	leaving := map[target.Key]bool{}
 	for _, l := range list {
 		if l.GetState() != wire.TargetState_TARGET_STATE_READY {
-			leaving[listedKey(l)] = true
+			leaving[target.KeyOf(l)] = true
 		}
 	}
-	next := make(map[targetKey]*Target, len(list))
+	next := make(map[target.Key]*Target, len(list))
 	b.byID, b.byService = make(map[string][]*Target, len(list)), map[string][]*Target{}
 	for _, l := range list {
-		key := listedKey(l)
+		key := target.KeyOf(l)
 		if next[key] != nil {
 			continue
 		}
--- a/internal/balance/statements.go
+++ b/internal/balance/statements.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/vanillaward/vanillaward/internal/ratelimit"
+	"github.com/vanillaward/vanillaward/internal/target"
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
@@ -35,14 +36,7 @@
 	staleListDuration = 10 * time.Second
 )
 
-// targetKey identifies a target as long as the list does not show a restart.
-type targetKey struct{ id, address, service string }
-
-func (t *Target) key() targetKey { return targetKey{t.id, t.address, t.service} }
-
-func listedKey(l *wire.Target) targetKey {
-	return targetKey{l.GetId(), l.GetAddress(), l.GetService()}
-}
+func (t *Target) key() target.Key { return target.NewKey(t.id, t.address, t.service) }
 
 // departedTarget is a target that is no longer listed.
 type departedTarget struct {
@@ -53,7 +47,7 @@
 // listed returns the state of a target on the list. That of a target which was listed shortly
 // before is used again, since an older list can hide a target for a moment.
 func (b *Balancer) listed(l *wire.Target, now time.Duration) *Target {
-	key := listedKey(l)
+	key := target.KeyOf(l)
 	if t := b.targets[key]; t != nil {
 		return t
 	}
@@ -67,7 +61,7 @@
 
 // rememberDeparted keeps the targets that are not on the next list, and drops those that have
 // been kept long enough.
-func (b *Balancer) rememberDeparted(next map[targetKey]*Target, now time.Duration) {
+func (b *Balancer) rememberDeparted(next map[target.Key]*Target, now time.Duration) {
 	for key, d := range b.departed {
 		if now > d.until {
 			delete(b.departed, key)
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -15,8 +15,8 @@
 
 	"github.com/vanillaward/vanillaward"
 	"github.com/vanillaward/vanillaward/internal/control"
-	"github.com/vanillaward/vanillaward/internal/fleet"
 	"github.com/vanillaward/vanillaward/internal/peer"
+	"github.com/vanillaward/vanillaward/internal/target"
 	"github.com/vanillaward/vanillaward/internal/timer"
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
@@ -384,7 +384,7 @@
 	usable := make([]*wire.Target, 0, len(list))
 	var first error
 	for _, t := range list {
-		err := fleet.CheckTarget(t)
+		err := target.Check(t)
 		switch {
 		case err == nil:
 			usable = append(usable, t)
@@ -398,11 +398,6 @@
 	return usable
 }
 
-// targetKey tells targets apart that an odd list names by the same identity.
-type targetKey struct{ id, address, service string }
-
-func keyOf(t *wire.Target) targetKey { return targetKey{t.GetId(), t.GetAddress(), t.GetService()} }
-
 // mergeLists returns the newest list, in which a target is leaving if any list that is at
 // most maxListLag older reports it as leaving.
 func mergeLists(lists map[string]*targetList) []*wire.Target {
@@ -412,20 +407,20 @@
 			newest = l
 		}
 	}
-	leaving := map[targetKey]bool{}
+	leaving := map[target.Key]bool{}
 	for _, l := range lists {
 		if newest.readAt-l.readAt > maxListLag {
 			continue
 		}
 		for _, t := range l.targets {
 			if t.GetState() == wire.TargetState_TARGET_STATE_LEAVING {
-				leaving[keyOf(t)] = true
+				leaving[target.KeyOf(t)] = true
 			}
 		}
 	}
 	out := make([]*wire.Target, 0, len(newest.targets))
 	for _, t := range newest.targets {
-		if leaving[keyOf(t)] && t.GetState() == wire.TargetState_TARGET_STATE_READY {
+		if leaving[target.KeyOf(t)] && t.GetState() == wire.TargetState_TARGET_STATE_READY {
 			t = &wire.Target{
 				Id: t.GetId(), Service: t.GetService(), Address: t.GetAddress(), FailureDomain: t.GetFailureDomain(),
 				Slots: t.GetSlots(), State: wire.TargetState_TARGET_STATE_LEAVING, ColdMs: t.GetColdMs(), Engine: t.GetEngine(),
--- a/internal/fleet/check.go
+++ b/internal/target/check.go
@@ -1,4 +1,6 @@
-package fleet
+// Package target tells which entries of a list of targets are usable, and which of them are the same
+// target.
+package target
 
 import (
 	"net/netip"
@@ -20,9 +22,9 @@
 	maxSlots = 1 << 20
 )
 
-// CheckTarget returns an error that names what is wrong with a listed target, or nil. Whoever reads
+// Check returns an error that names what is wrong with a listed target, or nil. Whoever reads
 // a list, from the platform or from another instance, leaves out a target that fails the check.
-func CheckTarget(t *wire.Target) error {
+func Check(t *wire.Target) error {
 	switch {
 	case !isName(t.GetId()):
 		return errors.Errorf("identity of %d bytes is empty, too long or not printable", len(t.GetId()))
