Gateway: whose answer it is, is decided in one place; a prompt's end is told without a wrapper

The rule that an answer without a name belongs only on a connection that carried no other stood in Conn.ReadAnswer and, for statements, in the gateway: Conn.Owns serves both. The end of a prompt went through a sync.OnceFunc, made for plain requests too; the two places where it ends call it. No behaviour changed.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -150,14 +149,13 @@
 // exchange sends the request and handles the answer.
 func (req *request) exchange(ctx context.Context, t *balance.Target, conn *upstream.Conn, result *attemptResult) balance.Result {
 	result.outcome, result.reason = failed, reasonBroken
-	prefilled := sync.OnceFunc(func() { req.server.endPrefill(t, req.promptTokens()) })
-	defer prefilled()
 	if err := conn.Send(req.outgoing(t, req.stream.run, nil)); err != nil {
+		req.server.endPrefill(t, req.promptTokens())
 		conn.Close()
 		return req.classifyFailure(ctx, "request not sent completely", t, err)
 	}
 	response, err := conn.ReadAnswer(req.r.Method, req.inspect(t, conn)) //nolint:bodyclose // closing the connection or reading to the end releases it
-	prefilled()
+	req.server.endPrefill(t, req.promptTokens())
 	if err != nil {
 		conn.Close()
 		req.noteCrash(ctx, t, err)
@@ -190,8 +188,7 @@
 	return func(response *http.Response) upstream.Ownership {
 		info := req.server.dialect.ReadAnswer(response.StatusCode, response.Header)
 		ownership := req.ownership(info)
-		own := ownership == upstream.Named || ownership == upstream.Unnamed && !conn.Reused()
-		req.server.recordStatements(t, req.caller.ID, response.StatusCode, own, info)
+		req.server.recordStatements(t, req.caller.ID, response.StatusCode, conn.Owns(ownership), info)
 		return ownership
 	}
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -74,8 +74,11 @@
 	bodySent  bool          // whether the complete body was written
 }
 
-// Reused reports whether the connection has carried an earlier request.
-func (c *Conn) Reused() bool { return c.reused }
+// Owns reports whether an answer belongs to the request that was sent last: it names the request, or
+// it names none and the connection has carried no other.
+func (c *Conn) Owns(answer Ownership) bool {
+	return answer == Named || answer == Unnamed && !c.reused
+}
 
 // Request is a request to a target. Header must not contain Host, Content-Length
 // or Transfer-Encoding.
@@ -147,7 +150,7 @@
 		switch {
 		case ownership == Named:
 			return response, nil
-		case ownership == Unnamed && !c.reused && skipped == 0:
+		case c.Owns(ownership) && skipped == 0:
 			c.unnamed = true
 			return response, nil
 		case ownership == Unnamed:
