Tests: one sum of uses, one loop that accepts connections

TestClumpsOfPrompts summed uses as sumOthers does, and the repeating target accepted connections as the other stand-ins do.

--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -260,13 +260,21 @@
 }
 
 func sumOthers(all []*balance.Balancer, except *balance.Balancer) []*wire.Use {
-	sums := map[string]*wire.Use{}
-	var out []*wire.Use
+	var told [][]*wire.Use
 	for _, b := range all {
-		if b == except {
-			continue
+		if b != except {
+			told = append(told, b.LocalUses(0))
 		}
-		for _, u := range b.LocalUses(0) {
+	}
+	return sumUses(told)
+}
+
+// sumUses returns the sums by target of what several instances told.
+func sumUses(told [][]*wire.Use) []*wire.Use {
+	sums := map[string]*wire.Use{}
+	var out []*wire.Use
+	for _, uses := range told {
+		for _, u := range uses {
 			s := sums[u.GetTarget()]
 			if s == nil {
 				s = &wire.Use{Target: u.GetTarget()}
--- a/internal/balance/freshness_test.go
+++ b/internal/balance/freshness_test.go
@@ -63,23 +63,9 @@
 // exchange tells the others of an instance's uses, and the instance of theirs as they were told last.
 func (c *clumps) exchange(i int, now time.Duration) {
 	c.exchanged[i] = now
+	c.told[i] = nil
+	c.instances[i].UpdatePeerUses(sumUses(c.told), clumpInstances, now)
 	c.told[i] = c.instances[i].LocalUses(now)
-	sums := map[string]*wire.Use{}
-	var others []*wire.Use
-	for j, uses := range c.told {
-		for _, u := range uses {
-			if j == i {
-				continue
-			}
-			if sums[u.GetTarget()] == nil {
-				sums[u.GetTarget()] = &wire.Use{Target: u.GetTarget()}
-				others = append(others, sums[u.GetTarget()])
-			}
-			s := sums[u.GetTarget()]
-			s.Requests, s.Tokens, s.Prefilling = s.GetRequests()+u.GetRequests(), s.GetTokens()+u.GetTokens(), s.GetPrefilling()+u.GetPrefilling()
-		}
-	}
-	c.instances[i].UpdatePeerUses(others, clumpInstances, now)
 }
 
 // advance ends the prompts and plays the exchanges at an interval that are due.
--- a/internal/gateway/repeated_answer_test.go
+++ b/internal/gateway/repeated_answer_test.go
@@ -28,15 +28,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	r := &repeatingTarget{standin: &standin{id: id, listener: listener}, repeatCase: c}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go r.serveConn(conn)
-		}
-	}()
+	go acceptAll(listener, r.serveConn)
 	return r
 }
 
--- a/internal/gateway/standin_test.go
+++ b/internal/gateway/standin_test.go
@@ -142,18 +142,21 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	s := &standin{id: id, listener: listener}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serveRaw(conn, answer)
-		}
-	}()
+	go acceptAll(listener, func(conn net.Conn) { s.serveRaw(conn, answer) })
 	return s
 }
 
+// acceptAll serves each connection of a listener in a goroutine of its own, until the listener is closed.
+func acceptAll(listener net.Listener, serve func(net.Conn)) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go serve(conn)
+	}
+}
+
 func (s *standin) serveRaw(conn net.Conn, answer func(net.Conn, *http.Request)) {
 	defer func() { _ = conn.Close() }()
 	request, err := http.ReadRequest(bufio.NewReader(conn))
@@ -191,22 +194,12 @@
 		return s
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	go s.accept()
+	go acceptAll(listener, s.serve)
 	return s
 }
 
 func (s *standin) address() string { return s.listener.Addr().String() }
 
-func (s *standin) accept() {
-	for {
-		conn, err := s.listener.Accept()
-		if err != nil {
-			return
-		}
-		go s.serve(conn)
-	}
-}
-
 func (s *standin) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
