Balance: notice that connections to all targets of a service fail

Ruled out: answers as a sign of reach, since open connections can outlive the path. Change: the balancer counts failed connections to different targets, by service and over all services, until one succeeds; loss needs four targets (or all), two failure domains and, over all services, two services. Two log lines, a gauge and a counter. Connections to targets can be opened by a function, for tests. Nothing acts on the loss.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -96,6 +96,9 @@
 // ID returns the target's identity.
 func (t *Target) ID() string { return t.id }
 
+// Service returns the service that the target belongs to.
+func (t *Target) Service() string { return t.service }
+
 // Address returns the target's address as ip:port.
 func (t *Target) Address() string { return t.address }
 
@@ -123,6 +126,12 @@
 	notices map[string]float64
 	// departed holds the targets that were listed shortly before.
 	departed map[target.Key]departedTarget
+	// reach is whether connections to the targets of a service can be opened, and reachAll whether
+	// connections to any target can.
+	reach    map[string]*reach
+	reachAll reach
+	groups   map[string]group
+	groupAll group
 }
 
 // New returns a balancer for an instance in a failure domain.
@@ -130,7 +139,7 @@
 	return &Balancer{
 		domain: domain, random: random, targets: map[target.Key]*Target{}, byID: map[string][]*Target{}, byService: map[string][]*Target{},
 		pairs: map[pair]int{}, partitionedUntil: map[string]time.Duration{}, departed: map[target.Key]departedTarget{},
-		demand: map[string]*ratelimit.Demand{}, notices: map[string]float64{},
+		demand: map[string]*ratelimit.Demand{}, notices: map[string]float64{}, reach: map[string]*reach{},
 	}
 }
 
@@ -167,6 +176,8 @@
 	}
 	b.rememberDeparted(next, now)
 	b.targets = next
+	b.countGroups()
+	maps.DeleteFunc(b.reach, func(service string, _ *reach) bool { return len(b.byService[service]) == 0 })
 	maps.DeleteFunc(b.demand, func(service string, _ *ratelimit.Demand) bool {
 		return !slices.ContainsFunc(b.byService[service], func(t *Target) bool { return t.stated.share.Limited() })
 	})
@@ -278,6 +289,9 @@
 	case Failed, Unreachable:
 		t.failures++
 		t.failureRate += failureWeight * (1 - t.failureRate)
+		if result == Unreachable {
+			b.noteUnreachable(t, now)
+		}
 		if result == Unreachable && t.domain != b.domain {
 			b.partitionedUntil[t.domain] = now + partitionDuration
 		}
--- /dev/null
+++ b/internal/balance/reach.go
@@ -0,0 +1,113 @@
+package balance
+
+import (
+	"maps"
+	"time"
+
+	"github.com/vanillaward/vanillaward/internal/target"
+)
+
+const (
+	// lossEvidence is the number of targets to which connections must have failed, with none that
+	// succeeded in between, before all are considered out of reach; fewer if fewer are listed.
+	lossEvidence = 4
+	// lossEvidenceAge bounds how old these failures may be.
+	lossEvidenceAge = 3 * time.Second
+)
+
+// reach is whether this instance can open connections to a group of targets. Answers on connections
+// that are open already show nothing about that: they can outlive the path to their targets.
+type reach struct {
+	failed map[target.Key]failedConnection // since the last connection that succeeded
+	lost   bool
+}
+
+// failedConnection is the last connection to a target, which failed.
+type failedConnection struct {
+	service string
+	domain  string
+	at      time.Duration
+}
+
+// group is the extent of a group of targets.
+type group struct{ targets, domains, services int }
+
+// fail records that no connection to a target could be made.
+func (r *reach) fail(t *Target, of group, now time.Duration) {
+	if r.failed == nil {
+		r.failed = map[target.Key]failedConnection{}
+	}
+	r.failed[t.key()] = failedConnection{service: t.service, domain: t.domain, at: now}
+	maps.DeleteFunc(r.failed, func(_ target.Key, f failedConnection) bool { return now-f.at > lossEvidenceAge })
+	if r.lost {
+		return
+	}
+	domains, services := map[string]bool{}, map[string]bool{}
+	for _, f := range r.failed {
+		domains[f.domain], services[f.service] = true, true
+	}
+	// The loss of one failure domain, or of one service, is not the loss of all.
+	r.lost = len(r.failed) >= min(of.targets, lossEvidence) && len(domains) >= min(of.domains, 2) && len(services) >= min(of.services, 2)
+}
+
+func (r *reach) succeed() {
+	clear(r.failed)
+	r.lost = false
+}
+
+// Connected records that a connection to a target was opened.
+func (b *Balancer) Connected(t *Target) {
+	b.reachOf(t.service).succeed()
+	b.reachAll.succeed()
+}
+
+// noteUnreachable records that no connection to a target could be made.
+func (b *Balancer) noteUnreachable(t *Target, now time.Duration) {
+	b.reachOf(t.service).fail(t, b.groups[t.service], now)
+	b.reachAll.fail(t, b.groupAll, now)
+}
+
+// countGroups counts the targets of each service, and of all.
+func (b *Balancer) countGroups() {
+	b.groups, b.groupAll = make(map[string]group, len(b.byService)), group{services: len(b.byService)}
+	allDomains := map[string]bool{}
+	for service, listed := range b.byService {
+		domains := map[string]bool{}
+		for _, t := range listed {
+			domains[t.domain], allDomains[t.domain] = true, true
+		}
+		b.groups[service] = group{targets: len(listed), domains: len(domains), services: 1}
+		b.groupAll.targets += len(listed)
+	}
+	b.groupAll.domains = len(allDomains)
+}
+
+func (b *Balancer) reachOf(service string) *reach {
+	r := b.reach[service]
+	if r == nil {
+		r = &reach{}
+		b.reach[service] = r
+	}
+	return r
+}
+
+// OutOfReach reports whether connections to all targets of a service seem to fail. It stays so until
+// one succeeds.
+func (b *Balancer) OutOfReach(service string) bool {
+	if len(b.byService[service]) == 0 {
+		return false
+	}
+	r := b.reach[service]
+	return b.reachAll.lost || r != nil && r.lost
+}
+
+// ServicesOutOfReach returns the number of services that are out of reach.
+func (b *Balancer) ServicesOutOfReach() int {
+	n := 0
+	for service := range b.byService {
+		if b.OutOfReach(service) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -102,6 +102,9 @@
 		result.outcome, result.reason = notSent, reasonUnreachable
 		return result
 	}
+	if !conn.Reused() {
+		req.server.connected(t)
+	}
 	req.sent++
 	req.sentAt = req.server.base.Timers.Now()
 	attemptCtx, cancel := req.boundAttempt(ctx)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -74,8 +74,18 @@
 	runs     map[*run]struct{}
 }
 
+// Option configures a gateway.
+type Option func(*Server)
+
+// WithDial sets how connections to targets are opened, instead of by the operating system.
+func WithDial(dial upstream.Dial) Option {
+	return func(g *Server) {
+		g.pool = upstream.NewPool(g.settings.DialTimeout, maxIdleConns, upstream.WithDial(dial))
+	}
+}
+
 // New returns a gateway without a configuration.
-func New(b base.Base, dialect vanillaward.Dialect, engines vanillaward.Engines, decode Decoder, seed uint64) *Server {
+func New(b base.Base, dialect vanillaward.Dialect, engines vanillaward.Engines, decode Decoder, seed uint64, options ...Option) *Server {
 	s := b.Settings.Gateway
 	random := rand.New(rand.NewPCG(seed, 0))
 	g := &Server{
@@ -84,8 +94,12 @@
 		balancer: balance.New(b.Settings.Instance.FailureDomain, random), unused: make(chan unusedCopy, freeQueue),
 		budgets: map[string]*retry.Budget{}, random: random, runs: map[*run]struct{}{}, crashes: evidence.New(b), exchange: noExchange{},
 	}
+	for _, option := range options {
+		option(g)
+	}
 	b.Metrics.Gauge("vanillaward_gateway_open_requests", func() float64 { return float64(g.open.Load()) })
 	b.Metrics.Gauge("vanillaward_gateway_parts_held_back", func() float64 { return float64(g.crashes.Parts()) })
+	b.Metrics.Gauge("vanillaward_gateway_services_out_of_reach", func() float64 { return float64(g.servicesOutOfReach()) })
 	b.Metrics.Gauge("vanillaward_gateway_configuration_number", func() float64 { return float64(g.Number()) })
 	return g
 }
@@ -303,7 +317,12 @@
 func (g *Server) end(t *balance.Target, tokens int, result balance.Result) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	before := g.balancer.ServicesOutOfReach()
 	g.balancer.End(t, tokens, result, g.base.Timers.Now())
+	if result == balance.Unreachable {
+		g.base.Metrics.Connection(false)
+		g.logReach(t, before)
+	}
 }
 
 // endPrefill removes the tokens of a prompt that a target has processed, or will not.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -19,6 +19,7 @@
 	"github.com/vanillaward/vanillaward/internal/control"
 	"github.com/vanillaward/vanillaward/internal/entry"
 	"github.com/vanillaward/vanillaward/internal/evidence"
+	"github.com/vanillaward/vanillaward/internal/gateway"
 	"github.com/vanillaward/vanillaward/internal/idempotency"
 	"github.com/vanillaward/vanillaward/internal/inifile"
 	"github.com/vanillaward/vanillaward/internal/orders"
@@ -50,11 +51,20 @@
 	guard     *idempotency.Guard
 	recorder  *trace.Recorder
 	traceFile *os.File
+	gateway   []gateway.Option
+}
+
+// Option configures an instance.
+type Option func(*Instance)
+
+// WithGateway sets options of the gateway, if the instance is one.
+func WithGateway(options ...gateway.Option) Option {
+	return func(i *Instance) { i.gateway = append(i.gateway, options...) }
 }
 
 // New returns an instance with the given settings, which Run starts. It returns
 // an error if the credentials cannot be loaded or the trace file cannot be opened.
-func New(s *settings.Settings) (*Instance, error) {
+func New(s *settings.Settings, options ...Option) (*Instance, error) {
 	creds := peer.PlainCredentials()
 	if s.Instance.Credentials != "" {
 		var err error
@@ -77,6 +87,9 @@
 		store:  config.NewStore(),
 		server: peer.NewServer(log, creds, traffic),
 	}
+	for _, option := range options {
+		option(i)
+	}
 	i.base.Metrics.Gauge("vanillaward_log_lines_dropped", func() float64 { return float64(logs.Dropped()) })
 	i.base.Metrics.Gauge("vanillaward_peer_sent_bytes", func() float64 { return float64(traffic.Sent()) })
 	i.base.Metrics.Gauge("vanillaward_peer_received_bytes", func() float64 { return float64(traffic.Received()) })
--- a/internal/instance/seeded.go
+++ b/internal/instance/seeded.go
@@ -199,7 +199,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := gateway.New(s.base, platform.Dialect{}, platform.NewEngines(), platform.DecodeConfig, randomSeed())
+	g := gateway.New(s.base, platform.Dialect{}, platform.NewEngines(), platform.DecodeConfig, randomSeed(), s.gateway...)
 	follower := follow.New(s.base.Log, s.base.Timers, s.peers, cfg.Instance.Name, cfg.Instance.FailureDomain, s.seeds.Peers, g)
 	g.UseExchange(follower)
 	mux := http.NewServeMux()
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -131,6 +131,15 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_target_statements_total{statement=%q}", statement)).Inc()
 }
 
+// Connection counts an attempt to open a connection to a target.
+func (m *Metrics) Connection(opened bool) {
+	result := "failed"
+	if opened {
+		result = "opened"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_target_connections_total{result=%q}", result)).Inc()
+}
+
 // Refusal counts a refusal by its reason.
 func (m *Metrics) Refusal(reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_refusals_total{reason=%q}", reason)).Inc()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -80,6 +80,9 @@
 	return answer == Named || answer == Unnamed && !c.reused
 }
 
+// Reused reports whether the connection has carried another request before.
+func (c *Conn) Reused() bool { return c.reused }
+
 // Request is a request to a target. Header must not contain Host, Content-Length
 // or Transfer-Encoding.
 type Request struct {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -32,6 +32,7 @@
 // connection had the same name: so no connection carries two requests with the same name, and one
 // without a name has a connection of its own.
 type Pool struct {
+	open        Dial
 	dialTimeout time.Duration
 	maxIdle     int
 	seed        maphash.Seed // of the hashes of requests
@@ -40,10 +41,25 @@
 	idle map[string][]*Conn
 }
 
+// Dial opens a connection to an address.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Option configures a pool.
+type Option func(*Pool)
+
+// WithDial sets how connections are opened, instead of by the operating system.
+func WithDial(dial Dial) Option { return func(p *Pool) { p.open = dial } }
+
 // NewPool returns an empty pool that keeps at most maxIdle idle connections per
 // target.
-func NewPool(dialTimeout time.Duration, maxIdle int) *Pool {
-	return &Pool{dialTimeout: dialTimeout, maxIdle: maxIdle, seed: maphash.MakeSeed(), idle: map[string][]*Conn{}}
+func NewPool(dialTimeout time.Duration, maxIdle int, options ...Option) *Pool {
+	p := &Pool{
+		open: (&net.Dialer{}).DialContext, dialTimeout: dialTimeout, maxIdle: maxIdle, seed: maphash.MakeSeed(), idle: map[string][]*Conn{},
+	}
+	for _, option := range options {
+		option(p)
+	}
+	return p
 }
 
 // Get returns an idle or new connection, for a request with the given name, to the target with the
@@ -67,8 +83,9 @@
 }
 
 func (p *Pool) dial(ctx context.Context, key, address string) (*Conn, error) {
-	dialer := net.Dialer{Timeout: p.dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout)
+	defer cancel()
+	conn, err := p.open(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(ErrUnreachable, err.Error())
 	}
