Gateway: requests at an instance without targets are served by another instance

Cause: an instance knew one way to a target, its own connection. The class: a decision by what one instance sees, where the answer lies with the others. Ruled out: slow detection alone (0 of 498 connections succeeded), harm to the others. Change: an instance that notices the loss hands requests over to another one, on a listener of its own, with the number of the configuration, the targets it was sent to and whether a retry budget has counted it. The other one serves it as if it had come there, never hands it on, and says whether it was sent to no target (declined), so that a third one may serve it. Targets out of reach are probed every 250 ms, one at a time; probes' connections are kept.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -221,6 +221,14 @@
 	return best
 }
 
+// ByIdentity returns the listed target with an identity, or nil if there is none or more than one.
+func (b *Balancer) ByIdentity(id string) *Target {
+	if listed := b.byID[id]; len(listed) == 1 {
+		return listed[0]
+	}
+	return nil
+}
+
 func (b *Balancer) isListed(t *Target) bool { return b.targets[t.key()] == t }
 
 // Leaving reports whether a target is leaving or no longer listed.
--- a/internal/balance/reach.go
+++ b/internal/balance/reach.go
@@ -20,6 +20,7 @@
 type reach struct {
 	failed map[target.Key]failedConnection // since the last connection that succeeded
 	lost   bool
+	probes int // since the loss
 }
 
 // failedConnection is the last connection to a target, which failed.
@@ -52,7 +53,7 @@
 
 func (r *reach) succeed() {
 	clear(r.failed)
-	r.lost = false
+	r.lost, r.probes = false, 0
 }
 
 // Connected records that a connection to a target was opened.
@@ -101,13 +102,39 @@
 	return b.reachAll.lost || r != nil && r.lost
 }
 
-// ServicesOutOfReach returns the number of services that are out of reach.
-func (b *Balancer) ServicesOutOfReach() int {
-	n := 0
+// NextProbe returns the target of a service that is out of reach to which a connection should be tried
+// next: one after another, but those first that are not known to be leaving. It is nil if there is none.
+func (b *Balancer) NextProbe(service string, now time.Duration) *Target {
+	if !b.OutOfReach(service) {
+		return nil
+	}
+	r := b.reachOf(service)
+	listed := b.byService[service]
+	for range listed {
+		t := listed[r.probes%len(listed)]
+		r.probes++
+		if !t.isLeaving(now) {
+			return t
+		}
+	}
+	return nil
+}
+
+// ProbeFailed records that a connection for NextProbe failed.
+func (b *Balancer) ProbeFailed(t *Target, now time.Duration) { b.noteUnreachable(t, now) }
+
+// ListedOutOfReach returns the services that are out of reach.
+func (b *Balancer) ListedOutOfReach() []string {
+	var out []string
 	for service := range b.byService {
 		if b.OutOfReach(service) {
-			n++
+			out = append(out, service)
 		}
 	}
-	return n
+	return out
+}
+
+// ServicesOutOfReach returns the number of services that are out of reach.
+func (b *Balancer) ServicesOutOfReach() int {
+	return len(b.ListedOutOfReach())
 }
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -95,6 +95,7 @@
 	Version uint64 `json:"version"`
 	LagMs   int64  `json:"lag-ms"`
 	SeenMs  int64  `json:"seen-ms-ago"`
+	Lacks   bool   `json:"lacks-targets"`
 }
 
 type orderReport struct {
@@ -122,7 +123,7 @@
 		})
 	}
 	for _, i := range s.GetInstances() {
-		out.Instances = append(out.Instances, instanceReport{i.GetName(), i.GetFailureDomain(), i.GetVersion(), i.GetLagMs(), i.GetSeenMsAgo()})
+		out.Instances = append(out.Instances, instanceReport{i.GetName(), i.GetFailureDomain(), i.GetVersion(), i.GetLagMs(), i.GetSeenMsAgo(), i.GetLacksTargets()})
 	}
 	for _, o := range s.GetOrders() {
 		out.Orders = append(out.Orders, orderReport{o.GetTarget(), o.GetState(), o.GetFence(), o.GetIssuer()})
@@ -140,7 +141,11 @@
 		if i.LagMs > 0 {
 			lag = ", behind for " + (time.Duration(i.LagMs) * time.Millisecond).String()
 		}
-		writeLine(w, "instance %-14s %-14s version %d%s, seen %d ms ago", i.Name, i.Domain, i.Version, lag, i.SeenMs)
+		lacks := ""
+		if i.Lacks {
+			lacks = ", lacks targets"
+		}
+		writeLine(w, "instance %-14s %-14s version %d%s, seen %d ms ago%s", i.Name, i.Domain, i.Version, lag, i.SeenMs, lacks)
 	}
 	for _, o := range s.Orders {
 		writeLine(w, "order    %-14s %s, fence %d, by %s", o.Target, o.Order, o.Fence, o.Issuer)
--- a/internal/control/documents.go
+++ b/internal/control/documents.go
@@ -122,6 +122,7 @@
 	s := c.service
 	s.recordFollower(request)
 	s.uses.update(request.GetInstance(), request.GetUses(), s.timers.Now())
+	s.helpers.update(request, s.timers.Now())
 	s.evidence.merge(request.GetEvidence(), s.timers.Now())
 	wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, maxFollowWait)
 	got := s.publisher.Await(s.ctx, request, wait, s.timers.Now)
@@ -140,6 +141,9 @@
 	answer.ListChanged, answer.ListAgeMs = got.GetListChanged(), got.GetListAgeMs()
 	answer.Loads, answer.LoadsVersion = got.GetLoads(), got.GetLoadsVersion()
 	answer.Followers = uint32(s.followers())
+	if request.GetAsksForHelpers() {
+		answer.Helpers = s.helpers.choose(request.GetInstance(), request.GetFailureDomain(), s.timers.Now())
+	}
 	s.evidence.answer(request, answer, s.timers.Now())
 	return nil
 }
@@ -162,7 +166,7 @@
 	now := s.timers.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.watchers[r.GetInstance()] = watcher{domain: r.GetFailureDomain(), version: r.GetDocument(), lastSeen: now}
+	s.watchers[r.GetInstance()] = watcher{domain: r.GetFailureDomain(), version: r.GetDocument(), lastSeen: now, lacks: r.GetLacksTargets()}
 	if now-s.lastPrune > pruneInterval {
 		s.lastPrune = now
 		s.prune(now)
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -76,15 +76,37 @@
 	MergeEvidence(e *wire.Evidence)
 }
 
+// Helping is how an instance helps others that have lost their targets, and is helped.
+type Helping interface {
+	// HelpAddress returns the address at which the instance takes requests of others, empty if it
+	// takes none at present.
+	HelpAddress() string
+	// LacksTargets reports whether the instance cannot reach the targets of some service.
+	LacksTargets() bool
+	// WantsHelpers reports whether the instance is to be told of its helpers.
+	WantsHelpers() bool
+	// UpdateHelpers replaces the addresses of the instances that requests can be handed over to.
+	UpdateHelpers(addresses []string)
+}
+
+// noHelping is the helping of an instance that neither helps nor is helped.
+type noHelping struct{}
+
+func (noHelping) HelpAddress() string    { return "" }
+func (noHelping) LacksTargets() bool     { return false }
+func (noHelping) WantsHelpers() bool     { return false }
+func (noHelping) UpdateHelpers([]string) {}
+
 // Follower follows replicas, starting from seeds.
 type Follower struct {
-	log    logr.Logger
-	timers vanillaward.Timers
-	peers  *peer.Pool
-	name   string
-	domain string
-	seeds  func() []string
-	sink   Sink
+	log     logr.Logger
+	timers  vanillaward.Timers
+	peers   *peer.Pool
+	name    string
+	domain  string
+	seeds   func() []string
+	sink    Sink
+	helping Helping
 
 	documents documents
 	refresher *refresher
@@ -118,13 +140,16 @@
 // seeds returns peer addresses of some replicas.
 func New(log logr.Logger, timers vanillaward.Timers, peers *peer.Pool, name, domain string, seeds func() []string, sink Sink) *Follower {
 	return &Follower{
-		log: log, timers: timers, peers: peers, name: name, domain: domain, seeds: seeds, sink: sink,
+		log: log, timers: timers, peers: peers, name: name, domain: domain, seeds: seeds, sink: sink, helping: noHelping{},
 		usesInterval: minUsesInterval, followed: map[string]bool{}, lists: map[string]*targetList{}, exchanges: map[string]*exchange{},
 		statuses: map[string]string{}, currentAt: timers.Now(), heard: map[string]uint64{},
 		documents: documents{news: make(chan struct{}, 1)}, refresher: newRefresher(),
 	}
 }
 
+// UseHelping sets how the instance helps others. It must be called before Run.
+func (f *Follower) UseHelping(h Helping) { f.helping = h }
+
 // Run follows replicas until the context ends. It sends nil on the returned channel
 // when all goroutines have stopped.
 func (f *Follower) Run(ctx context.Context) <-chan error {
@@ -234,7 +259,7 @@
 func (f *Follower) poll(ctx context.Context, client *peer.Client, address string, first bool) (*wire.FollowResponse, error) {
 	request := &wire.FollowRequest{
 		Instance: f.name, FailureDomain: f.domain, Document: f.sink.Number(), WaitMs: uint64(longPollWait.Milliseconds()),
-		FetchesDocuments: true,
+		FetchesDocuments: true, LacksTargets: f.helping.LacksTargets(),
 	}
 	f.mu.Lock()
 	request.DocumentHeard = f.heard[address]
@@ -255,6 +280,7 @@
 		}
 		f.refresher.begin()
 		request.Uses = f.sink.LocalUses()
+		request.HelpAddress, request.AsksForHelpers = f.helping.HelpAddress(), f.helping.WantsHelpers()
 	}
 	sent := f.addEvidence(address, request)
 	ctx, cancel := context.WithTimeout(ctx, maxPollTime)
@@ -264,6 +290,10 @@
 		return nil, err
 	}
 	f.handleEvidence(address, sent, resp)
+	// A new leader knows of nobody yet; what was known before is better than nothing.
+	if helpers := validAddresses(resp.GetHelpers()); len(helpers) > 0 {
+		f.helping.UpdateHelpers(helpers)
+	}
 	return resp, nil
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -315,17 +315,7 @@
 // passThrough gives the caller an answer that is too long to be buffered, as it arrives.
 func (req *request) passThrough(ctx context.Context, t *balance.Target, conn *upstream.Conn, response *http.Response, info vanillaward.TargetAnswer, first []byte, result *attemptResult) balance.Result {
 	result.outcome = delivered
-	req.copyHeader(response.Header)
-	if response.ContentLength >= 0 {
-		req.w.Header().Set("Content-Length", response.Header.Get("Content-Length"))
-	}
-	req.w.WriteHeader(response.StatusCode)
-	req.status = response.StatusCode
-	_, err := req.w.Write(first)
-	if err == nil {
-		_, err = io.Copy(req.w, response.Body)
-	}
-	if err != nil {
+	if err := req.writeLong(response, first); err != nil {
 		conn.Close()
 		req.noteCrash(ctx, t, err)
 		req.abortAnswer()
@@ -337,6 +327,21 @@
 	return balance.Served
 }
 
+// writeLong gives the caller an answer of which the first part was read, as it arrives.
+func (req *request) writeLong(response *http.Response, first []byte) error {
+	req.copyHeader(response.Header)
+	if response.ContentLength >= 0 {
+		req.w.Header().Set("Content-Length", response.Header.Get("Content-Length"))
+	}
+	req.w.WriteHeader(response.StatusCode)
+	req.status = response.StatusCode
+	if _, err := req.w.Write(first); err != nil {
+		return err
+	}
+	_, err := io.Copy(req.w, response.Body)
+	return err
+}
+
 // abortAnswer makes sure that a truncated answer does not look complete to the caller.
 func (req *request) abortAnswer() {
 	req.reason = reasonCutOff
@@ -400,6 +405,7 @@
 	if from.Get("Content-Type") == "" {
 		to["Content-Type"] = nil // net/http would guess one
 	}
+	req.markTakenOver("")
 }
 
 // outgoing returns the request as it is sent to the target.
@@ -411,6 +417,11 @@
 		Remaining: max(time.Millisecond, req.left()), Target: t.ID(), Organisation: req.org,
 		Urgency: req.urgency(), Generation: req.route.Generation(), CopyHolder: req.server.copyHolderAddress(r), Resume: resume,
 	})
+	return req.withHeader(h)
+}
+
+// withHeader returns the request with other headers than the caller's.
+func (req *request) withHeader(h http.Header) *upstream.Request {
 	return &upstream.Request{
 		Method: req.r.Method, URI: req.r.RequestURI, Host: req.r.Host, Header: h, Body: req.body,
 		HasBody: len(req.body) > 0 || req.r.ContentLength == 0 && req.r.Header.Get("Content-Length") != "",
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -174,19 +174,25 @@
 	return route.Limits{}
 }
 
-// Run serves callers until the context ends, or until the graceful stop is complete that
-// closing the channel stop begins. It then sends its result on the returned channel.
-func (g *Server) Run(ctx context.Context, listener net.Listener, stop <-chan struct{}) <-chan error {
+// Run serves callers, and other instances at the listener takeover unless that is nil, until the
+// context ends, or until the graceful stop is complete that closing the channel stop begins. It then
+// sends its result on the returned channel.
+func (g *Server) Run(ctx context.Context, listener, takeover net.Listener, stop <-chan struct{}) <-chan error {
+	endTakeover := func() {}
+	if takeover != nil {
+		endTakeover = g.runTakeover(takeover)
+	}
 	front := newFrontend(g.base.Log, http.HandlerFunc(g.serve), g.currentLimits)
 	done := make(chan error, 1)
 	ended := make(chan struct{})
 	backgroundCtx, cancel := context.WithCancel(context.WithoutCancel(ctx)) // ends after the last request
-	background := []<-chan error{g.expireConns(backgroundCtx), g.freeCopies(backgroundCtx)}
+	background := []<-chan error{g.expireConns(backgroundCtx), g.freeCopies(backgroundCtx), g.probeTargets(backgroundCtx)}
 	go func() {
 		defer close(ended)
 		g.awaitStop(ctx, stop)
 		_ = listener.Close() // makes accept return
 		front.close()
+		endTakeover()
 	}()
 	go func() {
 		front.accept(listener)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -20,6 +21,7 @@
 	"github.com/vanillaward/vanillaward/internal/base"
 	"github.com/vanillaward/vanillaward/internal/gateway"
 	"github.com/vanillaward/vanillaward/internal/inifile"
+	"github.com/vanillaward/vanillaward/internal/peer"
 	"github.com/vanillaward/vanillaward/internal/route"
 	"github.com/vanillaward/vanillaward/internal/settings"
 	"github.com/vanillaward/vanillaward/internal/telemetry"
@@ -43,6 +45,8 @@
 	stop    chan struct{}
 	end     <-chan error
 	engines *engines
+	// takeover is the address for requests of other gateways.
+	takeover string
 }
 
 var kinds = map[string]route.Kind{"idempotent": route.Idempotent, "once": route.Once, "stream": route.Stream}
@@ -74,14 +78,17 @@
 	s.Gateway.StopDelay = 2 * time.Second
 	s.Gateway.DialTimeout = testDialTimeout
 	s.Instance.FailureDomain = ownDomain
-	b := base.Base{Log: logr.Discard(), Settings: s, Timers: timer.New(), Metrics: telemetry.NewMetrics()}
-	r := &rig{stop: make(chan struct{}), engines: &engines{}}
+	takeover, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s.Listen.Handover = netip.MustParseAddrPort(takeover.Addr().String())
+	b := base.Base{Log: logr.Discard(), Settings: s, Timers: timer.New(), Metrics: telemetry.NewMetrics(), Credentials: peer.PlainCredentials()}
+	r := &rig{stop: make(chan struct{}), engines: &engines{}, takeover: takeover.Addr().String()}
 	r.gateway = gateway.New(b, dialect{}, r.engines, func([]byte) (*route.Configuration, error) { return c, nil }, 1)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	r.address = listener.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
-	r.end = r.gateway.Run(ctx, listener, r.stop)
+	r.end = r.gateway.Run(ctx, listener, takeover, r.stop)
 	t.Cleanup(func() {
 		cancel()
 		require.NoError(t, <-r.end)
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -1,6 +1,11 @@
 package gateway
 
-import "github.com/vanillaward/vanillaward/internal/balance"
+import (
+	"context"
+	"time"
+
+	"github.com/vanillaward/vanillaward/internal/balance"
+)
 
 // connected records that a connection to a target was opened.
 func (g *Server) connected(t *balance.Target) {
@@ -29,3 +34,60 @@
 	defer g.mu.Unlock()
 	return g.balancer.ServicesOutOfReach()
 }
+
+// outOfReach reports whether the targets of a service are out of reach.
+func (g *Server) outOfReach(service string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.balancer.OutOfReach(service)
+}
+
+// outOfReachServices returns the services that are out of reach.
+func (g *Server) outOfReachServices() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.balancer.ListedOutOfReach()
+}
+
+// targetByIdentity returns the listed target with an identity, or nil.
+func (g *Server) targetByIdentity(id string) *balance.Target {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.balancer.ByIdentity(id)
+}
+
+// probeInterval is the interval at which connections to targets that are out of reach are tried.
+const probeInterval = 250 * time.Millisecond
+
+// probeTargets tries to reach targets that are out of reach, until the context ends, and then sends nil
+// on the returned channel.
+func (g *Server) probeTargets(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		for range g.base.Timers.Subscribe(ctx, probeInterval) {
+			for _, service := range g.outOfReachServices() {
+				g.probe(ctx, service)
+			}
+		}
+		done <- nil
+	}()
+	return done
+}
+
+// probe tries to reach the next target of a service that is out of reach.
+func (g *Server) probe(ctx context.Context, service string) {
+	g.mu.Lock()
+	t := g.balancer.NextProbe(service, g.base.Timers.Now())
+	g.mu.Unlock()
+	if t == nil {
+		return
+	}
+	if err := g.pool.Connect(ctx, t.ID(), t.Address()); err == nil {
+		g.connected(t)
+		return
+	}
+	g.base.Metrics.Connection(false)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.ProbeFailed(t, g.base.Timers.Now())
+}
--- a/internal/gateway/reason.go
+++ b/internal/gateway/reason.go
@@ -34,6 +34,7 @@
 	reasonCrowded      reason = "crowded"           // no engine has enough free memory
 	reasonPartHeldBack reason = "part-held-back"    // engines crash on a part of the prompt
 	reasonHeldBack     reason = "request-held-back" // targets crash on the request
+	reasonBehind       reason = "behind"            // the request was accepted by a newer configuration, at another instance
 	reasonMisdirected  reason = "misdirected"       // another target answered at the address of the last one
 )
 
@@ -67,6 +68,7 @@
 	reasonCrowded:      {status: http.StatusServiceUnavailable, retryAfter: 800 * time.Millisecond},
 	reasonPartHeldBack: {status: http.StatusServiceUnavailable, retryAfter: 10 * time.Second},
 	reasonHeldBack:     {status: http.StatusServiceUnavailable, retryAfter: 10 * time.Second},
+	reasonBehind:       {status: http.StatusServiceUnavailable, retryAfter: 150 * time.Millisecond},
 	reasonMisdirected:  {status: http.StatusServiceUnavailable, retryAfter: 50 * time.Millisecond},
 }
 
@@ -83,6 +85,7 @@
 		h.Set("Connection", "close")
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	req.markTakenOver(why)
 	req.w.WriteHeader(answer.status)
 	_, _ = req.w.Write([]byte(string(why) + "\n")) // fails only if the caller has disconnected
 	return false
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/vanillaward/vanillaward"
+	"github.com/vanillaward/vanillaward/internal/handover"
 	"github.com/vanillaward/vanillaward/internal/quarantine"
 	"github.com/vanillaward/vanillaward/internal/route"
 	"github.com/vanillaward/vanillaward/internal/upstream"
@@ -50,17 +51,23 @@
 	stream      stream
 	reason      reason
 	status      int
-	aborted     bool // the caller's connection must be closed before the end of the answer
+	aborted     bool            // the caller's connection must be closed before the end of the answer
+	terms       *handover.Terms // of a request that another instance has handed over; nil for a caller's
+	helper      string          // the instance that this one has handed the request over to
+	counted     bool            // the retry budget has it among its requests
 	// comeBack is how long the caller of a refused request should wait, if that is known better
 	// than from the reason alone.
 	comeBack time.Duration
 }
 
-// serve handles one request.
-func (g *Server) serve(w http.ResponseWriter, r *http.Request) {
+// serve handles a request of a caller.
+func (g *Server) serve(w http.ResponseWriter, r *http.Request) { g.handle(w, r, nil) }
+
+// handle handles a request of a caller, or one that another instance has handed over on the given terms.
+func (g *Server) handle(w http.ResponseWriter, r *http.Request, terms *handover.Terms) {
 	g.open.Add(1)
 	defer g.open.Add(-1)
-	req := &request{server: g, w: w, r: r, arrived: g.base.Timers.Now(), table: g.table.Load()}
+	req := &request{server: g, w: w, r: r, arrived: g.base.Timers.Now(), table: g.table.Load(), terms: terms}
 	req.caller = g.dialect.ReadRequest(r.Header)
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -80,6 +87,9 @@
 	if int(req.server.open.Load()) > req.server.settings.MaxOpen {
 		return req.refuse(reasonBusy)
 	}
+	if !req.acceptTerms() {
+		return false
+	}
 	if limit := req.table.Limits().HeaderBytes; limit > 0 && headSize(req.r) > limit {
 		return req.refuse(reasonHeadTooLarge)
 	}
@@ -157,7 +167,13 @@
 // admit decides whether the request is worth starting. It reports false after a refusal.
 func (req *request) admit() bool {
 	req.service = req.route.Pick(req.server.randomFloat())
-	req.server.countRequest(req.service)
+	outOfReach := req.server.outOfReach(req.service)
+	if outOfReach && req.terms != nil {
+		return req.refuse(reasonUnreachable)
+	}
+	if !outOfReach { // otherwise the instance that serves it does
+		req.count()
+	}
 	if req.left() <= 0 {
 		return req.refuse(reasonTooLate)
 	}
@@ -170,6 +186,14 @@
 	return true
 }
 
+// count counts the request, once, for the retry budget of its service.
+func (req *request) count() {
+	if !req.counted {
+		req.counted = true
+		req.server.countRequest(req.service)
+	}
+}
+
 // endsInTime reports whether the request will end before the stopping gateway does.
 // Shortly after the stop begins, callers cannot know of it yet and new requests cannot reach
 // the other instances any sooner, so it suffices that the request is likely to end in time.
@@ -215,6 +239,10 @@
 	req.identity = quarantine.NewRequest(cmp.Or(req.org, req.caller.Key), req.r.Method, req.r.Host, req.r.RequestURI, req.body, req.caller.SharedParts)
 	var avoid []string
 	for {
+		if req.server.outOfReach(req.service) && req.handOver(ctx) {
+			return
+		}
+		req.count()
 		a := req.attempt(ctx, avoid)
 		switch a.outcome {
 		case delivered:
@@ -231,7 +259,9 @@
 		req.server.base.Log.Info("attempt ended", "request", req.caller.ID, "target", a.target, "result", a.outcome.String(),
 			"reason", string(a.reason), "status", a.status(), "again", retrying, "left-ms", req.left().Milliseconds())
 		if !retrying {
-			req.fail(ctx, a)
+			if a.outcome != notSent || !req.handOver(ctx) {
+				req.fail(ctx, a)
+			}
 			return
 		}
 	}
@@ -312,6 +342,9 @@
 		g.base.Metrics.Class(name, req.org).Update(took.Seconds())
 	}
 	g.base.Metrics.Outcome(name, string(req.reason))
+	if req.terms != nil {
+		g.base.Metrics.TakenOver(string(req.reason))
+	}
 	if req.framing != "" {
 		g.base.Metrics.AnswerEnd(string(req.framing), string(req.reason))
 	}
@@ -323,7 +356,8 @@
 		"target", req.target, "sent", req.sent, "maybe-run", req.maybeRun, "status", req.status, "events", req.stream.passed, "resumed", req.stream.resumed,
 		"framing", string(req.framing), "unfinished-bytes", req.stream.unfinished,
 		"first-ms", req.stream.timeToFirst.Milliseconds(), "longest-gap-ms", req.stream.longestGap.Milliseconds(),
-		"outcome", string(req.reason), "configuration", number, "budget-ms", req.caller.Budget.Milliseconds(),
+		"outcome", string(req.reason), "helper", req.helper, "taken-over", req.terms != nil,
+		"configuration", number, "budget-ms", req.caller.Budget.Milliseconds(),
 		"took-ms", took.Milliseconds())
 	if req.aborted {
 		req.abortConn()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -18,6 +18,7 @@
 	"github.com/vanillaward/vanillaward/internal/balance"
 	"github.com/vanillaward/vanillaward/internal/base"
 	"github.com/vanillaward/vanillaward/internal/evidence"
+	"github.com/vanillaward/vanillaward/internal/handover"
 	"github.com/vanillaward/vanillaward/internal/retry"
 	"github.com/vanillaward/vanillaward/internal/route"
 	"github.com/vanillaward/vanillaward/internal/settings"
@@ -30,6 +31,8 @@
 	expireInterval = time.Second
 	// maxIdleConns bounds the idle connections to one target.
 	maxIdleConns = 4
+	// maxHelperConns bounds the idle connections to one other instance.
+	maxHelperConns = 16
 )
 
 // Decoder decodes the body of a document into a configuration. Server.Install returns its
@@ -58,12 +61,15 @@
 	engines  vanillaward.Engines
 	decode   Decoder
 	pool     *upstream.Pool
-	unused   chan unusedCopy
-	crashes  *evidence.Ledger
-	exchange UsesExchange
+	// helperPool holds the connections to other instances, nil without credentials.
+	helperPool *upstream.Pool
+	unused     chan unusedCopy
+	crashes    *evidence.Ledger
+	exchange   UsesExchange
 
 	table        atomic.Pointer[route.Table]
 	open         atomic.Int64 // requests that are being served
+	takenOver    atomic.Int64 // those of them that other instances have handed over
 	stopping     atomic.Bool
 	stopDeadline atomic.Int64 // when a stopping gateway closes its connections at the latest, in ns of the timers' clock
 
@@ -72,6 +78,7 @@
 	budgets  map[string]*retry.Budget
 	random   *rand.Rand
 	runs     map[*run]struct{}
+	helpers  handover.Helpers
 }
 
 // Option configures a gateway.
@@ -94,6 +101,9 @@
 		balancer: balance.New(b.Settings.Instance.FailureDomain, random), unused: make(chan unusedCopy, freeQueue),
 		budgets: map[string]*retry.Budget{}, random: random, runs: map[*run]struct{}{}, crashes: evidence.New(b), exchange: noExchange{},
 	}
+	if b.Credentials != nil {
+		g.helperPool = upstream.NewPool(helperDialTimeout, maxHelperConns, upstream.WithDial(b.Credentials.Dial))
+	}
 	for _, option := range options {
 		option(g)
 	}
@@ -227,6 +237,9 @@
 	go func() {
 		for range g.base.Timers.Subscribe(ctx, expireInterval) {
 			g.pool.Expire()
+			if g.helperPool != nil {
+				g.helperPool.Expire()
+			}
 		}
 		done <- nil
 	}()
--- a/internal/gateway/standin_test.go
+++ b/internal/gateway/standin_test.go
@@ -68,6 +68,10 @@
 	}
 }
 
+func (dialect) SetBudget(h http.Header, remaining time.Duration) {
+	h.Set(testBudget, strconv.FormatInt(remaining.Milliseconds(), 10))
+}
+
 func (dialect) ReadAnswer(_ int, h http.Header) vanillaward.TargetAnswer {
 	wait, _ := strconv.Atoi(h.Get(testWait))
 	keep, _ := strconv.Atoi(h.Get(testKeep))
--- a/internal/instance/seeded.go
+++ b/internal/instance/seeded.go
@@ -202,6 +202,13 @@
 	g := gateway.New(s.base, platform.Dialect{}, platform.NewEngines(), platform.DecodeConfig, randomSeed(), s.gateway...)
 	follower := follow.New(s.base.Log, s.base.Timers, s.peers, cfg.Instance.Name, cfg.Instance.FailureDomain, s.seeds.Peers, g)
 	g.UseExchange(follower)
+	follower.UseHelping(g)
+	var takeover net.Listener
+	if cfg.Listen.Handover.IsValid() {
+		if takeover, err = listen(cfg.Listen.Handover.String()); err != nil {
+			return nil, err
+		}
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.PathReadiness, func(w http.ResponseWriter, _ *http.Request) {
 		if !g.Ready() {
@@ -210,7 +217,7 @@
 	})
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: healthHeaderTimeout, IdleTimeout: readinessIdleTimeout}
 	s.componentsDone = append(s.componentsDone, follower.Run(ctx), serveHTTP(ctx, readiness, server))
-	return g.Run(ctx, callers, stop), nil
+	return g.Run(ctx, callers, takeover, stop), nil
 }
 
 // serveHTTP serves until the context is cancelled. The returned channel then
--- a/internal/peer/credentials.go
+++ b/internal/peer/credentials.go
@@ -117,6 +117,26 @@
 	return (&tls.Dialer{NetDialer: &c.dialer, Config: c.client()}).DialContext(ctx, "tcp", address)
 }
 
+// Dial connects to the address of another process of the system, as its peer.
+func (c *Credentials) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	return c.connect(ctx, address)
+}
+
+// Listen returns a listener whose connections are those of the given one, authenticated where the
+// credentials are not plain.
+func (c *Credentials) Listen(listener net.Listener) net.Listener {
+	if c.plain {
+		return listener
+	}
+	return tls.NewListener(listener, c.server())
+}
+
+// IsInstance reports whether the other side of a connection from Listen is an instance. State is that
+// of the connection, nil without TLS.
+func (c *Credentials) IsInstance(state *tls.ConnectionState) bool {
+	return c.plain || state != nil && callerOf(*state).role == RoleInstance
+}
+
 // authenticate performs the TLS handshake of an incoming connection and returns the
 // authenticated caller.
 func (c *Credentials) authenticate(ctx context.Context, conn net.Conn) (net.Conn, Caller, error) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -61,6 +61,7 @@
 	// Advertised differs from Peers if connections reach the instance through a forwarder.
 	Advertised netip.AddrPort `ini:"advertised-peers" doc:"Address at which the system's own processes reach this one, where that is not the address it listens at."`
 	Source     netip.AddrPort `ini:"source" doc:"Address that connections to the system's own processes come from; port 0 is any port. Empty leaves both to the operating system."`
+	Handover   netip.AddrPort `ini:"handover" doc:"Address at which the role gateway takes requests that other instances hand over to it because they have lost their targets. Without it the instance takes none."`
 	Health     netip.AddrPort `ini:"health" required:"true" doc:"Address for /healthz, /readyz and /metrics."`
 }
 
@@ -270,7 +271,7 @@
 
 // Listeners returns the addresses at which the instance listens.
 func (l *Listen) Listeners() []Listener {
-	all := []Listener{{"callers", l.Callers}, {"readiness", l.Readiness}, {"operators", l.Operators}, {"peers", l.Peers}, {"health", l.Health}}
+	all := []Listener{{"callers", l.Callers}, {"readiness", l.Readiness}, {"operators", l.Operators}, {"peers", l.Peers}, {"handover", l.Handover}, {"health", l.Health}}
 	return slices.DeleteFunc(all, func(listener Listener) bool { return !listener.Address.IsValid() })
 }
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -140,6 +140,16 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_target_connections_total{result=%q}", result)).Inc()
 }
 
+// HandedOver counts a request that was handed over to another instance, by how that ended.
+func (m *Metrics) HandedOver(end string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_handed_over_total{end=%q}", end)).Inc()
+}
+
+// TakenOver counts a request that another instance handed over to this one, by its outcome.
+func (m *Metrics) TakenOver(outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_taken_over_total{outcome=%q}", outcome)).Inc()
+}
+
 // Refusal counts a refusal by its reason.
 func (m *Metrics) Refusal(reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_refusals_total{reason=%q}", reason)).Inc()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -82,6 +82,29 @@
 	return c, nil
 }
 
+// Connect opens an idle connection to a target, to see whether that is possible. The error matches
+// ErrUnreachable.
+func (p *Pool) Connect(ctx context.Context, identity, address string) error {
+	c, err := p.dial(ctx, identity+"@"+address, address)
+	if err != nil {
+		return err
+	}
+	c.idleSince, c.idleLimit = time.Now(), defaultKeepAlive
+	p.keep(c)
+	return nil
+}
+
+// keep adds an idle connection, or closes it if there are enough.
+func (p *Pool) keep(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.key]) >= p.maxIdle {
+		c.Close()
+		return
+	}
+	p.idle[c.key] = append(p.idle[c.key], c)
+}
+
 func (p *Pool) dial(ctx context.Context, key, address string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout)
 	defer cancel()
@@ -106,7 +129,7 @@
 			return nil
 		}
 		if now.Sub(c.idleSince) < c.idleLimit && c.stillOpen() {
-			c.reused = true
+			c.reused = len(c.carried) > 0
 			return c
 		}
 		c.Close()
@@ -143,13 +166,7 @@
 	if keep > 0 {
 		c.idleLimit = keep / keepAliveDivisor
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle[c.key]) >= p.maxIdle {
-		c.Close()
-		return
-	}
-	p.idle[c.key] = append(p.idle[c.key], c)
+	p.keep(c)
 }
 
 // Expire closes connections that have been idle for too long, and those that their targets have
--- a/vanillaward.go
+++ b/vanillaward.go
@@ -173,6 +173,9 @@
 	// Forward turns the headers of a caller's request into those for a target.
 	// Headers that the caller may not set are removed.
 	Forward(h http.Header, f Forwarding)
+	// SetBudget replaces what a caller's request says of how long the caller waits from now on. The
+	// request is handed over to another instance, which reads it as the caller's own.
+	SetBudget(h http.Header, remaining time.Duration)
 	// ReadAnswer reads the status and headers of a target's answer.
 	ReadAnswer(status int, h http.Header) TargetAnswer
 	// SetRetryAfter sets the headers by which the caller of a refused request learns how long
