Tests: heads of answers that are cut off at every byte

Cause: a report of another operator: a target stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole. Change: tests only.

--- a/internal/upstream/unpooled_test.go
+++ b/internal/upstream/unpooled_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -86,3 +87,32 @@
 	require.NoError(t, listener.Close())
 	require.Zero(t, send())
 }
+
+// TestUnpooledHeadCutAtEveryByte guards against an answer whose head is cut off being read as a whole one.
+func TestUnpooledHeadCutAtEveryByte(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nOther: 1\r\n\r\n"
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }() // the test is over
+	var bytes atomic.Int64                  // that are sent
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn)) // what arrives is not needed
+			_, _ = conn.Write([]byte(head[:bytes.Load()])) // a failure shows at the reader
+			_ = conn.Close()
+		}
+	}()
+	client := &http.Client{Transport: NewUnpooledTransport(10 * time.Second)}
+	for n := range len(head) {
+		bytes.Store(int64(n))
+		response, err := client.Post("http://"+listener.Addr().String(), "text/plain", strings.NewReader("slot")) //nolint:noctx // bounded by the test
+		if err == nil {
+			_ = response.Body.Close() // the test fails
+		}
+		require.Error(t, err, "after %d of %d bytes", n, len(head))
+	}
+}
