Gateway: a request that comes as a stopping gateway closes its connections is not passed on and cut

Cause: a stopping gateway found that nothing was open and closed all connections. A request that began in between was passed on first, and an answer that was given but had not left its buffer was cut: a request stops being open before net/http has flushed its answer. Ruled out: late requests that are not certain to end, which TestStopLate guards against. Change: a gateway that is about to close refuses what begins then (not run), waits for what began before, and lets answers leave (Shutdown, for 150 ms at most) before it closes. Conclusion: the class is a check of a count apart from the act that relies on it.

--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -97,13 +97,28 @@
 	}
 }
 
-// close closes all connections.
+// flushTimeout bounds how long answers that were given may take to leave when the connections are closed.
+const flushTimeout = 150 * time.Millisecond
+
+// close closes all connections, once the answers on them have left.
 func (f *frontend) close() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.closed = true
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	var closing sync.WaitGroup
 	for _, h := range f.servers {
-		_ = h.server.Close() // connections that are still open are dropped
+		closing.Go(func() { closeServer(ctx, h.server) })
+	}
+	closing.Wait()
+}
+
+// closeServer closes a server's connections, those with an answer that is leaving at the end of the context
+// at the latest.
+func closeServer(ctx context.Context, server *http.Server) {
+	if server.Shutdown(ctx) != nil {
+		_ = server.Close() // connections that are still open are dropped
 	}
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -72,11 +72,18 @@
 }
 
 func newRig(t *testing.T, c *route.Configuration, targets ...*standin) *rig {
+	t.Helper()
+	return newRigWith(t, c, func(*settings.Gateway) {}, targets...)
+}
+
+// newRigWith returns a gateway with settings that a function has changed.
+func newRigWith(t *testing.T, c *route.Configuration, change func(*settings.Gateway), targets ...*standin) *rig {
 	t.Helper()
 	s := &settings.Settings{}
 	require.Empty(t, inifile.Decode(inifile.NewSection("test", "gateway", "", 0), &s.Gateway))
 	s.Gateway.StopDelay = 2 * time.Second
 	s.Gateway.DialTimeout = testDialTimeout
+	change(&s.Gateway)
 	s.Instance.FailureDomain = ownDomain
 	takeover, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -87,6 +87,9 @@
 	if int(req.server.open.Load()) > req.server.settings.MaxOpen {
 		return req.refuse(reasonBusy)
 	}
+	if req.server.closing.Load() {
+		return req.refuse(reasonStopping)
+	}
 	if !req.acceptTerms() {
 		return false
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -71,6 +71,7 @@
 	open         atomic.Int64 // requests that are being served
 	takenOver    atomic.Int64 // those of them that other instances have handed over
 	stopping     atomic.Bool
+	closing      atomic.Bool  // a stopping gateway accepts no request any more
 	stopDeadline atomic.Int64 // when a stopping gateway closes its connections at the latest, in ns of the timers' clock
 
 	mu       sync.Mutex // guards the fields below; never held while another lock is taken
@@ -213,6 +214,13 @@
 			break
 		}
 	}
+	g.closing.Store(true)
+	// What was accepted before is still being served.
+	for range g.base.Timers.Subscribe(ctx, closeCheckInterval) {
+		if g.stopTimeLeft() <= 0 || g.open.Load() == 0 {
+			break
+		}
+	}
 	g.base.Log.Info("stopped serving", "open-requests", g.open.Load())
 }
 
@@ -220,6 +228,9 @@
 	// stopCheckInterval is the interval at which a stopping gateway checks whether it can
 	// close its connections.
 	stopCheckInterval = 50 * time.Millisecond
+	// closeCheckInterval is the interval at which it checks, when it accepts none any more, whether
+	// requests are open.
+	closeCheckInterval = 5 * time.Millisecond
 	// stopMargin is how long before the end of StopGrace, when the process is killed, the
 	// stop deadline is.
 	stopMargin = 200 * time.Millisecond
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"log"
 	"net"
 	"net/http"
@@ -86,7 +87,9 @@
 		}
 	}()
 	return func() {
-		_ = server.Close() // connections that are still open are dropped
+		ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+		defer cancel()
+		closeServer(ctx, server)
 		<-done
 	}
 }
