Gateway: requests that are open at the end of a stop get an answer

What callers saw (here in a test): requests that a stopping gateway had accepted early in its grace, since they were likely to end, were cut with no answer at its end. Cause: the connections were closed at the stop deadline, whatever was open. Change: 200 ms before the deadline open requests are ended: 504 if they may have run, 503 if not; a stream under way is cut off as before. What is accepted late must be certain to end by then.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -203,8 +203,8 @@
 // After likelyEndWindow this must be certain, and only the request's deadline bounds how long it
 // waits at an engine.
 func (req *request) endsInTime() bool {
-	left := req.server.stopTimeLeft()
-	if req.server.settings.StopGrace-stopMargin-left < likelyEndWindow {
+	left := req.server.answerTimeLeft()
+	if req.server.settings.StopGrace-stopMargin-answerMargin-left < likelyEndWindow {
 		return req.likelyTime() <= left
 	}
 	return req.left() <= left
@@ -239,6 +239,7 @@
 func (req *request) run() {
 	ctx, cancel := context.WithTimeout(req.r.Context(), req.left())
 	defer cancel()
+	defer context.AfterFunc(req.server.openRequests, cancel)()
 	req.identity = quarantine.NewRequest(cmp.Or(req.org, req.caller.Key), req.r.Method, req.r.Host, req.r.RequestURI, req.body, req.caller.SharedParts)
 	var avoid []string
 	for {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -71,8 +71,10 @@
 	open         atomic.Int64 // requests that are being served
 	takenOver    atomic.Int64 // those of them that other instances have handed over
 	stopping     atomic.Bool
-	closing      atomic.Bool  // a stopping gateway accepts no request any more
-	stopDeadline atomic.Int64 // when a stopping gateway closes its connections at the latest, in ns of the timers' clock
+	closing      atomic.Bool        // a stopping gateway accepts no request any more
+	openRequests context.Context    //nolint:containedctx // ends when a stopping gateway ends its open requests
+	endRequests  context.CancelFunc // ends openRequests
+	stopDeadline atomic.Int64       // when a stopping gateway closes its connections at the latest, in ns of the timers' clock
 
 	mu       sync.Mutex // guards the fields below; never held while another lock is taken
 	balancer *balance.Balancer
@@ -105,6 +107,7 @@
 	if b.Credentials != nil {
 		g.helperPool = upstream.NewPool(helperDialTimeout, maxHelperConns, upstream.WithDial(b.Credentials.Dial))
 	}
+	g.openRequests, g.endRequests = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(g)
 	}
@@ -206,6 +209,7 @@
 	}
 	start := g.base.Timers.Now()
 	g.stopDeadline.Store(int64(start + g.settings.StopGrace - stopMargin))
+	defer time.AfterFunc(g.answerTimeLeft(), g.endRequests).Stop()
 	g.stopping.Store(true)
 	g.base.Log.Info("stopping", "open-requests", g.open.Load())
 	for range g.base.Timers.Subscribe(ctx, stopCheckInterval) {
@@ -234,8 +238,14 @@
 	// stopMargin is how long before the end of StopGrace, when the process is killed, the
 	// stop deadline is.
 	stopMargin = 200 * time.Millisecond
+	// answerMargin is how long before the stop deadline open requests are ended, so that their
+	// callers are told what is known of them before the connections are closed.
+	answerMargin = 200 * time.Millisecond
 )
 
+// answerTimeLeft returns the time until a stopping gateway ends its open requests.
+func (g *Server) answerTimeLeft() time.Duration { return g.stopTimeLeft() - answerMargin }
+
 // stopTimeLeft returns the time until the stop deadline.
 func (g *Server) stopTimeLeft() time.Duration {
 	return time.Duration(g.stopDeadline.Load()) - g.base.Timers.Now()
