--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -33,7 +33,7 @@
 		req.server.endHandover(helper, end)
 		req.server.base.Log.Info("request handed over", "request", req.caller.ID, "helper", helper, "result", end.String(), "reason", why,
 			"left-ms", req.left().Milliseconds(), "took-ms", (req.server.base.Timers.Now() - begun).Milliseconds())
-		if end == handover.Served || end == handover.Broken || end == handover.Abandoned {
+		if end.Taken() {
 			req.helper = helper
 			return true
 		}
@@ -161,18 +161,18 @@
 // failHandover ends a request whose handover failed after it may have been sent, unless its answer has
 // been begun.
 func (req *request) failHandover(ctx context.Context, err error) (handover.End, string) {
-	why := err.Error()
-	if req.aborted {
-		if req.reason == reasonCallerLeft {
-			return handover.Abandoned, why
-		}
-		return handover.Broken, why
-	}
-	req.fail(ctx, attemptResult{outcome: failed, reason: reasonUnreachable})
-	if req.reason == reasonCallerLeft || !req.maybeRun {
-		return handover.Abandoned, why
-	}
-	return handover.Broken, why
+	if !req.aborted {
+		req.fail(ctx, attemptResult{outcome: failed, reason: reasonUnreachable})
+	}
+	switch {
+	case req.reason == reasonCallerLeft || !req.maybeRun:
+		return handover.Abandoned, err.Error()
+	case req.aborted:
+		return handover.CutOff, err.Error()
+	case ctx.Err() != nil:
+		return handover.TimedOut, err.Error()
+	}
+	return handover.Broken, err.Error()
 }
 
 // releaseHelper returns a connection to another instance to the pool, if its answer was read whole.
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -71,6 +71,25 @@
 	require.Equal(t, "a", address)
 }
 
+// TestHelperThatTimesOut checks that a helper is taken for lost after requests that timed out there in a row, and
+// not after one, nor for a stream that broke off.
+func TestHelperThatTimesOut(t *testing.T) {
+	var h handover.Helpers
+	h.Update([]string{"a"}, 0)
+	for _, ends := range [][]handover.End{{handover.TimedOut, handover.Served}, {handover.TimedOut, handover.CutOff}, {handover.TimedOut}, {handover.Abandoned}} {
+		for _, end := range ends {
+			_, ok := h.Begin(nil, 0)
+			require.True(t, ok)
+			h.End("a", end, 0)
+		}
+	}
+	_, ok := h.Begin(nil, 0)
+	require.True(t, ok)
+	h.End("a", handover.TimedOut, 0)
+	_, ok = h.Begin(nil, 0)
+	require.False(t, ok)
+}
+
 // TestHelpersCounts checks that the counts of requests stay right while helpers come and go.
 func TestHelpersCounts(t *testing.T) {
 	random := rand.New(rand.NewPCG(39, 1))
@@ -89,7 +108,7 @@
 			}
 		default:
 			if len(open) > 0 {
-				h.End(open[0], handover.End(random.IntN(5)), now)
+				h.End(open[0], handover.End(random.IntN(7)), now)
 				open = open[1:]
 			}
 		}
--- a/internal/handover/helpers.go
+++ b/internal/handover/helpers.go
@@ -12,6 +12,8 @@
 	// asked, and declinedFor one that declined.
 	unreachableFor = time.Second
 	declinedFor    = 250 * time.Millisecond
+	// maxTimeouts is the number of requests in a row that time out at a helper before it is taken for lost.
+	maxTimeouts = 2
 	// askInterval is how often helpers are asked for while there is no use for them, and
 	// urgentAskInterval while there is.
 	askInterval       = 10 * time.Second
@@ -29,15 +31,23 @@
 	Refused
 	// NotReached means that no connection to the helper could be made.
 	NotReached
-	// Broken means that the helper gave no complete answer.
+	// Broken means that the helper gave no answer.
 	Broken
-	// Abandoned means that the attempt says nothing about the helper.
+	// TimedOut means that the request's time was over before the helper had answered: it may be lost,
+	// or its target is slow.
+	TimedOut
+	// CutOff means that the answer broke off, as it does when the target is lost.
+	CutOff
+	// Abandoned means that the caller has left.
 	Abandoned
 )
 
+// Taken reports whether the request may have reached a target, so that no other instance may be asked.
+func (e End) Taken() bool { return e != Refused && e != NotReached }
+
 // String returns the end's name in logs and metrics.
 func (e End) String() string {
-	return [...]string{"served", "refused", "not-reached", "broken", "abandoned"}[e]
+	return [...]string{"served", "refused", "not-reached", "broken", "timed-out", "cut-off", "abandoned"}[e]
 }
 
 // Helpers are the instances that an instance may hand requests over to. It is not safe for
@@ -52,6 +62,7 @@
 type helper struct {
 	address    string
 	open       int // requests that were handed over to it
+	timeouts   int // in a row
 	avoidUntil time.Duration
 }
 
@@ -111,10 +122,18 @@
 	switch end {
 	case NotReached, Broken:
 		c.avoidUntil = now + unreachableFor
+	case TimedOut:
+		if c.timeouts++; c.timeouts >= maxTimeouts {
+			c.avoidUntil = now + unreachableFor
+		}
+		return
 	case Refused:
 		c.avoidUntil = now + declinedFor
-	case Served, Abandoned:
+	case Abandoned:
+		return
+	case Served, CutOff:
 	}
+	c.timeouts = 0
 }
 
 func (h *Helpers) find(address string) *helper {
