--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -306,6 +306,9 @@
 // message from its leader within twice the minimum election timeout.
 func (s LogStatus) LeaderReachable() bool { return s.leaderReachable }
 
+// Member reports whether the replica is in the membership that it knows.
+func (s LogStatus) Member() bool { return s.member }
+
 // Leader returns the leader's peer address, or the empty string if it is unknown.
 func (s LogStatus) Leader() string { return s.leader }
 
--- a/internal/instance/seeded.go
+++ b/internal/instance/seeded.go
@@ -168,7 +168,7 @@
 }
 
 // registerGauges registers metrics for the numbers of voters and learners in the
-// membership that the replica has.
+// membership that the replica has, and whether it is among them.
 func (s *seeded) registerGauges(ctx context.Context) {
 	gauge := func(value func(control.LogStatus) int) func() float64 {
 		return func() float64 {
@@ -183,6 +183,12 @@
 	}
 	s.base.Metrics.Gauge("vanillaward_control_voters", gauge(control.LogStatus.Voters))
 	s.base.Metrics.Gauge("vanillaward_control_learners", gauge(control.LogStatus.Learners))
+	s.base.Metrics.Gauge("vanillaward_control_member", gauge(func(status control.LogStatus) int {
+		if status.Member() {
+			return 1
+		}
+		return 0
+	}))
 }
 
 // statusTimeout is the timeout of a query for the replica's state, made for its
