Balance: a brittle engine gets no generation that has to wait for memory

Cause: a brittle engine may let none wait; a generation that finds a slot and no memory waits. By reading: the room of an engine was taken from its slots alone. Change: its memory by the last report counts as well, for brittle engines. Figures: TestBrittleEngineWithoutMemory chose the engine before. The model is as before.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -211,7 +211,7 @@
 	var best *Target
 	bestScore, ties := 0.0, 0
 	for _, t := range b.byService[service] {
-		if t.isLeaving(now) || !allowed(t, now) || !b.withinLimit(t, now) || tokens > 0 && !b.hasRoom(t, now) || slices.Contains(avoid, t.id) {
+		if t.isLeaving(now) || !allowed(t, now) || !b.withinLimit(t, now) || tokens > 0 && !b.hasRoom(t, tokens, now) || slices.Contains(avoid, t.id) {
 			continue
 		}
 		score := b.score(t, tokens, now)
--- a/internal/balance/brittle.go
+++ b/internal/balance/brittle.go
@@ -52,20 +52,20 @@
 	return changed
 }
 
-// hasRoom reports whether a brittle engine is likely to have room for another request. Other engines turn
+// hasRoom reports whether a brittle engine is likely to have room for another request of so many tokens. Other engines turn
 // away what they have no room for. It is no guide to plain services: their requests end before others hear
 // of them, and what was heard of last would bring all to the same target.
 //
 // The others' requests are known as of a moment ago. Where more of them can have come since than the room
 // that is left, each instance sends with a probability, so that all together take a part of that room.
-func (b *Balancer) hasRoom(t *Target, now time.Duration) bool {
+func (b *Balancer) hasRoom(t *Target, tokens int, now time.Duration) bool {
 	s := b.brittle[t.service]
 	if s == nil {
 		return true
 	}
 	free := t.roomLimit(now) - float64(t.batch())
-	if free < 1 {
-		return false
+	if memory, known := t.memory(tokens, now); free < 1 || known && memory > fullMemory {
+		return false // what finds no memory waits, and the engine may let none wait
 	}
 	taken := min(maxCrossing, crossingShare*max(1, s.bears)) * free
 	unseen := b.unseen(t.service, now)
--- a/internal/balance/brittle_test.go
+++ b/internal/balance/brittle_test.go
@@ -232,3 +232,15 @@
 	require.True(t, b.StateBrittle(b.Target("b"), false, 0))
 	require.NotNil(t, b.Choose("s", 100, nil, time.Second))
 }
+
+// TestBrittleEngineWithoutMemory checks that a brittle engine gets no generation that has to wait for memory.
+func TestBrittleEngineWithoutMemory(t *testing.T) {
+	b := balance.New("d", rand.New(rand.NewPCG(1, 1)))
+	b.Update([]*wire.Target{{Id: "a", Service: "s", Address: "a:1", FailureDomain: "d", Slots: 9, Engine: true, State: wire.TargetState_TARGET_STATE_READY}}, 0)
+	b.UpdatePeerUses(nil, 1, time.Second)
+	b.UpdateLoads([]*wire.Load{{Target: "a", Running: 2, UsedTokens: 800, CapacityTokens: 1000}}, time.Second)
+	require.NotNil(t, b.Choose("s", 300, nil, time.Second))
+	b.StateBrittle(b.Target("a"), true, 3)
+	require.Nil(t, b.Choose("s", 300, nil, time.Second))
+	require.NotNil(t, b.Choose("s", 100, nil, time.Second))
+}
