Follow, gateway: large files split by topic

Change: moves only. The merging of lists of targets and the helping have files of their own, as have the admission of requests and the rig of the gateway's tests. Conclusion: names and behaviour are as before.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -16,7 +16,6 @@
 	"github.com/vanillaward/vanillaward"
 	"github.com/vanillaward/vanillaward/internal/control"
 	"github.com/vanillaward/vanillaward/internal/peer"
-	"github.com/vanillaward/vanillaward/internal/target"
 	"github.com/vanillaward/vanillaward/internal/timer"
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
@@ -46,9 +45,6 @@
 	// lostAfter is the time without a current replica after which the loss of control is
 	// logged.
 	lostAfter = 2 * time.Second
-	// maxListLag is how much older than the newest list a list may be to be merged with
-	// the newest one.
-	maxListLag = 5 * time.Second
 )
 
 // Sink receives the updates from the replicas.
@@ -76,27 +72,6 @@
 	MergeEvidence(e *wire.Evidence)
 }
 
-// Helping is how an instance helps others that have lost their targets, and is helped.
-type Helping interface {
-	// HelpAddress returns the address at which the instance takes requests of others, empty if it
-	// takes none at present.
-	HelpAddress() string
-	// LacksTargets reports whether the instance cannot reach the targets of some service.
-	LacksTargets() bool
-	// WantsHelpers reports whether the instance is to be told of its helpers.
-	WantsHelpers() bool
-	// UpdateHelpers replaces the addresses of the instances that requests can be handed over to.
-	UpdateHelpers(addresses []string)
-}
-
-// noHelping is the helping of an instance that neither helps nor is helped.
-type noHelping struct{}
-
-func (noHelping) HelpAddress() string    { return "" }
-func (noHelping) LacksTargets() bool     { return false }
-func (noHelping) WantsHelpers() bool     { return false }
-func (noHelping) UpdateHelpers([]string) {}
-
 // Follower follows replicas, starting from seeds.
 type Follower struct {
 	log     logr.Logger
@@ -127,15 +102,6 @@
 	controlLost    bool              // set while currentAt is more than lostAfter ago
 }
 
-// targetList is the state of the targets as one replica reported it.
-type targetList struct {
-	epoch        uint64
-	version      uint64
-	readAt       time.Duration // when the replica read the list from the platform
-	targets      []*wire.Target
-	loadsVersion uint64
-}
-
 // New returns a follower for the named instance in a failure domain. The function
 // seeds returns peer addresses of some replicas.
 func New(log logr.Logger, timers vanillaward.Timers, peers *peer.Pool, name, domain string, seeds func() []string, sink Sink) *Follower {
@@ -147,9 +113,6 @@
 	}
 }
 
-// UseHelping sets how the instance helps others. It must be called before Run.
-func (f *Follower) UseHelping(h Helping) { f.helping = h }
-
 // Run follows replicas until the context ends. It sends nil on the returned channel
 // when all goroutines have stopped.
 func (f *Follower) Run(ctx context.Context) <-chan error {
@@ -386,87 +349,3 @@
 	}
 	return out
 }
-
-// updateList stores the list of targets of a response and, if it changed, passes the
-// merged lists to the sink. It is called with the lock held.
-func (f *Follower) updateList(address string, resp *wire.FollowResponse) {
-	if resp.GetListVersion() == 0 {
-		return
-	}
-	l := f.lists[address]
-	if l == nil {
-		l = &targetList{}
-		f.lists[address] = l
-	}
-	l.loadsVersion = resp.GetLoadsVersion()
-	l.readAt = f.timers.Now() - time.Duration(resp.GetListAgeMs())*time.Millisecond
-	if !resp.GetListChanged() {
-		return
-	}
-	l.epoch, l.version, l.targets = resp.GetListEpoch(), resp.GetListVersion(), f.checkTargets(address, resp.GetTargets())
-	merged := mergeLists(f.lists)
-	f.log.Info("targets", "replica", address, "age-ms", resp.GetListAgeMs(), "ready", countReady(merged), "listed", len(merged))
-	f.sink.UpdateTargets(merged)
-}
-
-// checkTargets returns the targets of a replica's list that are usable.
-func (f *Follower) checkTargets(address string, list []*wire.Target) []*wire.Target {
-	usable := make([]*wire.Target, 0, len(list))
-	var first error
-	for _, t := range list {
-		err := target.Check(t)
-		switch {
-		case err == nil:
-			usable = append(usable, t)
-		case first == nil:
-			first = err
-		}
-	}
-	if first != nil {
-		f.log.Info("targets of a replica's list that are not usable", "replica", address, "targets", len(list)-len(usable), "first-reason", first.Error())
-	}
-	return usable
-}
-
-// mergeLists returns the newest list, in which a target is leaving if any list that is at
-// most maxListLag older reports it as leaving.
-func mergeLists(lists map[string]*targetList) []*wire.Target {
-	var newest *targetList
-	for _, l := range lists {
-		if newest == nil || l.readAt > newest.readAt {
-			newest = l
-		}
-	}
-	leaving := map[target.Key]bool{}
-	for _, l := range lists {
-		if newest.readAt-l.readAt > maxListLag {
-			continue
-		}
-		for _, t := range l.targets {
-			if t.GetState() == wire.TargetState_TARGET_STATE_LEAVING {
-				leaving[target.KeyOf(t)] = true
-			}
-		}
-	}
-	out := make([]*wire.Target, 0, len(newest.targets))
-	for _, t := range newest.targets {
-		if leaving[target.KeyOf(t)] && t.GetState() == wire.TargetState_TARGET_STATE_READY {
-			t = &wire.Target{
-				Id: t.GetId(), Service: t.GetService(), Address: t.GetAddress(), FailureDomain: t.GetFailureDomain(),
-				Slots: t.GetSlots(), State: wire.TargetState_TARGET_STATE_LEAVING, ColdMs: t.GetColdMs(), Engine: t.GetEngine(),
-			}
-		}
-		out = append(out, t)
-	}
-	return out
-}
-
-func countReady(list []*wire.Target) int {
-	n := 0
-	for _, t := range list {
-		if t.GetState() == wire.TargetState_TARGET_STATE_READY {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -3,13 +3,9 @@
 import (
 	"cmp"
 	"context"
-	"io"
 	"net/http"
-	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/vanillaward/vanillaward"
 	"github.com/vanillaward/vanillaward/internal/handover"
 	"github.com/vanillaward/vanillaward/internal/quarantine"
@@ -17,13 +13,6 @@
 	"github.com/vanillaward/vanillaward/internal/upstream"
 )
 
-const (
-	// maxBody bounds a request's body, in bytes, when the configuration does not.
-	maxBody = 4 << 20
-	// bodyTimeout bounds how long reading a request's body may take.
-	bodyTimeout = 10 * time.Second
-)
-
 // request is the state of one caller's request from arrival to outcome.
 type request struct {
 	server  *Server
@@ -78,159 +67,6 @@
 	}
 }
 
-// accept checks the request's head against the limits and finds the route and the
-// organisation. It reports false after a refusal.
-func (req *request) accept() bool {
-	if req.table == nil {
-		return req.refuse(reasonNoConfig)
-	}
-	if int(req.server.open.Load()) > req.server.settings.MaxOpen {
-		return req.refuse(reasonBusy)
-	}
-	if req.server.closing.Load() {
-		return req.refuse(reasonStopping)
-	}
-	if !req.acceptTerms() {
-		return false
-	}
-	if limit := req.table.Limits().HeaderBytes; limit > 0 && headSize(req.r) > limit {
-		return req.refuse(reasonHeadTooLarge)
-	}
-	path, _, _ := strings.Cut(req.r.RequestURI, "?")
-	if !strings.HasPrefix(path, "/") {
-		return req.refuse(reasonMalformed)
-	}
-	found, ok := req.table.Match(req.r.Host, path)
-	if !ok {
-		return req.refuse(reasonNoRoute)
-	}
-	req.route = found
-	if req.table.RequiresKeys() && !found.Public() {
-		org, known := req.table.Organisation(req.caller.Key)
-		if !known {
-			return req.refuse(reasonNoKey)
-		}
-		req.org, req.orgRank = org.Name(), org.Rank()
-	}
-	wait := found.Timeout()
-	if req.caller.Budget > 0 {
-		wait = min(wait, req.caller.Budget)
-	}
-	req.deadline = req.arrived + wait
-	return true
-}
-
-// headSize estimates the size of a request's head in bytes.
-func headSize(r *http.Request) int {
-	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
-	for name, values := range r.Header {
-		for _, v := range values {
-			size += len(name) + len(v) + len(": \r\n")
-		}
-	}
-	return size
-}
-
-// readBody reads the request's body into memory. It reports false after a refusal.
-func (req *request) readBody() bool {
-	limit := req.table.Limits().BodyBytes
-	if limit <= 0 {
-		limit = maxBody
-	}
-	if req.r.ContentLength > limit {
-		return req.refuse(reasonBodyTooLarge)
-	}
-	if req.r.ContentLength == 0 {
-		return true
-	}
-	control := http.NewResponseController(req.w)
-	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		req.server.base.Log.Error(err, "cannot set the read deadline of a request body", "request", req.caller.ID)
-	}
-	var err error
-	if req.r.ContentLength > 0 {
-		req.body = make([]byte, req.r.ContentLength)
-		_, err = io.ReadFull(req.r.Body, req.body)
-	} else {
-		req.body, err = io.ReadAll(http.MaxBytesReader(req.w, req.r.Body, limit))
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return req.refuse(reasonBodyTooLarge)
-	case err != nil:
-		return req.refuse(reasonBodyBroken)
-	}
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		req.server.base.Log.Error(err, "cannot clear the read deadline of a request body", "request", req.caller.ID)
-	}
-	return true
-}
-
-// admit decides whether the request is worth starting. It reports false after a refusal.
-func (req *request) admit() bool {
-	req.service = req.route.Pick(req.server.randomFloat())
-	outOfReach := req.server.outOfReach(req.service)
-	if outOfReach && req.terms != nil {
-		return req.refuse(reasonUnreachable)
-	}
-	if !outOfReach { // otherwise the instance that serves it does
-		req.count()
-	}
-	if req.left() <= 0 {
-		return req.refuse(reasonTooLate)
-	}
-	if req.route.Generation() && req.server.atCapacity(req.service, req.tokens()) {
-		return req.refuse(reasonCrowded)
-	}
-	if req.server.stopping.Load() && !req.endsInTime() {
-		return req.refuse(reasonStopping)
-	}
-	return true
-}
-
-// count counts the request, once, for the retry budget of its service.
-func (req *request) count() {
-	if !req.counted {
-		req.counted = true
-		req.server.countRequest(req.service)
-	}
-}
-
-// endsInTime reports whether the request will end before the stopping gateway does.
-// Shortly after the stop begins, callers cannot know of it yet and new requests cannot reach
-// the other instances any sooner, so it suffices that the request is likely to end in time.
-// After likelyEndWindow this must be certain, and only the request's deadline bounds how long it
-// waits at an engine.
-func (req *request) endsInTime() bool {
-	left := req.server.answerTimeLeft()
-	if req.server.settings.StopGrace-stopMargin-answerMargin-left < likelyEndWindow {
-		return req.likelyTime() <= left
-	}
-	return req.left() <= left
-}
-
-// likelyEndWindow is the time from the beginning of a stop during which a request is
-// accepted if it is likely, though not certain, to end in time.
-const likelyEndWindow = 2500 * time.Millisecond
-
-const (
-	// plainTime is how long a request to a plain service takes, with a margin.
-	plainTime = time.Second
-	// firstTokenTime is how long a generation takes until its first token, and tokenTime
-	// from each token to the next.
-	firstTokenTime = 800 * time.Millisecond
-	tokenTime      = 9 * time.Millisecond
-)
-
-// likelyTime estimates how long the request will take.
-func (req *request) likelyTime() time.Duration {
-	if req.route.Kind() != route.Stream {
-		return plainTime
-	}
-	return firstTokenTime + time.Duration(req.likelyOutput())*tokenTime
-}
-
 // left returns the time until the request's deadline.
 func (req *request) left() time.Duration { return req.deadline - req.server.base.Timers.Now() }
 
--- /dev/null
+++ b/internal/gateway/rig_test.go
@@ -0,0 +1,149 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillaward/vanillaward/internal/base"
+	"github.com/vanillaward/vanillaward/internal/gateway"
+	"github.com/vanillaward/vanillaward/internal/inifile"
+	"github.com/vanillaward/vanillaward/internal/peer"
+	"github.com/vanillaward/vanillaward/internal/route"
+	"github.com/vanillaward/vanillaward/internal/settings"
+	"github.com/vanillaward/vanillaward/internal/telemetry"
+	"github.com/vanillaward/vanillaward/internal/timer"
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+const (
+	testService = "service"
+	testHost    = "example.test"
+	otherDomain = "other-domain"
+	ownDomain   = "own-domain"
+	// testDialTimeout is long, since connecting to a target in the same process takes as long as the machine is busy.
+	testDialTimeout = 10 * time.Second
+)
+
+// rig is a gateway with stand-in targets.
+type rig struct {
+	gateway *gateway.Server
+	address string
+	stop    chan struct{}
+	end     <-chan error
+	engines *engines
+	// takeover is the address for requests of other gateways.
+	takeover string
+}
+
+var kinds = map[string]route.Kind{"idempotent": route.Idempotent, "once": route.Once, "stream": route.Stream}
+
+// configuration returns the configuration of the tests with the given number.
+func configuration(number uint64, kind route.Kind, attempts int, timeout time.Duration) *route.Configuration {
+	return &route.Configuration{
+		Number: number,
+		Routes: []route.Spec{
+			{
+				Name: "r", Host: testHost, Prefix: "/r/", Kind: kind, KindValid: true, Timeout: timeout, Attempts: attempts,
+				Generation: kind == route.Stream, Shares: []route.Share{{Service: testService, Weight: 1}},
+			},
+			{
+				Name: "public", Host: testHost, Prefix: "/r/public/", Kind: kind, KindValid: true, Timeout: timeout, Attempts: attempts,
+				Public: true, Shares: []route.Share{{Service: testService, Weight: 1}},
+			},
+		},
+		Services:      []route.ServiceSpec{{Name: testService, Slots: 8, ContinuousCopies: true, Moves: true, CopyLifetime: 5 * time.Second}},
+		Organisations: []route.OrganisationSpec{{Name: "org", Keys: []string{"key"}}},
+		Limits:        route.Limits{HeaderBytes: 4096, BodyBytes: 64 << 10},
+	}
+}
+
+func newRig(t *testing.T, c *route.Configuration, targets ...*standin) *rig {
+	t.Helper()
+	return newRigWith(t, c, func(*settings.Gateway) {}, targets...)
+}
+
+// newRigWith returns a gateway with settings that a function has changed.
+func newRigWith(t *testing.T, c *route.Configuration, change func(*settings.Gateway), targets ...*standin) *rig {
+	t.Helper()
+	s := &settings.Settings{}
+	require.Empty(t, inifile.Decode(inifile.NewSection("test", "gateway", "", 0), &s.Gateway))
+	s.Gateway.StopDelay = 2 * time.Second
+	s.Gateway.DialTimeout = testDialTimeout
+	change(&s.Gateway)
+	s.Instance.FailureDomain = ownDomain
+	takeover, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s.Listen.Handover = netip.MustParseAddrPort(takeover.Addr().String())
+	b := base.Base{Log: logr.Discard(), Settings: s, Timers: timer.New(), Metrics: telemetry.NewMetrics(), Credentials: peer.PlainCredentials()}
+	r := &rig{stop: make(chan struct{}), engines: &engines{}, takeover: takeover.Addr().String()}
+	r.gateway = gateway.New(b, dialect{}, r.engines, func([]byte) (*route.Configuration, error) { return c, nil }, 1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r.address = listener.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	r.end = r.gateway.Run(ctx, listener, takeover, r.stop)
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-r.end)
+	})
+	if c != nil {
+		require.NoError(t, r.gateway.Install(&wire.Document{Number: c.Number}))
+	}
+	r.updateTargets(targets...)
+	return r
+}
+
+// updateTargets gives the gateway a list of targets. The first is in its own failure domain
+// and is therefore chosen first.
+func (r *rig) updateTargets(targets ...*standin) {
+	var list []*wire.Target
+	for i, s := range targets {
+		domain := otherDomain
+		if i == 0 {
+			domain = ownDomain
+		}
+		list = append(list, &wire.Target{
+			Id: s.id, Service: testService, Address: s.address(), FailureDomain: domain, Slots: 8,
+			State: wire.TargetState_TARGET_STATE_READY, Engine: true,
+		})
+	}
+	r.gateway.UpdateTargets(list)
+}
+
+// reply is the answer that the caller received.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (r *rig) send(t *testing.T, method, path, body string, header map[string]string) reply {
+	t.Helper()
+	request, err := http.NewRequest(method, "http://"+r.address+path, strings.NewReader(body))
+	require.NoError(t, err)
+	request.Host = testHost
+	request.Header.Set(testID, "request-1")
+	request.Header.Set(testKey, "key")
+	request.Header.Set(testBudget, "3000")
+	request.Header.Set(testLongest, "1000")
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(data), err: err}
+}
