Gateway: what is reached is logged and counted without the lock

Cause: read as a newcomer: the lock's comment says that it is never held while another is taken, and the counters of connections take one. Change: an update of the balancer returns what it changed; lines and counters come after. Probes that fail show in the lines too.

--- a/internal/balance/brittle.go
+++ b/internal/balance/brittle.go
@@ -52,9 +52,9 @@
 	return changed
 }
 
-// hasRoom reports whether a brittle engine is likely to have room for another request of so many tokens. Other engines turn
-// away what they have no room for. It is no guide to plain services: their requests end before others hear
-// of them, and what was heard of last would bring all to the same target.
+// hasRoom reports whether a brittle engine is likely to have room for another request of so many tokens.
+// Other engines turn away what they have no room for. It is no guide to plain services: their requests end
+// before others hear of them, and what was heard of last would bring all to the same target.
 //
 // The others' requests are known as of a moment ago. Where more of them can have come since than the room
 // that is left, each instance sends with a probability, so that all together take a part of that room.
@@ -115,7 +115,8 @@
 	t.room = room{known: true, limit: max(1, min(t.roomLimit(now), float64(t.batch()))-1), at: now}
 }
 
-// waitForRoom returns how long it takes until a brittle target without room may be tried again, 0 for one with room.
+// waitForRoom returns how long it takes until a brittle target without room may be tried again, 0 for one
+// with room.
 func (b *Balancer) waitForRoom(t *Target, now time.Duration) time.Duration {
 	if b.brittle[t.service] == nil || t.roomLimit(now) >= float64(t.batch()+1) {
 		return 0
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -10,21 +10,29 @@
 // connected records that a connection to a target was opened.
 func (g *Server) connected(t *balance.Target) {
 	g.base.Metrics.Connection(true)
+	g.logReach(t, g.updateReach(func() { g.balancer.Connected(t) }))
+}
+
+// reachChange is the number of services that are out of reach, before and after an update.
+type reachChange struct{ before, after int }
+
+// updateReach applies an update of the balancer with the lock held.
+func (g *Server) updateReach(update func()) reachChange {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	before := g.balancer.ServicesOutOfReach()
-	g.balancer.Connected(t)
-	g.logReach(t, before)
+	update()
+	return reachChange{before: before, after: g.balancer.ServicesOutOfReach()}
 }
 
-// logReach logs whether services have come out of reach, or into reach again, since there were before
-// of them, by a connection to the given target. It is called with the lock held.
-func (g *Server) logReach(t *balance.Target, before int) {
-	switch now := g.balancer.ServicesOutOfReach(); {
-	case now > before:
-		g.base.Log.Info("targets out of reach", "service", t.Service(), "target", t.ID(), "services-out-of-reach", now)
-	case now < before:
-		g.base.Log.Info("targets in reach again", "service", t.Service(), "target", t.ID(), "services-out-of-reach", now)
+// logReach logs whether services have come out of reach, or into reach again, by a connection to the
+// given target.
+func (g *Server) logReach(t *balance.Target, change reachChange) {
+	switch {
+	case change.after > change.before:
+		g.base.Log.Info("targets out of reach", "service", t.Service(), "target", t.ID(), "services-out-of-reach", change.after)
+	case change.after < change.before:
+		g.base.Log.Info("targets in reach again", "service", t.Service(), "target", t.ID(), "services-out-of-reach", change.after)
 	}
 }
 
@@ -87,7 +95,5 @@
 		return
 	}
 	g.base.Metrics.Connection(false)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.balancer.ProbeFailed(t, g.base.Timers.Now())
+	g.logReach(t, g.updateReach(func() { g.balancer.ProbeFailed(t, g.base.Timers.Now()) }))
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -349,13 +349,10 @@
 
 // end records the result of a request at a target.
 func (g *Server) end(t *balance.Target, tokens int, result balance.Result) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	before := g.balancer.ServicesOutOfReach()
-	g.balancer.End(t, tokens, result, g.base.Timers.Now())
+	change := g.updateReach(func() { g.balancer.End(t, tokens, result, g.base.Timers.Now()) })
 	if result == balance.Unreachable {
 		g.base.Metrics.Connection(false)
-		g.logReach(t, before)
+		g.logReach(t, change)
 	}
 }
 
