Handover: a request that may have run is not refused as not run by another instance's word

What a caller could see: a lookup that was sent to a target, failed there, and was handed over was answered 503, which promises that it has not run and never will. Ruled out: requests that are not idempotent, which are never handed over once sent. Change: such a refusal becomes 502 if the request may have run here before. Figures: TestRefusedAfterItMayHaveRun got 503 before, 502 since. Conclusion: found by reading the change once more.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -69,6 +69,11 @@
 		req.releaseHelper(conn, response)
 		return handover.Refused, told.Reason()
 	}
+	if req.maybeRun && impliesNotRun(response.StatusCode) { // the helper speaks for what it did itself
+		req.releaseHelper(conn, response)
+		req.refuse(reasonBroken)
+		return handover.Served, told.Reason()
+	}
 	req.recordHelperStatements(told, response)
 	req.target = told.Target()
 	if err := req.passHelperAnswer(ctx, conn, response); err != nil {
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -198,3 +198,21 @@
 	require.Equal(t, http.StatusBadRequest, r.send(t, http.MethodPost, "/r/x", "", map[string]string{"Vanillaward-Handover": "configuration=1, sent=-1, counted=true"}).status)
 	require.Zero(t, target.requestCount())
 }
+
+// TestRefusedAfterItMayHaveRun guards against a request that may have run at a target of its own gateway being
+// refused as not run, because the gateway that it was handed over to could not serve it.
+func TestRefusedAfterItMayHaveRun(t *testing.T) {
+	c := configuration(1, route.Idempotent, 2, handoverTimeout)
+	release := make(chan struct{})
+	held := newRawStandin(t, "held", func(net.Conn, *http.Request) { <-release })
+	r := newRig(t, c, held)
+	answer := make(chan reply, 1)
+	go func() { answer <- r.sendPatiently(t, "may-have-run") }()
+	require.Eventually(t, func() bool { return held.requestCount() == 1 }, handoverTimeout, time.Millisecond)
+	r.updateTargets(newStandin(t, "dead-0", "dead"), newStandin(t, "dead-1", "dead"))
+	require.Equal(t, http.StatusServiceUnavailable, r.sendPatiently(t, "notices").status)
+	require.True(t, r.gateway.LacksTargets())
+	r.helpedBy(newRig(t, c, newStandin(t, "full", "refuse")))
+	close(release)
+	require.Equal(t, http.StatusBadGateway, (<-answer).status)
+}
