Handover: what is a stream is decided as for any answer, by its route

What a caller could see: a stream by way of another instance was held until it was whole, where its target states a content type with a parameter (text/event-stream; charset=utf-8). Cause: the handover decided by the content type what exchange decides by the kind of the route. Change: one check for both, isStream.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -178,13 +178,18 @@
 		return req.handleNotRun(t, conn, response, info, result)
 	}
 	req.server.accepted(t)
-	if req.route.Kind() == route.Stream && response.StatusCode == http.StatusOK {
+	if req.isStream(response) {
 		result.outcome = delivered
 		return req.relay(ctx, t, conn, response, info)
 	}
 	return req.bufferAnswer(ctx, t, conn, response, info, result)
 }
 
+// isStream reports whether an answer is a stream, which is passed on as it arrives.
+func (req *request) isStream(response *http.Response) bool {
+	return req.route.Kind() == route.Stream && response.StatusCode == http.StatusOK
+}
+
 // inspect returns a function that records what the head of an answer states about its target,
 // and tells which request the answer names.
 func (req *request) inspect(t *balance.Target, conn *upstream.Conn) func(*http.Response) upstream.Ownership {
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -119,7 +119,7 @@
 // passHelperAnswer gives the caller the answer of another instance. After an error nothing of it has
 // been passed on, or the answer has been cut off.
 func (req *request) passHelperAnswer(ctx context.Context, conn *upstream.Conn, response *http.Response) error {
-	if isEventStream(response) {
+	if req.isStream(response) {
 		return req.passHelperStream(ctx, conn, response)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
@@ -158,11 +158,6 @@
 	return nil
 }
 
-// isEventStream reports whether an answer is a stream of events that is under way.
-func isEventStream(response *http.Response) bool {
-	return response.StatusCode == http.StatusOK && response.ContentLength < 0 && response.Header.Get("Content-Type") == "text/event-stream"
-}
-
 // failHandover ends a request whose handover failed after it may have been sent, unless its answer has
 // been begun.
 func (req *request) failHandover(ctx context.Context, err error) (handover.End, string) {
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -216,3 +216,30 @@
 	close(release)
 	require.Equal(t, http.StatusBadGateway, (<-answer).status)
 }
+
+// TestHandedOverStreamIsPassedOnAsItArrives guards against streams that are held at the gateway until they are
+// whole, as they were if their content type had a parameter.
+func TestHandedOverStreamIsPassedOnAsItArrives(t *testing.T) {
+	c := configuration(1, route.Stream, 1, handoverTimeout)
+	release := make(chan struct{})
+	target := newRawStandin(t, "target-0", func(conn net.Conn, request *http.Request) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: text/event-stream; charset=utf-8\r\n\r\n%s", testID, request.Header.Get(testID), firstEvents(1))
+		<-release
+		_, _ = io.WriteString(conn, strings.TrimPrefix(fiveEvents, firstEvents(1))) // a failure shows in the caller's answer
+	})
+	cut := newCutRig(t, c, newRig(t, c, target))
+	conn := dial(t, cut)
+	require.NoError(t, conn.SetDeadline(time.Now().Add(handoverTimeout/2)))
+	_, err := io.WriteString(conn, "POST /r/x HTTP/1.1\r\nHost: example.test\r\nTest-Id: request-1\r\nTest-Key: key\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err, "nothing is passed on before the stream ends")
+	first := make([]byte, len(firstEvents(1)))
+	_, err = io.ReadFull(response.Body, first)
+	require.NoError(t, err)
+	close(release)
+	rest, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, fiveEvents, string(first)+string(rest))
+}
