--- a/internal/control/documents.go
+++ b/internal/control/documents.go
@@ -122,7 +122,6 @@
 	s := c.service
 	s.recordFollower(request)
 	s.uses.update(request.GetInstance(), request.GetUses(), s.timers.Now())
-	s.helpers.update(request, s.timers.Now())
 	s.evidence.merge(request.GetEvidence(), s.timers.Now())
 	wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, maxFollowWait)
 	got := s.publisher.Await(s.ctx, request, wait, s.timers.Now)
@@ -142,7 +141,7 @@
 	answer.Loads, answer.LoadsVersion = got.GetLoads(), got.GetLoadsVersion()
 	answer.Followers = uint32(s.followers())
 	if request.GetAsksForHelpers() {
-		answer.Helpers = s.helpers.choose(request.GetInstance(), request.GetFailureDomain(), s.timers.Now())
+		answer.Helpers = s.helpersOf(request)
 	}
 	s.evidence.answer(request, answer, s.timers.Now())
 	return nil
@@ -166,13 +165,21 @@
 	now := s.timers.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.watchers[r.GetInstance()] = watcher{domain: r.GetFailureDomain(), version: r.GetDocument(), lastSeen: now, lacks: r.GetLacksTargets()}
+	s.watchers[r.GetInstance()] = watcher{domain: r.GetFailureDomain(), version: r.GetDocument(), lastSeen: now, helpAddress: r.GetHelpAddress(), lacksTargets: r.GetLacksTargets()}
 	if now-s.lastPrune > pruneInterval {
 		s.lastPrune = now
 		s.prune(now)
 	}
 }
 
+// helpersOf returns the addresses of the instances that are to help a follower.
+func (s *Service) helpersOf(r *wire.FollowRequest) []string {
+	now := s.timers.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.helpers.choose(s.watchers, r.GetInstance(), r.GetFailureDomain(), now)
+}
+
 // followers returns the number of instances that follow this replica.
 func (s *Service) followers() int {
 	s.mu.Lock()
--- a/internal/control/helpers_test.go
+++ b/internal/control/helpers_test.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
 // TestHelpersAtSize checks who is asked to help whom, among 8 to 1,100 instances of which some have lost their
@@ -30,7 +28,7 @@
 		{1100, 11, func(i, _ int) bool { return i > 0 }, "all but one of 1,100", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			h := newHelpers()
+			h, watchers := &helpers{}, map[string]watcher{}
 			lacking, helping := 0, 0
 			now := time.Second
 			for i := range c.instances {
@@ -40,16 +38,14 @@
 				} else {
 					helping++
 				}
-				h.update(&wire.FollowRequest{
-					Instance: fmt.Sprint("i-", i), FailureDomain: fmt.Sprint("d-", i%c.domains), LacksTargets: lacks, HelpAddress: fmt.Sprint("a-", i),
-				}, now)
+				watchers[fmt.Sprint("i-", i)] = watcher{domain: fmt.Sprint("d-", i%c.domains), lacksTargets: lacks, helpAddress: fmt.Sprint("a-", i), lastSeen: now}
 			}
 			asked := map[string]int{}
 			for i := range c.instances {
 				if !c.lacks(i, c.domains) {
 					continue
 				}
-				got := h.choose(fmt.Sprint("i-", i), fmt.Sprint("d-", i%c.domains), now)
+				got := h.choose(watchers, fmt.Sprint("i-", i), fmt.Sprint("d-", i%c.domains), now)
 				require.GreaterOrEqual(t, len(got), min(2, helping), "one more, if the first is lost too")
 				require.LessOrEqual(t, len(got), helperCount)
 				for _, address := range got {
@@ -67,17 +63,18 @@
 			for address, n := range asked {
 				require.LessOrEqual(t, n, fair+helperCount, "%s helps too many", address)
 			}
-			require.NotContains(t, h.choose("i-0", "d-0", now), "a-0", "an instance does not help itself")
+			require.NotContains(t, h.choose(watchers, "i-0", "d-0", now), "a-0", "an instance does not help itself")
 		})
 	}
 }
 
 // TestHelpersForget checks that an instance that is not heard of, or takes no requests, is not asked to help.
 func TestHelpersForget(t *testing.T) {
-	h := newHelpers()
-	h.update(&wire.FollowRequest{Instance: "old", FailureDomain: "d", HelpAddress: "old"}, 0)
-	h.update(&wire.FollowRequest{Instance: "stopping", FailureDomain: "d"}, 3*time.Second)
-	h.update(&wire.FollowRequest{Instance: "new", FailureDomain: "d", HelpAddress: "new"}, 3*time.Second)
-	require.Equal(t, []string{"new"}, h.choose("asks", "d", 3*time.Second))
-	require.Empty(t, newHelpers().choose("asks", "d", 0))
+	watchers := map[string]watcher{
+		"old":      {domain: "d", helpAddress: "old"},
+		"stopping": {domain: "d", lastSeen: 3 * time.Second},
+		"new":      {domain: "d", helpAddress: "new", lastSeen: 3 * time.Second},
+	}
+	require.Equal(t, []string{"new"}, (&helpers{}).choose(watchers, "asks", "d", 3*time.Second))
+	require.Empty(t, (&helpers{}).choose(nil, "asks", "d", 0))
 }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -43,7 +43,6 @@
 	publisher *Publisher
 	uses      *uses
 	evidence  *evidence
-	helpers   *helpers
 	log       logr.Logger
 	name      string
 	self      string // peer address of this replica
@@ -52,6 +51,7 @@
 	mu        sync.Mutex // guards the rest; never held while another lock is taken
 	watchers  map[string]watcher
 	lastPrune time.Duration // when unresponsive watchers were last removed
+	helpers   helpers
 }
 
 // watcher is an instance that gets the configuration from this replica, by Watch or by
@@ -61,14 +61,16 @@
 	version     uint64 // version that it holds; the document number for a follower
 	lastSeen    time.Duration
 	behindSince time.Duration // when it was first seen without the version held here; 0 if it has that version
-	lacks       bool          // it lacks targets
+	// helpAddress is where a follower of the leader takes requests of others; empty if it takes none.
+	helpAddress  string
+	lacksTargets bool
 }
 
 // NewService returns the service for calls to the node. Self is the name and peer
 // address of the node's replica; store holds the versions that the node publishes.
 func NewService(ctx context.Context, node *Node, store *config.Store, timers vanillaward.Timers, peers *peer.Pool, self inifile.Peer) *Service {
 	return &Service{
-		ctx: ctx, node: node, store: store, timers: timers, peers: peers, publisher: node.publisher, uses: newUses(), evidence: newEvidence(node.publisher.epoch), helpers: newHelpers(), log: node.log,
+		ctx: ctx, node: node, store: store, timers: timers, peers: peers, publisher: node.publisher, uses: newUses(), evidence: newEvidence(node.publisher.epoch), log: node.log,
 		name: self.Name, self: self.Address.String(), watchers: map[string]watcher{},
 	}
 }
@@ -297,7 +299,7 @@
 	var out []*wire.InstanceStatus
 	for name, w := range s.watchers {
 		status := &wire.InstanceStatus{
-			Name: name, FailureDomain: w.domain, Version: w.version, SeenMsAgo: (now - w.lastSeen).Milliseconds(), LacksTargets: w.lacks,
+			Name: name, FailureDomain: w.domain, Version: w.version, SeenMsAgo: (now - w.lastSeen).Milliseconds(), LacksTargets: w.lacksTargets,
 		}
 		if w.behindSince > 0 {
 			status.LagMs = (now - w.behindSince).Milliseconds()
