--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -122,17 +122,17 @@
 	// their uses were last heard of.
 	instances int
 	peersAt   time.Duration
-	// peersInterval is the time between the last two times.
+	// peersInterval is the time between the last two times that they were heard of.
 	peersInterval time.Duration
 	// notices is the mean time, in seconds, from when an engine of a service was known to be leaving
 	// until it ended; services of which no engine gave notice are missing.
 	notices map[string]float64
 	// departed holds the targets that were listed shortly before.
 	departed map[target.Key]departedTarget
-	// reach is whether connections to the targets of a service can be opened, and reachAll whether
-	// connections to any target can.
 	// brittle holds the services whose targets state that they are brittle.
-	brittle  map[string]*brittleness
+	brittle map[string]*brittleness
+	// reach is whether connections to the targets of a service can be opened, and reachAll whether
+	// connections to any target can; groups and groupAll are the extents of what is listed.
 	reach    map[string]*reach
 	reachAll reach
 	groups   map[string]group
@@ -304,7 +304,7 @@
 		t.failures++
 		t.failureRate += failureWeight * (1 - t.failureRate)
 		if result == Unreachable {
-			b.noteUnreachable(t, now)
+			b.NoteUnreachable(t, now)
 		}
 		if result == Unreachable && t.domain != b.domain {
 			b.partitionedUntil[t.domain] = now + partitionDuration
--- a/internal/balance/brittle.go
+++ b/internal/balance/brittle.go
@@ -86,21 +86,14 @@
 			withRoom++
 		}
 	}
-	instances := b.instances
-	if instances == 0 {
-		instances = unknownInstances
-	}
-	came := b.demandFor(service).Rate(now) * float64(instances-1) * (now - b.peersAt + b.peersInterval).Seconds()
+	came := b.demandFor(service).Rate(now) * float64(b.likelyInstances()-1) * (now - b.peersAt + b.peersInterval).Seconds()
 	s.unseenAt, s.unseen = now, min(came, float64(max(1, total)))/float64(max(1, withRoom))
 	return s.unseen
 }
 
 // roomLimit returns how many requests a target is taken to have room for: no more than it runs at once.
 func (t *Target) roomLimit(now time.Duration) float64 {
-	slots := float64(t.slots)
-	if t.slots == 0 {
-		slots = defaultSlots
-	}
+	slots := float64(t.likelySlots())
 	if t.room.known {
 		return min(slots, t.room.limit+slots*roomRegained*(now-t.room.at).Seconds())
 	}
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -51,11 +51,10 @@
 // time that it describes, so these are discarded. A report older than the last one is ignored.
 func (b *Balancer) UpdateLoads(loads []*wire.Load, now time.Duration) {
 	for _, l := range loads {
-		listed := b.byID[l.GetTarget()]
-		if len(listed) != 1 { // not listed, or the report may be that of another one with this identity
+		t := b.ByIdentity(l.GetTarget())
+		if t == nil { // not listed, or the report may be that of another one with this identity
 			continue
 		}
-		t := listed[0]
 		at := now - time.Duration(l.GetAgeMs())*time.Millisecond - reportLag
 		if t.load.known && at < t.load.at {
 			continue
--- a/internal/balance/reach.go
+++ b/internal/balance/reach.go
@@ -62,8 +62,8 @@
 	b.reachAll.succeed()
 }
 
-// noteUnreachable records that no connection to a target could be made.
-func (b *Balancer) noteUnreachable(t *Target, now time.Duration) {
+// NoteUnreachable records that no connection to a target could be made. End does so itself.
+func (b *Balancer) NoteUnreachable(t *Target, now time.Duration) {
 	b.reachOf(t.service).fail(t, b.groups[t.service], now)
 	b.reachAll.fail(t, b.groupAll, now)
 }
@@ -103,7 +103,7 @@
 }
 
 // NextProbe returns the target of a service that is out of reach to which a connection should be tried
-// next: one after another, but those first that are not known to be leaving. It is nil if there is none.
+// next: one after another, without those that are leaving. It is nil if there is none.
 func (b *Balancer) NextProbe(service string, now time.Duration) *Target {
 	if !b.OutOfReach(service) {
 		return nil
@@ -120,11 +120,8 @@
 	return nil
 }
 
-// ProbeFailed records that a connection for NextProbe failed.
-func (b *Balancer) ProbeFailed(t *Target, now time.Duration) { b.noteUnreachable(t, now) }
-
-// ListedOutOfReach returns the services that are out of reach.
-func (b *Balancer) ListedOutOfReach() []string {
+// ServicesOutOfReach returns the services that are out of reach.
+func (b *Balancer) ServicesOutOfReach() []string {
 	var out []string
 	for service := range b.byService {
 		if b.OutOfReach(service) {
@@ -133,8 +130,3 @@
 	}
 	return out
 }
-
-// ServicesOutOfReach returns the number of services that are out of reach.
-func (b *Balancer) ServicesOutOfReach() int {
-	return len(b.ListedOutOfReach())
-}
--- a/internal/balance/reach_test.go
+++ b/internal/balance/reach_test.go
@@ -66,7 +66,7 @@
 			for _, service := range []string{"engine", "plain"} {
 				require.Equal(t, slices.Contains(c.lost, service), b.OutOfReach(service), service)
 			}
-			require.Equal(t, len(c.lost), b.ServicesOutOfReach())
+			require.Len(t, b.ServicesOutOfReach(), len(c.lost))
 		})
 	}
 }
--- a/internal/balance/score.go
+++ b/internal/balance/score.go
@@ -71,14 +71,19 @@
 	return min(maxJitter, jitterPerInstance*float64(b.instances))
 }
 
+// likelySlots returns the target's number of slots, or what is assumed if it does not report any.
+func (t *Target) likelySlots() int {
+	if t.slots == 0 {
+		return defaultSlots
+	}
+	return t.slots
+}
+
 // loadScore returns the load of a target with another request: the fraction of its slots
 // in use for a plain service, and a weighted sum of prompts in flight, batch, waiting
 // requests and memory for an engine.
 func (t *Target) loadScore(tokens int, now time.Duration) float64 {
-	slots := t.slots
-	if slots == 0 {
-		slots = defaultSlots
-	}
+	slots := t.likelySlots()
 	if tokens == 0 {
 		return float64(t.open) / float64(slots)
 	}
--- a/internal/balance/statements.go
+++ b/internal/balance/statements.go
@@ -138,13 +138,17 @@
 
 // peersOf returns what is known of the other instances that keep a target's limit.
 func (b *Balancer) peersOf(t *Target, now time.Duration) ratelimit.Peers {
-	instances := b.instances
-	if instances == 0 {
-		instances = unknownInstances
-	}
 	return ratelimit.Peers{
-		Known: b.instances > 0 && now-b.peersAt <= peersValid, Demand: t.peerUse.demand, Instances: instances,
+		Known: b.instances > 0 && now-b.peersAt <= peersValid, Demand: t.peerUse.demand, Instances: b.likelyInstances(),
+	}
+}
+
+// likelyInstances returns the number of instances that share targets, or what is assumed if it is unknown.
+func (b *Balancer) likelyInstances() int {
+	if b.instances == 0 {
+		return unknownInstances
 	}
+	return b.instances
 }
 
 // withinLimit reports whether the limit that a target states permits another request.
@@ -179,8 +183,7 @@
 
 // EarliestReturn returns the time after which the first target of a service wants requests again,
 // by the times for which targets asked to wait, by the limits that they state and by the room that
-// brittle ones have. It is 0 if
-// a target accepts requests, or if none has asked.
+// brittle ones have. It is 0 if a target accepts requests, or if none has asked.
 func (b *Balancer) EarliestReturn(service string, now time.Duration) time.Duration {
 	var earliest time.Duration
 	for _, t := range b.byService[service] {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -259,7 +259,7 @@
 		result.reason, targetResult = reasonMisdirected, balance.Misdirected
 	}
 	req.server.base.Log.Info("target did not run the request", "request", req.caller.ID, "target", t.ID(), "status", response.StatusCode, "open-there", req.server.openAt(t))
-	if _, err := io.CopyN(io.Discard, response.Body, maxBufferedBytes); errors.Is(err, io.EOF) && !info.Closing && !response.Close && !info.OtherTarget {
+	if drain(response) && !info.Closing && !response.Close && !info.OtherTarget {
 		req.server.pool.Put(conn, info.KeepFor)
 		return targetResult
 	}
@@ -270,13 +270,13 @@
 // bufferAnswer reads an answer completely before the caller gets any of it, so that a
 // truncated answer is detected first.
 func (req *request) bufferAnswer(ctx context.Context, t *balance.Target, conn *upstream.Conn, response *http.Response, info vanillaward.TargetAnswer, result *attemptResult) balance.Result {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	body, whole, err := readBuffered(response)
 	if err != nil {
 		conn.Close()
 		req.noteCrash(ctx, t, err)
 		return req.classifyFailure(ctx, "answer ended before it was complete", t, err)
 	}
-	if len(body) > maxBufferedBytes {
+	if !whole {
 		return req.passThrough(ctx, t, conn, response, info, body, result)
 	}
 	req.noteAnswered()
@@ -299,6 +299,18 @@
 	return balance.Served
 }
 
+// readBuffered reads the body of an answer, as far as answers are buffered. It reports whether that is all of it.
+func readBuffered(response *http.Response) (body []byte, whole bool, err error) {
+	body, err = io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	return body, len(body) <= maxBufferedBytes, err
+}
+
+// drain reads the rest of an answer's body, and reports whether it has been read to its end.
+func drain(response *http.Response) bool {
+	_, err := io.CopyN(io.Discard, response.Body, maxBufferedBytes)
+	return errors.Is(err, io.EOF)
+}
+
 // impliesNotRun reports whether a status tells callers that the request has not run.
 func impliesNotRun(status int) bool {
 	switch status {
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/vanillaward/vanillaward/internal/handover"
 	"github.com/vanillaward/vanillaward/internal/upstream"
 )
@@ -122,11 +119,11 @@
 	if req.isStream(response) {
 		return req.passHelperStream(ctx, conn, response)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	body, whole, err := readBuffered(response)
 	if err != nil {
 		return err
 	}
-	if len(body) > maxBufferedBytes {
+	if !whole {
 		if err := req.writeLong(response, body); err != nil {
 			req.abortAnswer()
 			return err
@@ -147,9 +144,7 @@
 		err = req.passEvents(ctx, conn, response)
 	}
 	if err != nil {
-		if !isCallerError(err) {
-			_ = http.NewResponseController(req.w).Flush() // sends complete events that are still buffered; fails if the caller has disconnected
-		}
+		req.flushEvents(err)
 		req.abortAnswer()
 		return err
 	}
@@ -177,7 +172,7 @@
 
 // releaseHelper returns a connection to another instance to the pool, if its answer was read whole.
 func (req *request) releaseHelper(conn *upstream.Conn, response *http.Response) {
-	if _, err := io.CopyN(io.Discard, response.Body, maxBufferedBytes); !errors.Is(err, io.EOF) || response.Close {
+	if !drain(response) || response.Close {
 		conn.Close()
 		return
 	}
@@ -200,13 +195,13 @@
 }
 
 // LacksTargets implements follow.Helping.
-func (g *Server) LacksTargets() bool { return g.servicesOutOfReach() > 0 }
+func (g *Server) LacksTargets() bool { return len(g.servicesOutOfReach()) > 0 }
 
 // WantsHelpers implements follow.Helping.
 func (g *Server) WantsHelpers() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.helpers.Outdated(g.balancer.ServicesOutOfReach() > 0, g.base.Timers.Now())
+	return g.helpers.Outdated(len(g.balancer.ServicesOutOfReach()) > 0, g.base.Timers.Now())
 }
 
 // UpdateHelpers implements follow.Helping.
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -10,51 +10,49 @@
 // connected records that a connection to a target was opened.
 func (g *Server) connected(t *balance.Target) {
 	g.base.Metrics.Connection(true)
-	g.logReach(t, g.updateReach(func() { g.balancer.Connected(t) }))
+	g.updateReach(t, func() { g.balancer.Connected(t) })
 }
 
-// reachChange is the number of services that are out of reach, before and after an update.
-type reachChange struct{ before, after int }
-
-// updateReach applies an update of the balancer with the lock held.
-func (g *Server) updateReach(update func()) reachChange {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	before := g.balancer.ServicesOutOfReach()
-	update()
-	return reachChange{before: before, after: g.balancer.ServicesOutOfReach()}
+// notConnected records, by an update of the balancer, that no connection to a target could be made.
+func (g *Server) notConnected(t *balance.Target, update func()) {
+	g.base.Metrics.Connection(false)
+	g.updateReach(t, update)
 }
 
-// logReach logs whether services have come out of reach, or into reach again, by a connection to the
-// given target.
-func (g *Server) logReach(t *balance.Target, change reachChange) {
+// updateReach applies an update of the balancer that concerns a connection to a target, and logs whether
+// services have come out of reach by it, or into reach again.
+func (g *Server) updateReach(t *balance.Target, update func()) {
+	before, after := g.updateAndCount(update)
 	switch {
-	case change.after > change.before:
-		g.base.Log.Info("targets out of reach", "service", t.Service(), "target", t.ID(), "services-out-of-reach", change.after)
-	case change.after < change.before:
-		g.base.Log.Info("targets in reach again", "service", t.Service(), "target", t.ID(), "services-out-of-reach", change.after)
+	case after > before:
+		g.base.Log.Info("targets out of reach", "service", t.Service(), "target", t.ID(), "services-out-of-reach", after)
+	case after < before:
+		g.base.Log.Info("targets in reach again", "service", t.Service(), "target", t.ID(), "services-out-of-reach", after)
 	}
 }
 
-// servicesOutOfReach returns the number of services to whose targets no connection can be opened.
-func (g *Server) servicesOutOfReach() int {
+// updateAndCount applies an update of the balancer. It returns the number of services that were out of
+// reach before, and that are now.
+func (g *Server) updateAndCount(update func()) (before, after int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.balancer.ServicesOutOfReach()
+	before = len(g.balancer.ServicesOutOfReach())
+	update()
+	return before, len(g.balancer.ServicesOutOfReach())
 }
 
-// outOfReach reports whether the targets of a service are out of reach.
-func (g *Server) outOfReach(service string) bool {
+// servicesOutOfReach returns the services to whose targets no connection can be opened.
+func (g *Server) servicesOutOfReach() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.balancer.OutOfReach(service)
+	return g.balancer.ServicesOutOfReach()
 }
 
-// outOfReachServices returns the services that are out of reach.
-func (g *Server) outOfReachServices() []string {
+// outOfReach reports whether the targets of a service are out of reach.
+func (g *Server) outOfReach(service string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.balancer.ListedOutOfReach()
+	return g.balancer.OutOfReach(service)
 }
 
 // targetByIdentity returns the listed target with an identity, or nil.
@@ -73,7 +71,7 @@
 	done := make(chan error, 1)
 	go func() {
 		for range g.base.Timers.Subscribe(ctx, probeInterval) {
-			for _, service := range g.outOfReachServices() {
+			for _, service := range g.servicesOutOfReach() {
 				g.probe(ctx, service)
 			}
 		}
@@ -94,6 +92,5 @@
 		g.connected(t)
 		return
 	}
-	g.base.Metrics.Connection(false)
-	g.logReach(t, g.updateReach(func() { g.balancer.ProbeFailed(t, g.base.Timers.Now()) }))
+	g.notConnected(t, func() { g.balancer.NoteUnreachable(t, g.base.Timers.Now()) })
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -113,7 +113,7 @@
 	}
 	b.Metrics.Gauge("vanillaward_gateway_open_requests", func() float64 { return float64(g.open.Load()) })
 	b.Metrics.Gauge("vanillaward_gateway_parts_held_back", func() float64 { return float64(g.crashes.Parts()) })
-	b.Metrics.Gauge("vanillaward_gateway_services_out_of_reach", func() float64 { return float64(g.servicesOutOfReach()) })
+	b.Metrics.Gauge("vanillaward_gateway_services_out_of_reach", func() float64 { return float64(len(g.servicesOutOfReach())) })
 	b.Metrics.Gauge("vanillaward_gateway_configuration_number", func() float64 { return float64(g.Number()) })
 	return g
 }
@@ -349,11 +349,14 @@
 
 // end records the result of a request at a target.
 func (g *Server) end(t *balance.Target, tokens int, result balance.Result) {
-	change := g.updateReach(func() { g.balancer.End(t, tokens, result, g.base.Timers.Now()) })
+	end := func() { g.balancer.End(t, tokens, result, g.base.Timers.Now()) }
 	if result == balance.Unreachable {
-		g.base.Metrics.Connection(false)
-		g.logReach(t, change)
+		g.notConnected(t, end)
+		return
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	end()
 }
 
 // endPrefill removes the tokens of a prompt that a target has processed, or will not.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -56,9 +56,7 @@
 	conn.Close()
 	req.server.markEnded(req.stream.run)
 	req.noteCrash(ctx, t, err)
-	if !isCallerError(err) {
-		_ = http.NewResponseController(req.w).Flush() // sends complete events that are still buffered; fails if the caller has disconnected
-	}
+	req.flushEvents(err)
 	targetResult := req.classifyFailure(ctx, "stream ended before it was complete", t, err)
 	if !req.resumeFromCopy(ctx, err) {
 		req.abortAnswer()
@@ -66,6 +64,14 @@
 	return targetResult
 }
 
+// flushEvents sends complete events that are still buffered when a stream has ended with an error, unless
+// that is one of the caller's connection.
+func (req *request) flushEvents(err error) {
+	if !isCallerError(err) {
+		_ = http.NewResponseController(req.w).Flush() // fails if the caller has disconnected
+	}
+}
+
 // startStream sends the head of the answer to the caller, once.
 func (req *request) startStream(response *http.Response) error {
 	if req.stream.headSent {
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -136,5 +136,9 @@
 	require.False(t, h.Outdated(false, 2*time.Second))
 	require.True(t, h.Outdated(true, 2*time.Second))
 	require.True(t, h.Outdated(false, 12*time.Second))
-	require.Equal(t, 1, h.Count())
+	address, ok := h.Begin(nil, 12*time.Second)
+	require.True(t, ok)
+	require.Equal(t, "a", address)
+	_, ok = h.Begin([]string{"a"}, 12*time.Second)
+	require.False(t, ok, "there is one helper")
 }
--- a/internal/handover/helpers.go
+++ b/internal/handover/helpers.go
@@ -55,8 +55,7 @@
 type Helpers struct {
 	list    []*helper
 	updated time.Duration
-	asked   bool // for the first time, by an update
-	turn    int  // of the helpers that are equally good
+	turn    int // of the helpers that are equally good
 }
 
 type helper struct {
@@ -76,21 +75,18 @@
 		}
 		next = append(next, known)
 	}
-	h.list, h.updated, h.asked = next, now, true
+	h.list, h.updated = next, now
 }
 
 // Outdated reports whether the list should be asked for again. It changes fast while it is used.
 func (h *Helpers) Outdated(used bool, now time.Duration) bool {
 	interval := askInterval
-	if used || len(h.list) == 0 {
+	if used {
 		interval = urgentAskInterval
 	}
-	return !h.asked || now-h.updated >= interval
+	return len(h.list) == 0 || now-h.updated >= interval
 }
 
-// Count returns the number of helpers.
-func (h *Helpers) Count() int { return len(h.list) }
-
 // Begin chooses the helper with the fewest requests of this instance among those that are not to be
 // avoided, counts a request there and returns its address. It reports false if there is none.
 func (h *Helpers) Begin(tried []string, now time.Duration) (string, bool) {
