--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -127,10 +127,12 @@
 	err    error
 }
 
-func (r *rig) send(t *testing.T, method, path, body string, header map[string]string) reply {
-	t.Helper()
+// newRequest returns a caller's request, with headers in place of the usual ones or beside them.
+func (r *rig) newRequest(method, path, body string, header map[string]string) (*http.Request, error) {
 	request, err := http.NewRequest(method, "http://"+r.address+path, strings.NewReader(body))
-	require.NoError(t, err)
+	if err != nil {
+		return nil, err
+	}
 	request.Host = testHost
 	request.Header.Set(testID, "request-1")
 	request.Header.Set(testKey, "key")
@@ -139,6 +141,13 @@
 	for name, value := range header {
 		request.Header.Set(name, value)
 	}
+	return request, nil
+}
+
+func (r *rig) send(t *testing.T, method, path, body string, header map[string]string) reply {
+	t.Helper()
+	request, err := r.newRequest(method, path, body, header)
+	require.NoError(t, err)
 	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
 	if err != nil {
 		return reply{err: err}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -91,18 +91,14 @@
 
 // sendDuringStop sends a request over a kept connection, and returns the status of the complete answer.
 func (r *rig) sendDuringStop(transport *http.Transport, id string, budget, delay int) (int, error) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+r.address+"/r/x", http.NoBody)
+	header := map[string]string{testID: id, testBudget: strconv.Itoa(budget), testLongest: "20"}
+	if delay >= 0 {
+		header[testDelay] = strconv.Itoa(delay)
+	}
+	request, err := r.newRequest(http.MethodPost, "/r/x", "", header)
 	if err != nil {
 		return 0, err
 	}
-	request.Host = testHost
-	request.Header.Set(testID, id)
-	request.Header.Set(testKey, "key")
-	request.Header.Set(testBudget, strconv.Itoa(budget))
-	request.Header.Set(testLongest, "20")
-	if delay >= 0 {
-		request.Header.Set(testDelay, strconv.Itoa(delay))
-	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return 0, err
