Review: planned replacements of the leader lose the configuration

Case 5 of the review, the code of case 1 reached without a lost disk: a new leader begins the time anew after which a machine that has left is no voter any more.

--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -29,10 +29,11 @@
 type play func(c *cluster, trouble bool) (verdict, string)
 
 var plays = map[string]play{
-	"lost-majority": lostMajority,
-	"last-keys":     lastKeys,
-	"preempted":     preempted,
-	"leaving":       leaving,
+	"lost-majority":    lostMajority,
+	"replaced-leaders": replacedLeaders,
+	"last-keys":        lastKeys,
+	"preempted":        preempted,
+	"leaving":          leaving,
 }
 
 // limit bounds a case, so that it has ended within 120 s.
--- a/review/kit/majority.go
+++ b/review/kit/majority.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"syscall"
 	"time"
@@ -16,29 +17,13 @@
 // lostMajority replaces two machines of the core by plan, one after the other, the new one first. After a
 // calm time one machine loses its disk.
 func lostMajority(c *cluster, trouble bool) (verdict, string) {
-	var seeds []string
-	core := []*node{}
-	for i, zone := range zones {
-		core = append(core, c.add("core-"+zone+"-1", "control", zone, i+1, nil))
-		seeds = append(seeds, core[i].control())
-	}
-	for _, n := range core {
-		n.seeds = seeds
-	}
-	if err := startAll(true, core...); err != nil {
-		return cannotRun, err.Error()
-	}
 	op := newOperator(c.record)
-	time.Sleep(time.Second)
-	if op.put(10*time.Second, configuration(7, tenant("huka270", "key-a")), core...) != 200 {
-		return cannotRun, "the first configuration was not acknowledged"
+	running, seeds, err := startCore(c, op)
+	if err != nil {
+		return cannotRun, err.Error()
 	}
-	time.Sleep(contactTime)
-
-	running := core
 	for i, version := range []int{9, 11} {
-		var err error
-		if running, err = replace(c, running, i, seeds); err != nil {
+		if running, err = replace(c, running, i, before, seeds); err != nil {
 			return cannotRun, err.Error()
 		}
 		if op.put(ackTime, configuration(version, tenant("huka270", "key-a")), running...) != 200 {
@@ -71,9 +56,31 @@
 	return held, "the configuration was read back and the next one acknowledged"
 }
 
+// startCore starts the core and has it acknowledge the first configuration. It returns the machines and
+// their control addresses.
+func startCore(c *cluster, op *operator) (core []*node, seeds []string, err error) {
+	for i, zone := range zones {
+		core = append(core, c.add("core-"+zone+"-1", "control", zone, i+1, nil))
+		seeds = append(seeds, core[i].control())
+	}
+	for _, n := range core {
+		n.seeds = seeds
+	}
+	if err := startAll(true, core...); err != nil {
+		return nil, nil, err
+	}
+	time.Sleep(time.Second)
+	if op.put(10*time.Second, configuration(7, tenant("huka270", "key-a")), core...) != 200 {
+		return nil, nil, errors.New("the first configuration was not acknowledged")
+	}
+	time.Sleep(contactTime)
+	return core, seeds, nil
+}
+
 // replace replaces the last of the running machines by plan and returns those that run then, the new one
-// first but one: the machine at the end is the next to be replaced.
-func replace(c *cluster, running []*node, turn int, seeds []string) ([]*node, error) {
+// first but one: the machine at the end is the next to be replaced. The new one runs for the given time
+// before the old one is stopped.
+func replace(c *cluster, running []*node, turn int, before time.Duration, seeds []string) ([]*node, error) {
 	old := running[len(running)-1]
 	successor := c.add(fmt.Sprintf("core-%s-%d", old.zone, turn+2), "control", old.zone, 4+turn, seeds)
 	if err := successor.start(false); err != nil {
