Replog: voters that have left for good do not keep the majority too large

A replica that had stopped for good stayed a voter until one leader had not heard it for 5 s; then for good if the number of voters was odd, however many were gone. Each new leader began the 5 s anew. An announced stop told the others nothing.

Ruled out: lost records or a lost disk that cannot come back. In TestLeadersEndInTurn on the code before, the three replicas that run hold all committed records and campaign for ever, since their membership has six voters; no disk is lost there.

Two or more failed voters of an odd number are removed, down to three voters. Logs whose replicas are listed by operators are as before.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -283,6 +283,34 @@
 	return err
 }
 
+// Leave removes the vote of a replica that is about to stop, if more failures of the others are borne
+// without it, and returns when that is committed. On a replica that does not lead it returns
+// replog.ErrNotLeader, and replog.ErrMembershipPending while an earlier change is not committed.
+func (n *Node) Leave(ctx context.Context, id string) error {
+	for {
+		_, _, err := n.awaitCommit(ctx, func() (uint64, []replog.Action, error) {
+			next, err := n.core.LeaveStep(n.timers.Now(), id)
+			if err != nil {
+				return 0, nil, err
+			}
+			if next == nil {
+				return 0, nil, errNothingToLeave
+			}
+			n.log.Info("replica leaves", "replica", id, "replicas", describeReplicas(next), "term", n.core.Term())
+			return n.core.ProposeMembership(n.timers.Now(), next)
+		})
+		if errors.Is(err, errNothingToLeave) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// errNothingToLeave ends the steps of a replica that leaves.
+var errNothingToLeave = errors.New("the replica has no vote, or keeps it until it returns")
+
 // errAlreadyMember ends a proposal for a replica that is already a member.
 var errAlreadyMember = errors.New("the replica is a member already")
 
--- a/internal/control/documents.go
+++ b/internal/control/documents.go
@@ -29,6 +29,7 @@
 	methodOffer = "Control.Offer"
 	methodRead  = "Control.ReadDocument"
 	methodJoin  = "Control.Join"
+	methodLeave = "Control.Leave"
 	// forwardedReason is the error text that the peer receives if its forwarded join
 	// request reaches a replica that does not lead.
 	forwardedReason = "the question was handed on once already"
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -67,7 +67,7 @@
 	ctx, cancel := context.WithTimeout(ctx, documentTimeout)
 	defer cancel()
 	status, err := s.node.LogStatus(ctx)
-	if err != nil || status.leaderReachable && status.member {
+	if err != nil || s.leaving.Load() || status.leaderReachable && status.member {
 		return
 	}
 	ownIdentity, err := s.node.Identity(ctx)
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -58,6 +58,7 @@
 	published     *config.Store
 	publisher     *Publisher
 	initialVoters *wire.Membership
+	coreOptions   []replog.Option
 
 	inbox        chan func()
 	stopped      chan struct{} // closed when the replica stops
@@ -109,6 +110,12 @@
 // same membership.
 func WithInitialVoters(m *wire.Membership) Option { return func(n *Node) { n.initialVoters = m } }
 
+// WithRejoining states that the replicas of the log maintain their membership, see
+// Service.MaintainMembership.
+func WithRejoining() Option {
+	return func(n *Node) { n.coreOptions = append(n.coreOptions, replog.WithRejoining()) }
+}
+
 // NewNode returns a replica that stores its records on a disk. NewID becomes the ID of a
 // replica whose disk is empty; seed initialises its random timeouts. Applied versions of
 // the configuration are stored in published.
@@ -220,7 +227,7 @@
 		}
 	}
 	random := rand.New(rand.NewPCG(n.seed, uint64(n.timers.Now())))
-	n.core = replog.New(store.ID(), n.timing, random, n.timers.Now(), durable)
+	n.core = replog.New(store.ID(), n.timing, random, n.timers.Now(), durable, n.coreOptions...)
 	return nil
 }
 
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -45,8 +46,9 @@
 	evidence  *evidence
 	log       logr.Logger
 	name      string
-	self      string // peer address of this replica
-	domain    string // failure domain of this replica, or empty if unknown
+	self      string      // peer address of this replica
+	domain    string      // failure domain of this replica, or empty if unknown
+	leaving   atomic.Bool // this replica stops, and does not join again
 
 	mu        sync.Mutex // guards the rest; never held while another lock is taken
 	watchers  map[string]watcher
--- a/internal/instance/seeded.go
+++ b/internal/instance/seeded.go
@@ -29,6 +29,7 @@
 	*Instance
 	seeds          *settings.Seeds
 	peers          *peer.Pool
+	control        *control.Service // nil without that role
 	componentsDone []<-chan error
 }
 
@@ -61,6 +62,7 @@
 			i.base.Log.Error(err, "serving callers failed")
 		}
 	}
+	s.leaveLog(ctx)
 	cancel()
 	for _, done := range s.componentsDone {
 		if err := <-done; err != nil {
@@ -130,11 +132,12 @@
 	log := s.base.Log.WithValues("role", "control")
 	publisher := control.NewPublisher(randomSeed())
 	published := config.NewStore()
-	if _, err := s.prepareNode(ctx, log, published, id, control.WithPublisher(publisher), control.WithInitialVoters(voters)); err != nil {
+	if _, err := s.prepareNode(ctx, log, published, id, control.WithPublisher(publisher), control.WithInitialVoters(voters), control.WithRejoining()); err != nil {
 		return err
 	}
 	service := control.NewService(ctx, s.node, published, s.base.Timers, s.peers, s.self())
 	service.Register(s.server)
+	s.control = service
 	s.registerGauges(ctx)
 	s.componentsDone = append(s.componentsDone, s.node.Run(ctx), service.MaintainMembership(ctx, s.seeds.Peers), service.KeepEvidence(ctx))
 	if cfg.Platform.ListURL != "" {
@@ -167,6 +170,16 @@
 	}
 }
 
+// leaveLog announces to the other replicas that this one stops.
+func (s *seeded) leaveLog(ctx context.Context) {
+	if s.control == nil || ctx.Err() != nil {
+		return
+	}
+	if err := s.control.Leave(ctx); err != nil {
+		s.base.Log.Info("stopping without leave of the other replicas", "reason", err.Error())
+	}
+}
+
 // registerGauges registers metrics for the numbers of voters and learners in the
 // membership that the replica has, and whether it is among them.
 func (s *seeded) registerGauges(ctx context.Context) {
--- a/internal/replog/cluster_test.go
+++ b/internal/replog/cluster_test.go
@@ -151,7 +151,11 @@
 	if c.defect == votesOnRestart {
 		now -= 10 * replog.DefaultTiming().Election
 	}
-	m.core = replog.New(m.id, replog.DefaultTiming(), rand.New(rand.NewPCG(uint64(c.draw(1<<20)), 1)), now, from)
+	var options []replog.Option
+	if c.autoReconcile {
+		options = append(options, replog.WithRejoining())
+	}
+	m.core = replog.New(m.id, replog.DefaultTiming(), rand.New(rand.NewPCG(uint64(c.draw(1<<20)), 1)), now, from, options...)
 }
 
 // perform performs the actions of a step. A crash may occur between any two of them;
@@ -326,7 +330,7 @@
 	case choice < 93:
 		c.freezeOne()
 	case choice < 94 && c.faults && c.autoReconcile:
-		c.loseDisk()
+		err = c.loseReplica()
 	case choice < 94 && c.faults:
 		err = c.replaceOne()
 	default:
--- a/internal/replog/core.go
+++ b/internal/replog/core.go
@@ -41,6 +41,8 @@
 	id     string
 	timing Timing
 	random *rand.Rand
+	// rejoining is set where a replica that was removed asks to join again by itself.
+	rejoining bool
 
 	now    time.Duration
 	role   Role
@@ -58,6 +60,7 @@
 	votes            map[string]bool
 
 	replicaProgress map[string]*progress
+	leaving         map[string]time.Duration // when replicas announced their stop to this leader
 	round           uint64
 	roundTime       map[uint64]time.Duration
 	nextHeartbeat   time.Duration
@@ -67,11 +70,21 @@
 	actions []Action
 }
 
+// Option configures a replica.
+type Option func(*Core)
+
+// WithRejoining states that replicas that were removed ask to join again by themselves when they
+// are back. Voters that fail are then removed sooner, and more of them.
+func WithRejoining() Option { return func(c *Core) { c.rejoining = true } }
+
 // New returns a replica restored from durable state. Until the minimum election
 // timeout has passed it grants no votes: before the restart it may have answered a
 // leader, whose lease relies on this replica not voting for another one.
-func New(id string, timing Timing, random *rand.Rand, now time.Duration, from Durable) *Core {
+func New(id string, timing Timing, random *rand.Rand, now time.Duration, from Durable, options ...Option) *Core {
 	c := &Core{id: id, timing: timing, random: random, now: now, leaderContact: now}
+	for _, o := range options {
+		o(c)
+	}
 	if from.HardState != nil {
 		c.term, c.vote = from.HardState.GetTerm(), from.HardState.GetVote()
 	}
@@ -272,7 +285,7 @@
 		c.saveState()
 	}
 	if role != Leader {
-		c.replicaProgress, c.roundTime, c.hasLease = nil, nil, false
+		c.replicaProgress, c.leaving, c.roundTime, c.hasLease = nil, nil, nil, false
 	}
 	if role == Candidate || role == PreCandidate {
 		c.leader = ""
--- a/internal/replog/election.go
+++ b/internal/replog/election.go
@@ -124,6 +124,7 @@
 	c.become(Leader, c.term)
 	c.leader = c.id
 	c.replicaProgress = map[string]*progress{}
+	c.leaving = map[string]time.Duration{}
 	c.roundTime = map[uint64]time.Duration{}
 	c.hasLease = false
 	c.nextHeartbeat = c.now + c.timing.Heartbeat
--- a/internal/replog/membership_test.go
+++ b/internal/replog/membership_test.go
@@ -39,6 +39,14 @@
 	return nil
 }
 
+// reconcileAutomatically starts all replicas anew as ones that join and leave the log by themselves.
+func (c *cluster) reconcileAutomatically() {
+	c.autoReconcile = true
+	for _, m := range c.members {
+		c.start(m)
+	}
+}
+
 func (c *cluster) proposeMembership(leader *member, next *wire.Membership) error {
 	_, actions, err := leader.core.ProposeMembership(c.clock(leader), next)
 	if err != nil {
@@ -66,6 +74,62 @@
 	c.start(fresh)
 }
 
+// loseReplica makes a replica lose its disk, or a new one join, or one leave for good.
+func (c *cluster) loseReplica() error {
+	switch active := len(c.activeMembers()); {
+	case c.draw(2) == 0:
+		c.loseDisk()
+	case active < maxActiveMembers && c.draw(2) == 0:
+		c.addMember()
+	case active > minActiveMembers:
+		return c.leaveForGood(c.activeMembers()[c.draw(active)])
+	}
+	return nil
+}
+
+const (
+	minActiveMembers = 3
+	maxActiveMembers = 6
+)
+
+// addMember starts a replica with an empty disk at an address of its own.
+func (c *cluster) addMember() *member {
+	n := strconv.Itoa(c.nextID)
+	c.nextID++
+	fresh := &member{id: "r" + n, address: "a" + n, clockRate: 1, disk: disk{hardState: &wire.HardState{}}}
+	c.members = append(c.members, fresh)
+	c.start(fresh)
+	return fresh
+}
+
+// leaveForGood makes a replica announce its stop to the leader and end. It does so only while all
+// replicas hold all records, and if the leader is not busy with another membership.
+func (c *cluster) leaveForGood(m *member) error {
+	if !c.fullyReplicated() {
+		return nil
+	}
+	leader := c.currentLeader()
+	next, err := leader.core.LeaveStep(c.clock(leader), m.id)
+	if err != nil {
+		return nil //nolint:nilerr // the replica stays and may leave later
+	}
+	if next != nil {
+		err = c.proposeMembership(leader, next)
+	}
+	m.up, m.retired = false, true
+	return err
+}
+
+// currentLeader returns the leader with a valid lease, or nil.
+func (c *cluster) currentLeader() *member {
+	for _, m := range c.members {
+		if m.up && m.core.Role() == replog.Leader && m.core.LeaseValid(c.clock(m)) {
+			return m
+		}
+	}
+	return nil
+}
+
 func (c *cluster) activeMembers() []*member {
 	var out []*member
 	for _, m := range c.members {
@@ -148,7 +212,7 @@
 		voters := rapid.SampledFrom([]int{3, 4, 5, 6}).Draw(t, "voters")
 		steps := rapid.IntRange(100, 800).Draw(t, "steps")
 		c := newCluster(voters, random.IntN, noDefect)
-		c.autoReconcile = true
+		c.reconcileAutomatically()
 		for range steps {
 			if err := c.advance(); err != nil {
 				t.Fatalf("step %d: %v", c.step, err)
