Route: without any key left, callers are still asked for one

Whether callers need a key was derived from whether there are any keys, so that a configuration without any failed open.

Ruled out: instances that are late or cannot refuse.

On the same path, an empty key in a configuration belongs to nobody, no more to callers without any key.

--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -61,8 +61,8 @@
 			},
 		},
 		Services:      []route.ServiceSpec{{Name: testService, Slots: 8, ContinuousCopies: true, Moves: true, CopyLifetime: 5 * time.Second}},
-		Organisations: []route.OrganisationSpec{{Name: "org", Keys: []string{"key"}}},
-		Limits:        route.Limits{HeaderBytes: 4096, BodyBytes: 64 << 10},
+		Organisations: []route.OrganisationSpec{{Name: "org", Keys: []string{"key"}}}, RequiresKeys: true,
+		Limits: route.Limits{HeaderBytes: 4096, BodyBytes: 64 << 10},
 	}
 }
 
--- a/internal/route/spec.go
+++ b/internal/route/spec.go
@@ -31,7 +31,9 @@
 	Routes        []Spec
 	Services      []ServiceSpec
 	Organisations []OrganisationSpec
-	Limits        Limits
+	// RequiresKeys is true if callers need the key of an organisation, though none may have one.
+	RequiresKeys bool
+	Limits       Limits
 }
 
 // Spec is one route.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -14,6 +14,7 @@
 	number        uint64
 	hosts         map[string][]*Route // longest prefix first
 	services      map[string]*Service
+	requiresKeys  bool
 	organisations map[string]*Organisation // by key
 	limits        Limits
 }
@@ -43,7 +44,7 @@
 	}
 	t := &Table{
 		number: c.Number, hosts: map[string][]*Route{}, services: map[string]*Service{},
-		organisations: map[string]*Organisation{}, limits: c.Limits,
+		requiresKeys: c.RequiresKeys, organisations: map[string]*Organisation{}, limits: c.Limits,
 	}
 	for _, v := range c.Services {
 		t.services[v.Name] = &Service{spec: v}
@@ -74,14 +75,15 @@
 // Limits returns the bounds on callers.
 func (t *Table) Limits() Limits { return t.limits }
 
-// RequiresKeys reports whether the configuration has any keys. Without keys no
-// route needs one.
-func (t *Table) RequiresKeys() bool { return len(t.organisations) > 0 }
+// RequiresKeys reports whether callers need a key, but for public routes. Once the last key is taken
+// away, no caller has one.
+func (t *Table) RequiresKeys() bool { return t.requiresKeys }
 
-// Organisation returns the owner of a key. It reports false if the key is unknown.
+// Organisation returns the owner of a key. It reports false if the key is unknown or empty: a caller
+// without a key owns none.
 func (t *Table) Organisation(key string) (*Organisation, bool) {
 	o, ok := t.organisations[key]
-	return o, ok
+	return o, ok && key != ""
 }
 
 // Service returns a service by name, or nil.
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -22,7 +22,7 @@
 			{Name: "two", Host: "Two.test", Prefix: "/a/", KindValid: true, Timeout: time.Second, Shares: []route.Share{{Service: "s", Weight: 1}}},
 		},
 		Services:      []route.ServiceSpec{{Name: "s"}, {Name: "t"}, {Name: "u"}},
-		Organisations: []route.OrganisationSpec{{Name: "o", Keys: []string{"k1", "k2"}}, {Name: "p", Keys: []string{"k3"}}},
+		Organisations: []route.OrganisationSpec{{Name: "o", Keys: []string{"k1", "k2"}}, {Name: "p", Keys: []string{"k3"}}}, RequiresKeys: true,
 	}
 }
 
