Gateway: a run goes on elsewhere only once its engine does not work on it

The end of the run at its engine was left to the close of the connection. The same stood where the gateway closes a connection for another reason, such as events out of order.

Ruled out: a close that comes late; the record shows the engine at work 18 s after the resumption.

Before a run goes on elsewhere its engine is asked what it runs. A run that it names is stopped and copied by a last move; one that it may have, preempted, stays and the engine is asked again; one that it does not have, or whose engine does not answer, goes on from its copy as before.

Nothing is stored or sent between instances, so versions run side by side as before.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -138,4 +138,8 @@
 	return vanillaward.MoveResult{}, errors.New("unexpected call")
 }
 
+func (engines) Runs(context.Context, string) (vanillaward.EngineRuns, error) {
+	return vanillaward.EngineRuns{}, errors.New("unexpected call")
+}
+
 func (engines) Drop(context.Context, string, string) error { return errors.New("unexpected call") }
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -61,8 +61,14 @@
 	accepted := req.stream.accepted
 	req.stream.accepted = nil
 	if accepted == nil {
+		if endedHere(cause) && !req.server.haltAtEngine(ctx, req.stream.run).mayGoOn() {
+			return false
+		}
 		req.server.awaitMove(ctx, req.stream.run)
 		accepted = req.requestResumption(ctx, req.stream.lastEvent)
+		if accepted == nil && req.server.takeKept(req.stream.run) {
+			accepted = req.requestResumption(ctx, req.stream.lastEvent)
+		}
 	}
 	if accepted == nil {
 		return false
@@ -70,6 +76,12 @@
 	return req.relayResumed(ctx, accepted)
 }
 
+// endedHere reports whether an error ended the connection to an engine from this side, so that the
+// engine may still work on the run. That of a stalled run has ended already.
+func endedHere(cause error) bool {
+	return cause != nil && !errors.Is(cause, errStalled) && !upstream.IsConnectionEnd(cause) && !errors.Is(cause, errNoEvent)
+}
+
 // errEngineGone is logged for a copy whose holder can no longer be sent requests.
 var errEngineGone = errors.New("holder of the copy is no longer listed or is leaving")
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -33,6 +33,7 @@
 	ended    bool // the run's stream has ended at the engine
 	copy     *heldCopy
 	uncopied bool          // it is counted as a run without a copy
+	kept     *heldCopy     // what the engine keeps of the run since it stopped it without copying it
 	moving   chan struct{} // closed when the copying on demand in progress ends; nil if there is none
 	failures int           // copies on demand that failed
 	avoid    []string      // IDs of engines to which copying failed, or that ran the run before its resumption
@@ -130,7 +131,12 @@
 	g.mu.Lock()
 	delete(g.runs, r) // recordMove frees a copy that completes later
 	g.countUncopied(r, false)
+	kept := r.kept
+	r.kept = nil
 	g.mu.Unlock()
+	if kept != nil {
+		g.free(unusedCopy{request: r.request, address: kept.address, handle: kept.handle})
+	}
 	unused := g.takeCopy(r)
 	if unused != nil && unused.expires > 0 { // engines drop continuously updated copies themselves
 		g.free(unusedCopy{request: r.request, address: unused.address, handle: unused.handle})
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -10,29 +10,36 @@
 	"github.com/vanillaward/vanillaward/internal/upstream"
 )
 
-// stallTimeout is the time without an event within a stream after which its run is to be
-// resumed from the copy that another engine holds.
-const stallTimeout = 1500 * time.Millisecond
+const (
+	// stallTimeout is the time without an event within a stream after which its run is to be
+	// resumed from the copy that another engine holds.
+	stallTimeout = 1500 * time.Millisecond
+	// stallRetry is the time after which an engine that may still work on a stalled run is asked again.
+	stallRetry = 500 * time.Millisecond
+)
 
-// errStalled ends the reading of an engine's stream once the holder of the copy has accepted
-// the run.
-var errStalled = errors.New("engine stalled; run resumed from its copy")
+// errStalled ends the reading of an engine's stream once the engine has stopped the run, or the
+// holder of the copy has accepted it.
+var errStalled = errors.New("engine stalled; run goes on from its copy")
 
 // stallWatch detects stalls in the part of a stream that one engine sends. A stalled engine
 // may be lost, or may only have preempted the run in favour of other runs, and the copy may
-// be lost as well. So the connection to the engine is closed only once the holder of the copy
-// has accepted the run; if the holder does not, the stream from the engine continues.
+// be lost as well. So an engine that answers is first made to end the run; while it may still work
+// on it, the stream from it continues. The connection to an engine that does not answer is closed
+// only once the holder of the copy has accepted the run; if the holder does not, the stream from the
+// engine continues too.
 type stallWatch struct {
 	req      *request
 	source   *upstream.Conn
-	ctx      context.Context //nolint:containedctx // bounds the request to the holder
+	ctx      context.Context //nolint:containedctx // bounds the requests to the engine and the holder
 	cancel   context.CancelFunc
 	timer    *time.Timer
 	inFlight sync.WaitGroup
 
 	mu         sync.Mutex // guards the fields below and stream.lastEvent; held while events are written
-	requesting bool       // a request to the holder is in flight
+	requesting bool       // a request to the engine or the holder is in flight
 	stopped    bool
+	halted     halt // the last answer of the engine
 	accepted   *resumption
 }
 
@@ -66,8 +73,9 @@
 	return nil
 }
 
-// tryResume asks the holder of the copy to resume the run. It cancels the resumption if the
-// engine has sent another event, or the watch was stopped, before the holder accepted.
+// tryResume has the run resumed by the holder of its copy, once its engine does not work on it any
+// more. It cancels the resumption if the engine has sent another event, or the watch was stopped,
+// before the holder accepted.
 func (s *stallWatch) tryResume() {
 	s.mu.Lock()
 	if s.requesting || s.stopped {
@@ -79,11 +87,19 @@
 	last := s.req.stream.lastEvent
 	s.mu.Unlock()
 	defer s.inFlight.Done()
-	r := s.req.requestResumption(s.ctx, last)
+	halted := s.req.server.haltAtEngine(s.ctx, s.req.stream.run)
+	var r *resumption
+	if halted.mayGoOn() && halted != haltStopped {
+		r = s.req.requestResumption(s.ctx, last)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.requesting = false
+	s.requesting, s.halted = false, halted
 	switch {
+	case halted == haltStopped:
+		s.source.Close() // the run goes on from its copy after the last event that was read
+	case !halted.mayGoOn() && !s.stopped:
+		s.awaitEngine(s.req.stream.lastEvent != last)
 	case r == nil:
 	case s.stopped || s.req.stream.lastEvent != last:
 		s.req.cancelResumption(r)
@@ -93,9 +109,20 @@
 	}
 }
 
+// awaitEngine restarts the stall timer while the engine may work on the run. It is called with the
+// lock held.
+func (s *stallWatch) awaitEngine(resumed bool) {
+	wait := stallRetry
+	if resumed {
+		wait = stallTimeout
+	}
+	s.timer.Reset(wait)
+}
+
 // stop ends the watch. It returns the resumption that the holder of the copy has accepted, or
-// nil.
-func (s *stallWatch) stop() *resumption {
+// nil, and whether the engine has stopped the run, or may have, so that the end of its stream is not
+// that of the answer.
+func (s *stallWatch) stop() (accepted *resumption, halted bool) {
 	s.mu.Lock()
 	s.stopped = true
 	if s.timer != nil {
@@ -104,5 +131,5 @@
 	s.mu.Unlock()
 	s.cancel()
 	s.inFlight.Wait()
-	return s.accepted
+	return s.accepted, s.halted == haltStopped || s.halted == haltUncertain
 }
--- a/internal/gateway/standin_test.go
+++ b/internal/gateway/standin_test.go
@@ -91,8 +91,13 @@
 // engines records the requested moves and drops of copies.
 type engines struct {
 	hold chan struct{} // if set, moves wait until it is closed
+	// runs, if set, answers what an engine runs; no engine answers else. stop, if set, answers a move
+	// that is to stop its run.
+	runs func() vanillaward.EngineRuns
+	stop func(vanillaward.Move) (vanillaward.MoveResult, error)
 
 	mu     sync.Mutex // guards the fields below
+	asked  int        // number of questions what an engine runs
 	absent int        // number of moves that still find that the engine does not run the request
 	moves  []vanillaward.Move
 	drops  []string
@@ -100,12 +105,31 @@
 
 func (*engines) Load(context.Context, string) (*wire.Load, error) { return &wire.Load{}, nil }
 
+func (e *engines) Runs(context.Context, string) (vanillaward.EngineRuns, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.asked++
+	if e.runs == nil {
+		return vanillaward.EngineRuns{}, errors.New("the engine does not answer")
+	}
+	return e.runs(), nil
+}
+
+func (e *engines) askedCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.asked
+}
+
 func (e *engines) Move(ctx context.Context, m vanillaward.Move) (vanillaward.MoveResult, error) {
 	e.mu.Lock()
 	e.moves = append(e.moves, m)
 	absent := e.absent > 0
 	e.absent--
 	e.mu.Unlock()
+	if m.Last && e.stop != nil {
+		return e.stop(m)
+	}
 	if absent {
 		return vanillaward.MoveResult{}, vanillaward.ErrNotRunning
 	}
@@ -347,3 +371,10 @@
 	defer s.mu.Unlock()
 	return s.seen[0]
 }
+
+// lastHeader returns the header of the last request that the target received.
+func (s *standin) lastHeader() http.Header {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen[len(s.seen)-1]
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -98,7 +98,10 @@
 	if err == nil && read == 0 && upstream.FramingOf(response) == upstream.FramedByClose {
 		err = errNoEvent
 	}
-	accepted := watch.stop()
+	accepted, halted := watch.stop()
+	if halted && (err == nil && upstream.FramingOf(response) == upstream.FramedByClose || err != nil && !isCallerError(err)) {
+		err = errStalled
+	}
 	if accepted != nil && (err == nil || isCallerError(err)) {
 		req.cancelResumption(accepted)
 		accepted = nil
--- a/vanillaward.go
+++ b/vanillaward.go
@@ -134,9 +134,13 @@
 type Engines interface {
 	// Load reads the load report of the engine at an address.
 	Load(ctx context.Context, address string) (*wire.Load, error)
-	// Move copies the KV cache of a run to another engine while the run continues.
-	// It returns when the copy is complete. The error matches ErrNotRunning if the source does not
-	// run the request, for example because it has preempted it for the moment.
+	// Runs returns the runs of the engine at an address.
+	Runs(ctx context.Context, address string) (EngineRuns, error)
+	// Move copies the KV cache of a run to another engine while the run continues, or stops the run
+	// first. It returns when the copy is complete. The error matches ErrNotRunning if the source does
+	// not run the request, for example because it has preempted it for the moment, ErrNotCopied, with a
+	// result, if the run was stopped and could not be copied, and ErrMoveRefused after any other refusal.
+	// After other errors the run may have been stopped.
 	Move(ctx context.Context, m Move) (MoveResult, error)
 	// Drop frees the copy that a move made, at both engines. Address is that of the move's
 	// source.
@@ -146,6 +150,22 @@
 // ErrNotRunning means that an engine does not run a request at present.
 var ErrNotRunning = errors.New("the engine does not run the request at present")
 
+// ErrNotCopied means that an engine has stopped a run, whose KV cache it keeps, and could not copy it.
+var ErrNotCopied = errors.New("the run was stopped and not copied")
+
+// ErrMoveRefused means that an engine neither copies a run nor stops it.
+var ErrMoveRefused = errors.New("the engine refuses to move the run")
+
+// EngineRuns is what an engine works on, as of a moment ago.
+type EngineRuns struct {
+	// Requests are the IDs of the requests that have begun to run and are not preempted.
+	Requests []string
+	// Running is the number of requests that run, and Waiting that of those that wait for room,
+	// preempted ones among them.
+	Running int
+	Waiting int
+}
+
 // Move identifies a run and the engine that its KV cache is copied to.
 type Move struct {
 	// Source and Destination are the addresses of the run's engine and of the engine that
@@ -154,6 +174,8 @@
 	Destination string
 	// Request is the ID of the request that the run belongs to.
 	Request string
+	// Last is true if the source is to stop the run first, and to close its stream before its end.
+	Last bool
 }
 
 // MoveResult is an engine's answer to a move.
