Gateway: answers that are read whole share one bound on memory

Another operator's report: bytes without end from a faulty target, in a head or a body, took down the machine that had called it. What callers would see here: streams of others cut off when the process ends.

Each answer has a bound, and their sum had none. Answers that stay just below theirs and go on slowly are all kept at the same time; a head had a bound on bytes and none on lines.

Beyond 16 KB each, answers that are buffered and events draw on one budget (buffer-memory, 16 MiB). An answer for which it lacks memory is passed on as it arrives, as longer ones are; a stream with such an event is cut, visibly. A head has at most 500 lines. The role entry's streams have a budget as well.

Conclusion: a bound for each is none for all. Not mended: bodies of callers' requests, and plain answers in the role entry, have no bound on their sum.

--- a/internal/engineapi/stream.go
+++ b/internal/engineapi/stream.go
@@ -40,8 +40,8 @@
 }
 
 // NewStream returns a Stream that reads the events of the given generation from body.
-func NewStream(body io.ReadCloser, generation string) *Stream {
-	return &Stream{body: body, reader: sse.NewReader(body), prefix: []byte(generation + ":")}
+func NewStream(body io.ReadCloser, generation string, options ...sse.Option) *Stream {
+	return &Stream{body: body, reader: sse.NewReader(body, options...), prefix: []byte(generation + ":")}
 }
 
 // DoneData is the data of a stream's final event.
@@ -108,7 +108,10 @@
 func (s *Stream) Buffered() bool { return s.reader.Buffered() }
 
 // Close closes the body and discards unread data.
-func (s *Stream) Close() { _ = s.body.Close() } // unread data is not needed
+func (s *Stream) Close() {
+	s.reader.Close()
+	_ = s.body.Close() // unread data is not needed
+}
 
 var (
 	notFinished  = []byte(`"finish_reason":null`)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/vanillaward/vanillaward/internal/delivery"
 	"github.com/vanillaward/vanillaward/internal/engineapi"
+	"github.com/vanillaward/vanillaward/internal/sse"
 	"github.com/vanillaward/vanillaward/internal/trace"
 	"github.com/vanillaward/vanillaward/internal/upstream"
 )
@@ -96,7 +97,7 @@
 	if err != nil {
 		return err
 	}
-	stream := engineapi.NewStream(response.Body, g.generationID())
+	stream := engineapi.NewStream(response.Body, g.generationID(), sse.WithBudget(g.server.events))
 	defer stream.Close()
 	return g.relay(stream, ws)
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -19,6 +19,7 @@
 	"github.com/vanillaward/vanillaward/internal/declaration"
 	"github.com/vanillaward/vanillaward/internal/evidence"
 	"github.com/vanillaward/vanillaward/internal/idempotency"
+	"github.com/vanillaward/vanillaward/internal/membudget"
 	"github.com/vanillaward/vanillaward/internal/settings"
 	"github.com/vanillaward/vanillaward/internal/telemetry"
 	"github.com/vanillaward/vanillaward/internal/timer"
@@ -32,6 +33,8 @@
 	// idleTimeout is how long a connection of a caller or to a target may stay open
 	// without a request.
 	idleTimeout = 2 * time.Minute
+	// eventMemory bounds the long events that are being read, all together, in bytes.
+	eventMemory = 16 << 20
 	// admissionTick is how often waiting requests are reconsidered.
 	admissionTick = 50 * time.Millisecond
 	// stopPollInterval is how often a stopping instance checks for open requests.
@@ -57,6 +60,7 @@
 	watchdog *watchdog
 	loads    *loadReader
 	memory   answerMemory
+	events   *membudget.Budget // of long events that are being read
 	crashes  *evidence.Ledger
 	pooled   *http.Client // reuses connections; for resumes, whose events name their run, and cancellations
 	// unpooled opens a connection for each request and never retries one. Refusals and the answers of
@@ -85,6 +89,7 @@
 		watchdog: newWatchdog(b.Timers), crashes: crashes, openByOrg: map[string]int{},
 	}
 	srv.memory.limit = int64(s.Entry.BufferMemory)
+	srv.events = membudget.New(eventMemory)
 	srv.pooled = &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: s.Entry.DialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleTargetConns, DisableCompression: true, MaxResponseHeaderBytes: upstream.MaxHeadBytes,
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/vanillaward/vanillaward"
 	"github.com/vanillaward/vanillaward/internal/balance"
+	"github.com/vanillaward/vanillaward/internal/membudget"
 	"github.com/vanillaward/vanillaward/internal/route"
 	"github.com/vanillaward/vanillaward/internal/upstream"
 )
@@ -19,6 +20,8 @@
 	// maxBufferedBytes bounds an answer that is buffered until it is complete, in bytes. A
 	// longer answer is passed on as it arrives.
 	maxBufferedBytes = 256 << 10
+	// firstBufferBytes is the size of the first buffer of an answer.
+	firstBufferBytes = 2 << 10
 	// attemptTimeDivisor divides the time left until the request's deadline; the quotient
 	// limits an attempt that may be followed by another one.
 	attemptTimeDivisor = 2
@@ -270,7 +273,7 @@
 // bufferAnswer reads an answer completely before the caller gets any of it, so that a
 // truncated answer is detected first.
 func (req *request) bufferAnswer(ctx context.Context, t *balance.Target, conn *upstream.Conn, response *http.Response, info vanillaward.TargetAnswer, result *attemptResult) balance.Result {
-	body, whole, err := readBuffered(response)
+	body, whole, err := readBuffered(response, req.hold)
 	if err != nil {
 		conn.Close()
 		req.noteCrash(ctx, t, err)
@@ -299,10 +302,27 @@
 	return balance.Served
 }
 
-// readBuffered reads the body of an answer, as far as answers are buffered. It reports whether that is all of it.
-func readBuffered(response *http.Response) (body []byte, whole bool, err error) {
-	body, err = io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
-	return body, len(body) <= maxBufferedBytes, err
+// readBuffered reads the body of an answer, as far as answers are buffered and the hold has memory for it. It
+// reports whether that is all of it.
+func readBuffered(response *http.Response, hold *membudget.Hold) (body []byte, whole bool, err error) {
+	for len(body) <= maxBufferedBytes {
+		if len(body) == cap(body) {
+			size := min(max(firstBufferBytes, 2*cap(body)), maxBufferedBytes+1)
+			if !hold.Grow(size - cap(body)) {
+				return body, false, nil
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := response.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, len(body) <= maxBufferedBytes, nil
+		}
+		if err != nil {
+			return body, false, err
+		}
+	}
+	return body, false, nil
 }
 
 // drain reads the rest of an answer's body, and reports whether it has been read to its end.
@@ -355,6 +375,7 @@
 	if _, err := req.w.Write(first); err != nil {
 		return err
 	}
+	req.hold.Release()
 	_, err := io.Copy(req.w, response.Body)
 	return err
 }
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -21,20 +22,23 @@
 	writeBytes = 32 << 10
 )
 
-// endless is an answer that never ends: what comes first, and what comes again and again.
+// endless is an answer that never ends: what comes first, and what comes again and again, at once or
+// after pauses.
 type endless struct {
 	first string
 	again []byte
+	pause time.Duration
 }
 
 // write writes the answer until the connection is closed, and returns how many bytes after first were taken.
 func (e endless) write(conn net.Conn) int64 {
 	bytes := int64(0)
-	_, err := conn.Write([]byte(e.first))
+	_, err := io.Copy(conn, io.LimitReader(strings.NewReader(e.first), int64(len(e.first)))) // without a copy of it all
 	for err == nil {
 		var n int
 		n, err = conn.Write(e.again)
 		bytes += int64(n)
+		time.Sleep(e.pause)
 	}
 	return bytes
 }
@@ -43,11 +47,11 @@
 func endlessHeads() map[string]endless {
 	line := strings.Repeat("x", writeBytes)
 	return map[string]endless{
-		"one line":        {"HTTP/1.1 200 OK\r\nLong: ", []byte(line)},
-		"many lines":      {"HTTP/1.1 200 OK\r\n", []byte(strings.Repeat("Name: value\r\n", writeBytes/13))},
-		"a status line":   {"HTTP/1.1 200 ", []byte(line)},
-		"no head at all":  {"", []byte(line)},
-		"interim answers": {"", []byte(strings.Repeat("HTTP/1.1 103 Early\r\n\r\n", writeBytes/22))},
+		"one line":        {first: "HTTP/1.1 200 OK\r\nLong: ", again: []byte(line)},
+		"many lines":      {first: "HTTP/1.1 200 OK\r\n", again: []byte(strings.Repeat("Name: value\r\n", writeBytes/13))},
+		"a status line":   {first: "HTTP/1.1 200 ", again: []byte(line)},
+		"no head at all":  {again: []byte(line)},
+		"interim answers": {again: []byte(strings.Repeat("HTTP/1.1 103 Early\r\n\r\n", writeBytes/22))},
 	}
 }
 
@@ -57,13 +61,59 @@
 	chunk := func(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
 	line := strings.Repeat("x", writeBytes)
 	return map[string]endless{
-		"an event":                 {head + chunk("id: 1\ndata: "), []byte(chunk(line))},
-		"an event of many lines":   {head + chunk("id: 1\n"), []byte(chunk(strings.Repeat("data: x\n", writeBytes/8)))},
-		"a comment":                {head + chunk(":"), []byte(chunk(line))},
-		"an extension of a chunk":  {head + "5;", []byte(line)},
-		"a trailer":                {head + chunk("id: 1\ndata: x\n\n") + "0\r\nTrailer: ", []byte(line)},
-		"a refusal":                {"HTTP/1.1 503 X\r\n" + testNotRun + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n", []byte(chunk(line))},
-		"an answer to another one": {"HTTP/1.1 200 X\r\n" + testID + ": other\r\nTransfer-Encoding: chunked\r\n\r\n", []byte(chunk(line))},
+		"an event":                 {first: head + chunk("id: 1\ndata: "), again: []byte(chunk(line))},
+		"an event of many lines":   {first: head + chunk("id: 1\n"), again: []byte(chunk(strings.Repeat("data: x\n", writeBytes/8)))},
+		"a comment":                {first: head + chunk(":"), again: []byte(chunk(line))},
+		"an extension of a chunk":  {first: head + "5;", again: []byte(line)},
+		"a trailer":                {first: head + chunk("id: 1\ndata: x\n\n") + "0\r\nTrailer: ", again: []byte(line)},
+		"a refusal":                {first: "HTTP/1.1 503 X\r\n" + testNotRun + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n", again: []byte(chunk(line))},
+		"an answer to another one": {first: "HTTP/1.1 200 X\r\n" + testID + ": other\r\nTransfer-Encoding: chunked\r\n\r\n", again: []byte(chunk(line))},
+	}
+}
+
+// endlessBodies returns bodies without end, by how they are framed.
+func endlessBodies() map[string]endless {
+	line := strings.Repeat("x", writeBytes)
+	const ok = "HTTP/1.1 200 OK\r\n"
+	return map[string]endless{
+		"chunks":              {first: ok + "Transfer-Encoding: chunked\r\n\r\n", again: []byte(fmt.Sprintf("%x\r\n%s\r\n", len(line), line))},
+		"until the close":     {first: ok + "Connection: close\r\n\r\n", again: []byte(line)},
+		"a length far beyond": {first: ok + "Content-Length: 99999999999\r\n\r\n", again: []byte(line)},
+		"a failure":           {first: "HTTP/1.1 500 X\r\nTransfer-Encoding: chunked\r\n\r\n", again: []byte(fmt.Sprintf("%x\r\n%s\r\n", len(line), line))},
+	}
+}
+
+// slowPause is the pause of answers that go on slowly.
+const slowPause = 50 * time.Millisecond
+
+// slowBodies returns bodies that are nearly as long as what is buffered, and go on slowly.
+func slowBodies() map[string]endless {
+	part := strings.Repeat("x", 250<<10)
+	return map[string]endless{
+		"chunks": {
+			first: fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(part), part),
+			again: []byte("1\r\nx\r\n"), pause: slowPause,
+		},
+		"a length": {first: "HTTP/1.1 200 OK\r\nContent-Length: 260000\r\n\r\n" + part, again: []byte("x"), pause: slowPause},
+	}
+}
+
+// slowHeads returns heads that are nearly as long as a head may be, and go on slowly.
+func slowHeads() map[string]endless {
+	const bytes = 60 << 10
+	return map[string]endless{
+		"one line":   {first: "HTTP/1.1 200 OK\r\nLong: " + strings.Repeat("x", bytes), again: []byte("x"), pause: slowPause},
+		"many lines": {first: "HTTP/1.1 200 OK\r\n" + strings.Repeat("Name: value\r\n", bytes/13), again: []byte("Name: value\r\n"), pause: slowPause},
+	}
+}
+
+// slowEvents returns streams with an event that is nearly as long as one may be, and goes on slowly.
+func slowEvents() map[string]endless {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\n"
+	const bytes = 1000 << 10
+	return map[string]endless{
+		"one line":   {first: head + "data: " + strings.Repeat("x", bytes), again: []byte("x"), pause: slowPause},
+		"many lines": {first: head + strings.Repeat("data: x\n", bytes/8), again: []byte("data: x\n"), pause: slowPause},
 	}
 }
 
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -119,7 +119,7 @@
 	if req.isStream(response) {
 		return req.passHelperStream(ctx, conn, response)
 	}
-	body, whole, err := readBuffered(response)
+	body, whole, err := readBuffered(response, req.hold)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -8,6 +8,7 @@
 
 	"github.com/vanillaward/vanillaward"
 	"github.com/vanillaward/vanillaward/internal/handover"
+	"github.com/vanillaward/vanillaward/internal/membudget"
 	"github.com/vanillaward/vanillaward/internal/quarantine"
 	"github.com/vanillaward/vanillaward/internal/route"
 	"github.com/vanillaward/vanillaward/internal/upstream"
@@ -38,6 +39,7 @@
 	sent        int  // number of targets that the request was sent to
 	maybeRun    bool // a target may have run the request
 	stream      stream
+	hold        *membudget.Hold // the memory of the answers that are read whole
 	reason      reason
 	status      int
 	aborted     bool            // the caller's connection must be closed before the end of the answer
@@ -56,7 +58,7 @@
 func (g *Server) handle(w http.ResponseWriter, r *http.Request, terms *handover.Terms) {
 	g.open.Add(1)
 	defer g.open.Add(-1)
-	req := &request{server: g, w: w, r: r, arrived: g.base.Timers.Now(), table: g.table.Load(), terms: terms}
+	req := &request{server: g, w: w, r: r, arrived: g.base.Timers.Now(), table: g.table.Load(), terms: terms, hold: g.buffers.Hold()}
 	req.caller = g.dialect.ReadRequest(r.Header)
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -175,6 +177,7 @@
 // finish logs and counts the outcome.
 func (req *request) finish() {
 	g := req.server
+	req.hold.Release()
 	took := g.base.Timers.Now() - req.arrived
 	name := ""
 	if req.route != nil {
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/vanillaward/vanillaward/internal/base"
@@ -144,6 +145,29 @@
 	return request, nil
 }
 
+// sendDiscarding posts a request, and returns the status and, unless the answer is complete, an error. The
+// caller keeps nothing of the answer, and leaves after a number of bytes.
+func (r *rig) sendDiscarding(ctx context.Context, t *testing.T, path string, header map[string]string, bytes int64) (int, error) {
+	t.Helper()
+	request, err := r.newRequest(http.MethodPost, path, "", header)
+	require.NoError(t, err)
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err = io.CopyN(io.Discard, response.Body, bytes); err == nil {
+		return response.StatusCode, errLeft
+	}
+	if errors.Is(err, io.EOF) {
+		return response.StatusCode, nil
+	}
+	return response.StatusCode, err
+}
+
+// errLeft is the result of a caller that has left before the answer was complete.
+var errLeft = errors.New("the caller has left")
+
 func (r *rig) send(t *testing.T, method, path, body string, header map[string]string) reply {
 	t.Helper()
 	request, err := r.newRequest(method, path, body, header)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -19,6 +19,7 @@
 	"github.com/vanillaward/vanillaward/internal/base"
 	"github.com/vanillaward/vanillaward/internal/evidence"
 	"github.com/vanillaward/vanillaward/internal/handover"
+	"github.com/vanillaward/vanillaward/internal/membudget"
 	"github.com/vanillaward/vanillaward/internal/retry"
 	"github.com/vanillaward/vanillaward/internal/route"
 	"github.com/vanillaward/vanillaward/internal/settings"
@@ -64,6 +65,7 @@
 	// helperPool holds the connections to other instances, nil without credentials.
 	helperPool *upstream.Pool
 	unused     chan unusedCopy
+	buffers    *membudget.Budget // of answers that are read whole
 	crashes    *evidence.Ledger
 	exchange   UsesExchange
 
@@ -103,6 +105,7 @@
 		pool:     upstream.NewPool(s.DialTimeout, maxIdleConns),
 		balancer: balance.New(b.Settings.Instance.FailureDomain, random), unused: make(chan unusedCopy, freeQueue),
 		budgets: map[string]*retry.Budget{}, random: random, runs: map[*run]struct{}{}, crashes: evidence.New(b), exchange: noExchange{},
+		buffers: membudget.New(int64(s.BufferMemory)),
 	}
 	if b.Credentials != nil {
 		g.helperPool = upstream.NewPool(helperDialTimeout, maxHelperConns, upstream.WithDial(b.Credentials.Dial))
@@ -112,6 +115,7 @@
 		option(g)
 	}
 	b.Metrics.Gauge("vanillaward_gateway_open_requests", func() float64 { return float64(g.open.Load()) })
+	b.Metrics.Gauge("vanillaward_gateway_buffered_bytes", func() float64 { return float64(g.buffers.Used()) })
 	b.Metrics.Gauge("vanillaward_gateway_parts_held_back", func() float64 { return float64(g.crashes.Parts()) })
 	b.Metrics.Gauge("vanillaward_gateway_services_out_of_reach", func() float64 { return float64(len(g.servicesOutOfReach())) })
 	b.Metrics.Gauge("vanillaward_gateway_configuration_number", func() float64 { return float64(g.Number()) })
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -113,7 +113,8 @@
 // readEvents passes the events of one engine on until its stream ends. It returns how many
 // there were, and nil if the stream ended after a complete event.
 func (req *request) readEvents(watch *stallWatch, body io.Reader) (int, error) {
-	reader := sse.NewReader(body)
+	reader := sse.NewReader(body, sse.WithBudget(req.server.buffers))
+	defer reader.Close()
 	control := http.NewResponseController(req.w)
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }() // fails only if the connection is closed
 	for read := 0; ; read++ {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -105,6 +105,7 @@
 	RetryReserve   float64       `ini:"retry-spare" default:"2" min:"0" doc:"Requests that may be sent once more beside that part."`
 	CopyFromTokens int           `ini:"copy-from-tokens" default:"200" min:"0" doc:"Longest output in tokens from which on an engine's memory of a run is copied to another engine, so that the run can go on there."`
 	StopDelay      time.Duration `ini:"stop-delay" default:"2500ms" doc:"How long a stopping instance still serves at least, so that the balancer sees that it is not ready."`
+	BufferMemory   inifile.Bytes `ini:"buffer-memory" default:"16MiB" min:"1" doc:"Memory for long answers of targets that are read whole, all together, and for long events of streams. Beyond it a long answer is passed on as it arrives, and a stream with a long event is cut."`
 	MaxTargetWait  time.Duration `ini:"max-target-wait" default:"60s" min:"0" doc:"Longest time for which a target that refuses a request can ask to get none; a longer one counts as this."`
 	StopGrace      time.Duration `ini:"stop-grace" default:"8s" min:"1000000000" doc:"How long after SIGTERM the process is killed. A stopping instance serves until shortly before."`
 }
--- a/internal/sse/reader.go
+++ b/internal/sse/reader.go
@@ -7,6 +7,8 @@
 	"io"
 
 	"github.com/pkg/errors"
+
+	"github.com/vanillaward/vanillaward/internal/membudget"
 )
 
 const (
@@ -22,19 +24,51 @@
 	ErrUnfinished = errors.New("stream ended inside an event")
 	// ErrTooLong means that an event has more than MaxEventBytes bytes.
 	ErrTooLong = errors.New("event exceeds the size limit")
+	// ErrNoMemory means that the budget lacks the memory for an event.
+	ErrNoMemory = errors.New("no memory is left for a long event")
 )
 
 // Reader reads the events of one stream. It is not safe for concurrent use.
 type Reader struct {
 	reader *bufio.Reader
 	event  []byte
+	hold   *membudget.Hold // of the memory of event; nil without a budget
 }
 
+// Option configures a Reader.
+type Option func(*Reader)
+
+// WithBudget has the memory of long events drawn from a budget, until Close.
+func WithBudget(b *membudget.Budget) Option { return func(r *Reader) { r.hold = b.Hold() } }
+
 // NewReader returns a Reader of the stream in r.
-func NewReader(r io.Reader) *Reader { return newReader(r, bufferBytes) }
+func NewReader(r io.Reader, options ...Option) *Reader { return newReader(r, bufferBytes, options...) }
+
+func newReader(r io.Reader, size int, options ...Option) *Reader {
+	out := &Reader{reader: bufio.NewReaderSize(r, size)}
+	for _, o := range options {
+		o(out)
+	}
+	return out
+}
 
-func newReader(r io.Reader, size int) *Reader {
-	return &Reader{reader: bufio.NewReaderSize(r, size)}
+// Close gives the memory of the reader back to its budget. Events that it returned are not valid any more.
+func (r *Reader) Close() {
+	r.event = nil
+	r.hold.Release()
+}
+
+// add appends a part to the event that is being read. It reports false if the budget lacks the memory.
+func (r *Reader) add(part []byte) bool {
+	if need := len(r.event) + len(part); need > cap(r.event) {
+		size := max(need, 2*cap(r.event))
+		if !r.hold.Grow(size - cap(r.event)) {
+			return false
+		}
+		r.event = append(make([]byte, 0, size), r.event...)
+	}
+	r.event = append(r.event, part...)
+	return true
 }
 
 // Next returns the next event unchanged, up to and including the empty line that ends it. A
@@ -46,7 +80,9 @@
 	lineStart := 0
 	for {
 		part, err := r.reader.ReadSlice('\n')
-		r.event = append(r.event, part...)
+		if !r.add(part) {
+			return nil, ErrNoMemory
+		}
 		switch {
 		case len(r.event) > MaxEventBytes:
 			return nil, ErrTooLong
--- a/internal/sse/reader_test.go
+++ b/internal/sse/reader_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
+
+	"github.com/vanillaward/vanillaward/internal/membudget"
 )
 
 // TestReader reads streams that end at and between events, and events of all lengths around
@@ -104,3 +106,30 @@
 		t.Fatalf("%v with %d unfinished bytes, %d bytes are left", err, unfinished, len(rest))
 	}
 }
+
+// TestBudget checks that long events draw on a budget, that a stream whose event it has no memory for is
+// ended, and that usual events need none.
+func TestBudget(t *testing.T) {
+	const limit = 60 << 10
+	budget := membudget.New(limit)
+	long := "data: " + strings.Repeat("x", 60<<10) + "\n\n"
+	first := NewReader(strings.NewReader(long+long), WithBudget(budget))
+	for range 2 {
+		event, err := first.Next()
+		require.NoError(t, err)
+		require.Len(t, event, len(long))
+	}
+	held := budget.Used()
+	require.Positive(t, held)
+	require.LessOrEqual(t, held, int64(limit))
+	second := NewReader(strings.NewReader(long), WithBudget(budget))
+	_, err := second.Next()
+	require.ErrorIs(t, err, ErrNoMemory)
+	usual := NewReader(strings.NewReader("data: x\n\n"), WithBudget(budget))
+	_, err = usual.Next()
+	require.NoError(t, err)
+	for _, r := range []*Reader{first, second, usual} {
+		r.Close()
+	}
+	require.Zero(t, budget.Used())
+}
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"net"
 
 	"github.com/pkg/errors"
@@ -10,18 +11,22 @@
 // bytes. It holds for every connection to a target or another outside system.
 const MaxHeadBytes = 64 << 10
 
-// ErrHeadTooLong means that the heads of an answer exceed MaxHeadBytes.
-var ErrHeadTooLong = errors.Errorf("head of the answer has more than %d bytes", MaxHeadBytes)
+// maxHeadLines bounds the lines of the same heads: as headers, short lines need many times their bytes.
+const maxHeadLines = 500
 
-// boundedConn is a connection that reads no more than a number of bytes while a head is read.
+// ErrHeadTooLong means that the heads of an answer exceed MaxHeadBytes or have too many lines.
+var ErrHeadTooLong = errors.Errorf("head of the answer has more than %d bytes or %d lines", MaxHeadBytes, maxHeadLines)
+
+// boundedConn is a connection that reads no more than a number of bytes and lines while a head is read.
 type boundedConn struct {
 	net.Conn
 	bounded bool
-	left    int
+	left    int // bytes
+	lines   int // that were read
 }
 
 // bound bounds what is read until free is called.
-func (b *boundedConn) bound(bytes int) { b.bounded, b.left = true, bytes }
+func (b *boundedConn) bound(bytes int) { b.bounded, b.left, b.lines = true, bytes, 0 }
 
 func (b *boundedConn) free() { b.bounded = false }
 
@@ -30,10 +35,14 @@
 	if !b.bounded {
 		return b.Conn.Read(p)
 	}
-	if b.left <= 0 {
+	// What was read before belongs to the heads, as they have not ended yet.
+	if b.left <= 0 || b.lines > maxHeadLines {
 		return 0, ErrHeadTooLong
 	}
 	n, err := b.Conn.Read(p[:min(len(p), b.left)])
 	b.left -= n
+	b.lines += bytes.Count(p[:n], newline)
 	return n, err
 }
+
+var newline = []byte("\n")
