Gateway: a long answer does not tell callers that the request has not run

Found while reading how answers are buffered. Callers saw: a target's 503, 429, 421 or 408 that it does not state as a refusal, with more than 256 KB of body, was passed on with its status, which promises that the request has not run and never will. Shorter ones became 502.

The status was checked only once the answer was whole; longer ones were passed on before.

Ruled out: a refusal that the target states; it is read before, and never buffered.

Such an answer ends the attempt as failed, whatever its length.

Before: TestLongAnswerThatLooksLikeARefusal failed for all four statuses with 300 KB, and passed with 10 bytes. After: passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -279,6 +279,10 @@
 		req.noteCrash(ctx, t, err)
 		return req.classifyFailure(ctx, "answer ended before it was complete", t, err)
 	}
+	if !whole && impliesNotRun(response.StatusCode) {
+		conn.Close() // the target does not state what its status would tell the caller
+		return balance.Failed
+	}
 	if !whole {
 		return req.passThrough(ctx, t, conn, response, info, body, result)
 	}
