Gateway: an engine that answers without a report may still work on a run

An engine that answers the question what it runs with a failure, or with bytes that are no report, counted as one that does not answer, so that its run went on elsewhere beside it.

Such an answer is told apart from none (ErrUnreadable); the run stays, and the engine is asked again.

Before: the new row of TestPreemptedRunStaysAtItsEngine has no code before to fail on, as the error is new. After: it and TestRunsOfEngineWithoutReport pass.

--- a/internal/gateway/halt.go
+++ b/internal/gateway/halt.go
@@ -42,8 +42,12 @@
 func (g *Server) haltAtEngine(ctx context.Context, r *run) halt {
 	runs, err := g.engines.Runs(ctx, r.engine.Address())
 	if err != nil {
-		g.logHalt(r, haltUnanswered, err.Error())
-		return haltUnanswered
+		out := haltUnanswered
+		if errors.Is(err, vanillaward.ErrUnreadable) {
+			out = haltRefused // it is alive
+		}
+		g.logHalt(r, out, err.Error())
+		return out
 	}
 	presence := migration.Locate(runs, r.request)
 	out := haltRefused
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -61,14 +61,7 @@
 	accepted := req.stream.accepted
 	req.stream.accepted = nil
 	if accepted == nil {
-		if endedHere(cause) && !req.server.haltAtEngine(ctx, req.stream.run).mayGoOn() {
-			return false
-		}
-		req.server.awaitMove(ctx, req.stream.run)
-		accepted = req.requestResumption(ctx, req.stream.lastEvent)
-		if accepted == nil && req.server.takeKept(req.stream.run) {
-			accepted = req.requestResumption(ctx, req.stream.lastEvent)
-		}
+		accepted = req.resumeAfter(ctx, cause)
 	}
 	if accepted == nil {
 		return false
@@ -76,6 +69,20 @@
 	return req.relayResumed(ctx, accepted)
 }
 
+// resumeAfter asks the holder of the run's copy, or else the engine that has stopped the run and kept it,
+// to resume the run. It returns nil if neither does, or if the run's engine may still work on it.
+func (req *request) resumeAfter(ctx context.Context, cause error) *resumption {
+	if ctx.Err() != nil || endedHere(cause) && !req.server.haltAtEngine(ctx, req.stream.run).mayGoOn() {
+		return nil
+	}
+	req.server.awaitMove(ctx, req.stream.run)
+	r := req.requestResumption(ctx, req.stream.lastEvent)
+	if r == nil && req.server.takeKept(req.stream.run) {
+		r = req.requestResumption(ctx, req.stream.lastEvent)
+	}
+	return r
+}
+
 // endedHere reports whether an error ended the connection to an engine from this side, so that the
 // engine may still work on the run. That of a stalled run has ended already.
 func endedHere(cause error) bool {
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -32,9 +32,14 @@
 	require.Equal(t, fiveEvents, answer.body)
 }
 
+// states returns what an engine answers to the question what it runs.
+func states(runs vanillaward.EngineRuns) func() (vanillaward.EngineRuns, error) {
+	return func() (vanillaward.EngineRuns, error) { return runs, nil }
+}
+
 // named is what an engine that runs the request of newStall states.
-func named() vanillaward.EngineRuns {
-	return vanillaward.EngineRuns{Requests: []string{"request-1"}, Running: 1}
+func named() (vanillaward.EngineRuns, error) {
+	return vanillaward.EngineRuns{Requests: []string{"request-1"}, Running: 1}, nil
 }
 
 // TestPreemptedRunStaysAtItsEngine guards against a run that goes on at two engines: the first one has
@@ -42,11 +47,14 @@
 func TestPreemptedRunStaysAtItsEngine(t *testing.T) {
 	const questions = 3
 	for name, c := range map[string]struct {
-		runs func() vanillaward.EngineRuns
+		runs func() (vanillaward.EngineRuns, error)
 		stop func(vanillaward.Move) (vanillaward.MoveResult, error)
 	}{
-		"it waits":            {runs: func() vanillaward.EngineRuns { return vanillaward.EngineRuns{Waiting: 1} }},
-		"it is read in again": {runs: func() vanillaward.EngineRuns { return vanillaward.EngineRuns{Running: 1} }},
+		"it waits":            {runs: states(vanillaward.EngineRuns{Waiting: 1})},
+		"it is read in again": {runs: states(vanillaward.EngineRuns{Running: 1})},
+		"the engine states nothing that can be read": {runs: func() (vanillaward.EngineRuns, error) {
+			return vanillaward.EngineRuns{}, errors.Wrap(vanillaward.ErrUnreadable, "status 500")
+		}},
 		"it is preempted when it is to stop": {runs: named, stop: func(vanillaward.Move) (vanillaward.MoveResult, error) {
 			return vanillaward.MoveResult{}, vanillaward.ErrNotRunning
 		}},
@@ -95,9 +103,7 @@
 // TestGoneRunIsResumed checks that a run which its engine does not have any more goes on from its copy
 // at once, though the connection to the engine is open.
 func TestGoneRunIsResumed(t *testing.T) {
-	r, first, second, got := newStall(t, "stream:", func(e *engines) {
-		e.runs = func() vanillaward.EngineRuns { return vanillaward.EngineRuns{} }
-	})
+	r, first, second, got := newStall(t, "stream:", func(e *engines) { e.runs = states(vanillaward.EngineRuns{}) })
 	requireWholeStream(t, got)
 	require.Equal(t, second.address()+"/request-1", second.firstHeader().Get(testResume))
 	require.Zero(t, r.engines.moveCount())
@@ -114,7 +120,7 @@
 			r := newRig(t, configuration(1, route.Stream, 1, 30*time.Second), first, second)
 			r.engines.runs = named
 			if waiting {
-				r.engines.runs = func() vanillaward.EngineRuns { return vanillaward.EngineRuns{Waiting: 1} }
+				r.engines.runs = states(vanillaward.EngineRuns{Waiting: 1})
 			}
 			got := r.send(t, http.MethodPost, "/r/x", "", map[string]string{testBudget: "30000"})
 			if waiting {
--- a/internal/gateway/standin_test.go
+++ b/internal/gateway/standin_test.go
@@ -93,7 +93,7 @@
 	hold chan struct{} // if set, moves wait until it is closed
 	// runs, if set, answers what an engine runs; no engine answers else. stop, if set, answers a move
 	// that is to stop its run.
-	runs func() vanillaward.EngineRuns
+	runs func() (vanillaward.EngineRuns, error)
 	stop func(vanillaward.Move) (vanillaward.MoveResult, error)
 
 	mu     sync.Mutex // guards the fields below
@@ -112,7 +112,7 @@
 	if e.runs == nil {
 		return vanillaward.EngineRuns{}, errors.New("the engine does not answer")
 	}
-	return e.runs(), nil
+	return e.runs()
 }
 
 func (e *engines) askedCount() int {
--- a/vanillaward.go
+++ b/vanillaward.go
@@ -134,7 +134,8 @@
 type Engines interface {
 	// Load reads the load report of the engine at an address.
 	Load(ctx context.Context, address string) (*wire.Load, error)
-	// Runs returns the runs of the engine at an address.
+	// Runs returns the runs of the engine at an address. The error matches ErrUnreadable if the engine
+	// answers otherwise than with a report.
 	Runs(ctx context.Context, address string) (EngineRuns, error)
 	// Move copies the KV cache of a run to another engine while the run continues, or stops the run
 	// first. It returns when the copy is complete. The error matches ErrNotRunning if the source does
@@ -156,6 +157,9 @@
 // ErrMoveRefused means that an engine neither copies a run nor stops it.
 var ErrMoveRefused = errors.New("the engine refuses to move the run")
 
+// ErrUnreadable means that an engine answers, but not with what it is asked for.
+var ErrUnreadable = errors.New("the engine's answer cannot be read")
+
 // EngineRuns is what an engine works on, as of a moment ago.
 type EngineRuns struct {
 	// Requests are the IDs of the requests that have begun to run and are not preempted.
