--- a/internal/instance/seeded.go
+++ b/internal/instance/seeded.go
@@ -176,7 +176,7 @@
 		return
 	}
 	if err := s.control.Leave(ctx); err != nil {
-		s.base.Log.Info("stopping without leave of the other replicas", "reason", err.Error())
+		s.base.Log.Info("stopping; the other replicas could not be told", "reason", err.Error())
 	}
 }
 
