Gateway: an answer that ends with its connection refutes a crash if its target lives on

Callers saw 503 part-held-back for every stream, for a minute and on: the part that all prompts share was blamed for crashes, its 20 s passed, and one trial was let through every 20 s.

Change: an answer that took longer than 500 ms counts, like a crash after that time does not. A shorter one counts once its target has kept a new connection open for 200 ms; a target that crashed takes none for some seconds. It is looked at only where the answer would refute a crash that is not refuted yet; at most 64 wait, four at a time. The answer counts with the time at which it ended. One log line and one counter each.

TestAnswerThatEndsWithItsConnection guards against a sound part that is held back for ever. On the code before: 503 where 200 is expected; the other half (a target that is gone refutes nothing) held before and after. Nothing on the wire or on disk has changed.

--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -179,8 +179,9 @@
 		g.admissionID = admissionID
 		loss, err := g.attempt(ctx)
 		if err == nil {
-			g.server.crashes.PartsAnswered(g.parts)
-			g.server.crashes.RequestAnswered(g.identity, g.target)
+			now := g.server.dispatch.timers.Now()
+			g.server.crashes.PartsAnswered(g.parts, now)
+			g.server.crashes.RequestAnswered(g.identity, g.target, now)
 			g.server.dispatch.release(admissionID, g.core.Next(), admission.Finished)
 			return g.complete()
 		}
--- a/internal/evidence/ledger.go
+++ b/internal/evidence/ledger.go
@@ -55,18 +55,26 @@
 	return l.ledger.RequestCrashed(r, attempt, target, now-sentAt, now)
 }
 
-// PartsAnswered records that a request with the given parts was answered whole.
-func (l *Ledger) PartsAnswered(parts []string) {
+// PartsAnswered records that a request with the given parts was answered whole, at a time of the timers.
+func (l *Ledger) PartsAnswered(parts []string, at time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.ledger.Answered(parts, l.base.Timers.Now())
+	l.ledger.Answered(parts, at)
 }
 
-// RequestAnswered records that a target answered a request completely, whatever the answer.
-func (l *Ledger) RequestAnswered(r quarantine.Request, target string) {
+// RequestAnswered records that a target answered a request completely, whatever the answer, at a time of the
+// timers.
+func (l *Ledger) RequestAnswered(r quarantine.Request, target string, at time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.ledger.RequestAnswered(r, target, l.base.Timers.Now())
+	l.ledger.RequestAnswered(r, target, at)
+}
+
+// Suspects reports whether an answer to a request, and to a prompt with the given parts, would refute a crash.
+func (l *Ledger) Suspects(r quarantine.Request, parts []string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ledger.Suspects(r, parts)
 }
 
 // Parts returns the number of groups of parts that are held back.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -60,17 +60,28 @@
 
 // notePartsAnswered records that a prompt with the request's parts was answered whole, with success.
 func (req *request) notePartsAnswered() {
-	if req.framing != upstream.FramedByClose && len(req.caller.SharedParts) > 0 {
-		req.server.crashes.PartsAnswered(req.caller.SharedParts)
+	switch {
+	case len(req.caller.SharedParts) == 0:
+	case req.mayHaveCrashed():
+		req.awaitSurvival(req.caller.SharedParts)
+	default:
+		req.server.crashes.PartsAnswered(req.caller.SharedParts, req.server.base.Timers.Now())
 	}
 }
 
-// noteAnswered records that the request was answered completely, so that its target did not crash on it. An
-// answer that ends with its connection shows nothing: a crash can look the same.
+// noteAnswered records that the request was answered completely, so that its target did not crash on it.
 func (req *request) noteAnswered() {
-	if req.framing != upstream.FramedByClose {
-		req.server.crashes.RequestAnswered(req.identity, req.target)
+	if req.mayHaveCrashed() {
+		req.awaitSurvival(nil)
+		return
 	}
+	req.server.crashes.RequestAnswered(req.identity, req.target, req.server.base.Timers.Now())
+}
+
+// mayHaveCrashed reports whether a crash of the target can look like the answer that has just ended: one that
+// ends with its connection, so soon that the crash would speak against the request.
+func (req *request) mayHaveCrashed() bool {
+	return req.framing == upstream.FramedByClose && req.answeringTime() <= quarantine.JustBegun
 }
 
 // Evidence implements follow.Sink.
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -41,6 +41,7 @@
 	stop    chan struct{}
 	end     <-chan error
 	engines *engines
+	metrics *telemetry.Metrics
 	// takeover is the address for requests of other gateways.
 	takeover string
 }
@@ -85,7 +86,7 @@
 	require.NoError(t, err)
 	s.Listen.Handover = netip.MustParseAddrPort(takeover.Addr().String())
 	b := base.Base{Log: logr.Discard(), Settings: s, Timers: timer.New(), Metrics: telemetry.NewMetrics(), Credentials: peer.PlainCredentials()}
-	r := &rig{stop: make(chan struct{}), engines: &engines{}, takeover: takeover.Addr().String()}
+	r := &rig{stop: make(chan struct{}), engines: &engines{}, metrics: b.Metrics, takeover: takeover.Addr().String()}
 	r.gateway = gateway.New(b, dialect{}, r.engines, func([]byte) (*route.Configuration, error) { return c, nil }, 1)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -65,6 +65,7 @@
 	// helperPool holds the connections to other instances, nil without credentials.
 	helperPool *upstream.Pool
 	unused     chan unusedCopy
+	ended      chan endedAnswer
 	buffers    *membudget.Budget // of answers that are read whole
 	crashes    *evidence.Ledger
 	exchange   UsesExchange
@@ -103,7 +104,7 @@
 	g := &Server{
 		base: b, settings: s, dialect: dialect, engines: engines, decode: decode,
 		pool:     upstream.NewPool(s.DialTimeout, maxIdleConns),
-		balancer: balance.New(b.Settings.Instance.FailureDomain, random), unused: make(chan unusedCopy, freeQueue),
+		balancer: balance.New(b.Settings.Instance.FailureDomain, random), unused: make(chan unusedCopy, freeQueue), ended: make(chan endedAnswer, survivalQueue),
 		budgets: map[string]*retry.Budget{}, random: random, runs: map[*run]struct{}{}, crashes: evidence.New(b), exchange: noExchange{},
 		buffers: membudget.New(int64(s.BufferMemory)),
 	}
--- a/internal/gateway/standin_test.go
+++ b/internal/gateway/standin_test.go
@@ -328,6 +328,10 @@
 	if request.Header.Get(testResume) != "" {
 		from, _ = strconv.Atoi(request.Header.Get(testAfter))
 	}
+	if argument == "unframed" || argument == "unframed-crash" {
+		s.streamUnframed(conn, request, argument == "unframed-crash")
+		return false
+	}
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", testID, request.Header.Get(testID))
 	cut, err := strconv.Atoi(argument)
 	for i := from + 1; i <= events; i++ {
@@ -352,6 +356,16 @@
 	return true
 }
 
+// streamUnframed sends five events that end with the connection. With crashes, the target ends after the second.
+func (s *standin) streamUnframed(conn net.Conn, request *http.Request, crashes bool) {
+	events := strings.SplitAfterN(fiveEvents, "\n\n", 3)
+	if crashes {
+		_ = s.listener.Close()
+		events = events[:2]
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n%s", testID, request.Header.Get(testID), strings.Join(events, ""))
+}
+
 func (s *standin) runCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -172,6 +172,23 @@
 	return slices.ContainsFunc(l.crashes, func(c crash) bool { return slices.Contains(c.parts, part) })
 }
 
+// Suspects reports whether a whole answer to a request with the given parts would refute a crash.
+func (l *Ledger) Suspects(r Request, parts []string) bool {
+	if slices.ContainsFunc(r.names(), func(name string) bool {
+		known := l.requests[name]
+		return known != nil && known.against().count > 0
+	}) {
+		return true
+	}
+	if len(l.crashes) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(names(parts), func(part string) bool {
+		sound, known := l.sound.get(part)
+		return slices.ContainsFunc(l.crashes, func(c crash) bool { return (!known || c.at > sound) && slices.Contains(c.parts, part) })
+	})
+}
+
 // Version returns a number that grows whenever Evidence has news.
 func (l *Ledger) Version() uint64 { return l.latest.version }
 
--- a/internal/quarantine/refute_test.go
+++ b/internal/quarantine/refute_test.go
@@ -55,3 +55,21 @@
 		})
 	}
 }
+
+// TestSuspects guards against looking at targets when no crash can be refuted, and against not looking when one can.
+func TestSuspects(t *testing.T) {
+	l := quarantine.New("i")
+	bad, other := plain("bad"), plain("other")
+	require.False(t, l.Suspects(bad, []string{"system"}))
+	l.Crashed("1", "target-1", []string{"system", "part"}, 0, time.Second)
+	require.True(t, l.Suspects(other, []string{"system"}))
+	require.False(t, l.Suspects(other, []string{"topic"}))
+	l.Answered([]string{"system"}, 2*time.Second)
+	require.False(t, l.Suspects(other, []string{"system"}), "refuted")
+	require.True(t, l.Suspects(other, []string{"system", "part"}))
+	l.RequestCrashed(bad, "2", "target-2", 0, 3*time.Second)
+	require.True(t, l.Suspects(bad, nil))
+	require.False(t, l.Suspects(other, nil))
+	l.RequestAnswered(bad, "target-3", 4*time.Second)
+	require.False(t, l.Suspects(bad, nil), "refuted")
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -140,6 +140,15 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_target_connections_total{result=%q}", result)).Inc()
 }
 
+// Survival counts a target that was looked at after an answer that ended with its connection.
+func (m *Metrics) Survival(survived bool) {
+	result := "gone"
+	if survived {
+		result = "survived"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_target_survival_total{result=%q}", result)).Inc()
+}
+
 // HandedOver counts a request that was handed over to another instance, by how that ended.
 func (m *Metrics) HandedOver(end string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_handed_over_total{end=%q}", end)).Inc()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -89,13 +89,29 @@
 	if err != nil {
 		return err
 	}
-	c.idleSince, c.idleLimit = time.Now(), defaultKeepAlive
-	p.keep(c)
+	p.keep(c, defaultKeepAlive)
 	return nil
 }
 
-// keep adds an idle connection, or closes it if there are enough.
-func (p *Pool) keep(c *Conn) {
+// StaysOpen opens a connection to a target, and reports whether the target has neither ended it nor written to
+// it when something arrives on the channel wait. The connection becomes an idle one if so.
+func (p *Pool) StaysOpen(ctx context.Context, identity, address string, wait <-chan time.Duration) bool {
+	c, err := p.dial(ctx, identity+"@"+address, address)
+	if err != nil {
+		return false
+	}
+	<-wait
+	if ctx.Err() != nil || !c.stillOpen() {
+		c.Close()
+		return false
+	}
+	p.keep(c, defaultKeepAlive)
+	return true
+}
+
+// keep adds a connection that may be idle for a time, or closes it if there are enough.
+func (p *Pool) keep(c *Conn, limit time.Duration) {
+	c.idleSince, c.idleLimit = time.Now(), limit
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.key]) >= p.maxIdle {
@@ -162,11 +178,11 @@
 		c.Close()
 		return
 	}
-	c.idleSince, c.idleLimit = time.Now(), defaultKeepAlive
+	limit := defaultKeepAlive
 	if keep > 0 {
-		c.idleLimit = keep / keepAliveDivisor
+		limit = keep / keepAliveDivisor
 	}
-	p.keep(c)
+	p.keep(c, limit)
 }
 
 // Expire closes connections that have been idle for too long, and those that their targets have
