Quarantine: before anything was answered, a part of most of the requests is held back with the one that all have

The part that all have leads with five crashes, the guilty one has three of these, less than three quarters, so that the common part is held back by itself: every request is refused, also those that would show which it is, for 80 s.

Change: only then, and only while the leader would stand alone, parts in more than half of its different requests are held back together with it. Repeats of a request on which targets crashed are one request, as concluded. Names of requests come with the crashes that are known already; nothing new is exchanged or saved.

--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -26,6 +26,10 @@
 	// crashes.
 	nearlyFactor  = 3
 	nearlyDivisor = 4
+	// While nothing is known to be sound, a part is near enough to another one if more than one in
+	// nearlyDivisorUnclear of the other's requests have it: a part of all requests is in all crashes, whatever
+	// causes them. Repeats of a request are one, so that what begins alike is not taken for the request.
+	nearlyDivisorUnclear = 2
 	// baseHold is how long something is held back after the last of minCrashes crashes, or of
 	// minCrashesUnclear if it was answered before. It doubles with each further crash. Of those after
 	// minCrashesUnclear, only one in burstTime counts: what was under way when the others crashed is no
@@ -120,8 +124,9 @@
 	l.crashes = slices.DeleteFunc(l.crashes, func(c crash) bool { return !l.matters(c, now) })
 	unexplained := besideRequests(begunLast(l.crashes), l.heldCrashes())
 	l.held = nil
+	requests := l.requestNames()
 	for {
-		suspects := l.suspects(unexplained)
+		suspects := l.suspects(unexplained, requests)
 		worst := slices.IndexFunc(suspects, func(s suspect) bool { return s.enough })
 		if worst < 0 {
 			break
@@ -162,21 +167,24 @@
 
 // suspect is a part that several crashes speak against.
 type suspect struct {
-	part    string
-	known   bool          // a request with it is known to have been answered whole
-	sound   time.Duration // when the last one was
-	crashes int
-	trials  int           // as in group
-	last    time.Duration // when the last crash was
-	enough  bool          // the crashes are enough to hold the part back
+	part     string
+	known    bool          // a request with it is known to have been answered whole
+	sound    time.Duration // when the last one was
+	crashes  int
+	trials   int           // as in group
+	last     time.Duration // when the last crash was
+	enough   bool          // the crashes are enough to hold the part back
+	requests int           // number of different requests of these crashes
+	// othersSound reports that other parts of these requests were answered whole.
+	othersSound bool
 	// suspectedAt is when the last of the first minCrashes crashes was.
 	suspectedAt time.Duration
 }
 
 // suspects returns the parts that at least minCrashes of the given crashes speak against, the
 // likeliest first: those never answered whole, then those with the most crashes, then those answered
-// whole the longest ago.
-func (l *Ledger) suspects(crashes []crash) []suspect {
+// whole the longest ago. Requests holds the names of requests by crashes.
+func (l *Ledger) suspects(crashes []crash, requests map[string]string) []suspect {
 	var out []suspect
 	for _, part := range partsOf(crashes) {
 		s, needed := suspect{part: part}, minCrashesUnclear
@@ -184,10 +192,12 @@
 		if !s.known {
 			s.sound = math.MinInt64
 		}
-		if !s.known && l.othersSound(part, crashes) {
+		s.othersSound = l.othersSound(part, crashes)
+		if !s.known && s.othersSound {
 			needed = minCrashes
 		}
 		counted := against(part, crashes, s.sound)
+		s.requests = requestsWith(part, crashes, s.sound, requests)
 		s.crashes, s.trials, s.last, s.suspectedAt = counted.count, counted.trials, counted.last, counted.suspectedAt
 		if needed == minCrashes && l.heldBefore(s.suspectedAt) {
 			needed = minCrashesFurther
@@ -228,10 +238,22 @@
 // newGroup returns the worst suspect together with those that are nearly as likely and were
 // in the same requests: which of them it is shows when a request has only some of them.
 func newGroup(worst suspect, suspects []suspect, crashes []crash) *group {
-	g := &group{parts: []string{worst.part}, crashes: worst.crashes, trials: worst.trials, final: minCrashesUnclear + maxTrials, known: worst.known, lastCrash: worst.last, suspectedAt: worst.suspectedAt}
+	g := groupOf(worst, suspects, crashes, func(s suspect) bool { return nearlyDivisor*s.crashes >= nearlyFactor*worst.crashes })
+	if worst.known || worst.othersSound || len(g.parts) > 1 {
+		return g
+	}
+	return groupOf(worst, suspects, crashes, func(s suspect) bool { return nearlyDivisorUnclear*s.requests > worst.requests })
+}
+
+// groupOf returns the worst suspect together with those that are nearly as likely, as nearly says, and were in the
+// same requests.
+func groupOf(worst suspect, suspects []suspect, crashes []crash, nearly func(suspect) bool) *group {
+	g := &group{
+		parts: []string{worst.part}, crashes: worst.crashes, trials: worst.trials, final: minCrashesUnclear + maxTrials,
+		known: worst.known, lastCrash: worst.last, suspectedAt: worst.suspectedAt,
+	}
 	for _, s := range suspects {
-		nearly := s.part != worst.part && nearlyDivisor*s.crashes >= nearlyFactor*worst.crashes && s.sound == worst.sound
-		if !nearly || !onlyWith(s.part, worst.part, crashes) {
+		if s.part == worst.part || s.sound != worst.sound || !nearly(s) || !onlyWith(s.part, worst.part, crashes) {
 			continue
 		}
 		if joint := append(slices.Clone(g.parts), s.part); countWith(joint, crashes) >= minCrashes {
@@ -242,6 +264,30 @@
 	return g
 }
 
+// requestsWith returns the number of different requests of the crashes with a part, since it was last answered
+// whole. Repeats of a request on which several targets crashed are one; names holds the names of such requests by
+// the crashes.
+func requestsWith(part string, crashes []crash, sound time.Duration, names map[string]string) int {
+	requests := map[string]struct{}{}
+	for _, c := range crashes {
+		if c.at > sound && slices.Contains(c.parts, part) {
+			requests[cmp.Or(names[c.id], c.id)] = struct{}{}
+		}
+	}
+	return len(requests)
+}
+
+// requestNames returns the names of the requests on which targets crashed, by the crashes.
+func (l *Ledger) requestNames() map[string]string {
+	out := map[string]string{}
+	for _, r := range l.requests {
+		for _, c := range r.crashes {
+			out[c.id] = c.name
+		}
+	}
+	return out
+}
+
 // onlyWith reports whether a part was in no request of the crashes without another one.
 func onlyWith(part, other string, crashes []crash) bool {
 	return !slices.ContainsFunc(crashes, func(c crash) bool { return slices.Contains(c.parts, part) && !slices.Contains(c.parts, other) })
