Evidence: an answer is recorded once, for the request and the parts of its prompt

Found on reading the change again: an answer that ended with its connection was queued twice where crashes speak against its request, once for the request and once for its parts, so that its target was connected to twice; the ledger was locked twice for each whole answer, and each of four callers wrote both calls. Ruled out: looking at the queue for the same request, which would keep both calls.

Change: evidence.Ledger.Answered takes both; the gateway notes an answer in one place, with whether the request succeeded. The parts of a buffered answer are noted before it is written to the caller, no longer after; whether they are noted does not depend on that writing, as before.

--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -179,9 +179,7 @@
 		g.admissionID = admissionID
 		loss, err := g.attempt(ctx)
 		if err == nil {
-			now := g.server.dispatch.timers.Now()
-			g.server.crashes.PartsAnswered(g.parts, now)
-			g.server.crashes.RequestAnswered(g.identity, g.target, now)
+			g.server.crashes.Answered(g.identity, g.target, g.parts, g.server.dispatch.timers.Now())
 			g.server.dispatch.release(admissionID, g.core.Next(), admission.Finished)
 			return g.complete()
 		}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -90,7 +90,7 @@
 		answer, err := c.forward(ctx)
 		var lossErr *lossError
 		if !errors.As(err, &lossErr) {
-			c.server.crashes.RequestAnswered(c.identity, c.target, c.server.dispatch.timers.Now())
+			c.server.crashes.Answered(c.identity, c.target, nil, c.server.dispatch.timers.Now())
 			c.server.dispatch.release(admissionID, 1, admission.Finished)
 			c.core.End(delivery.Complete)
 			c.writeAnswer(answer)
--- a/internal/evidence/ledger.go
+++ b/internal/evidence/ledger.go
@@ -55,19 +55,13 @@
 	return l.ledger.RequestCrashed(r, attempt, target, now-sentAt, now)
 }
 
-// PartsAnswered records that a request with the given parts was answered whole, at a time of the timers.
-func (l *Ledger) PartsAnswered(parts []string, at time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.ledger.Answered(parts, at)
-}
-
-// RequestAnswered records that a target answered a request completely, whatever the answer, at a time of the
-// timers.
-func (l *Ledger) RequestAnswered(r quarantine.Request, target string, at time.Duration) {
+// Answered records that a target answered a request completely, whatever the answer, at a time of the timers. Parts
+// are those of its prompt if it succeeded, or else none.
+func (l *Ledger) Answered(r quarantine.Request, target string, parts []string, at time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ledger.RequestAnswered(r, target, at)
+	l.ledger.Answered(parts, at)
 }
 
 // Suspects reports whether an answer to a request, and to a prompt with the given parts, would refute a crash.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -45,7 +45,7 @@
 	if !whole {
 		return req.passThrough(ctx, t, conn, response, info, body, result)
 	}
-	req.noteAnswered()
+	req.noteAnswered(response.StatusCode < http.StatusInternalServerError && !impliesNotRun(response.StatusCode))
 	req.releaseConn(conn, response, info)
 	buffered := &answer{status: response.StatusCode, header: response.Header, body: body}
 	if response.StatusCode >= http.StatusInternalServerError {
@@ -60,7 +60,6 @@
 		return balance.Failed
 	}
 	buffered.write(req)
-	req.notePartsAnswered()
 	result.outcome = delivered
 	return balance.Served
 }
@@ -113,7 +112,7 @@
 		return req.classifyFailure(ctx, "long answer ended before it was complete", t, err)
 	}
 	req.reason = reasonComplete
-	req.noteWholeAnswer()
+	req.noteAnswered(true)
 	req.releaseConn(conn, response, info)
 	return balance.Served
 }
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -52,30 +52,18 @@
 		"answering-ms", req.answeringTime().Milliseconds(), "parts", strings.Join(req.caller.SharedParts, ","), "held-back", held)
 }
 
-// noteWholeAnswer records that the request was answered whole, with success.
-func (req *request) noteWholeAnswer() {
-	req.noteAnswered()
-	req.notePartsAnswered()
-}
-
-// notePartsAnswered records that a prompt with the request's parts was answered whole, with success.
-func (req *request) notePartsAnswered() {
-	switch {
-	case len(req.caller.SharedParts) == 0:
-	case req.mayHaveCrashed():
-		req.awaitSurvival(req.caller.SharedParts)
-	default:
-		req.server.crashes.PartsAnswered(req.caller.SharedParts, req.server.base.Timers.Now())
+// noteAnswered records that the request was answered completely, so that its target did not crash on it, nor, if
+// the request succeeded, on a part of its prompt.
+func (req *request) noteAnswered(succeeded bool) {
+	var parts []string
+	if succeeded {
+		parts = req.caller.SharedParts
 	}
-}
-
-// noteAnswered records that the request was answered completely, so that its target did not crash on it.
-func (req *request) noteAnswered() {
 	if req.mayHaveCrashed() {
-		req.awaitSurvival(nil)
+		req.awaitSurvival(parts)
 		return
 	}
-	req.server.crashes.RequestAnswered(req.identity, req.target, req.server.base.Timers.Now())
+	req.server.crashes.Answered(req.identity, req.target, parts, req.server.base.Timers.Now())
 }
 
 // mayHaveCrashed reports whether a crash of the target can look like the answer that has just ended: one that
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -49,7 +49,7 @@
 	}
 	if err == nil {
 		req.reason = reasonComplete
-		req.noteWholeAnswer()
+		req.noteAnswered(true)
 		req.releaseConn(conn, response, info)
 		return balance.Served
 	}
--- a/internal/gateway/survival.go
+++ b/internal/gateway/survival.go
@@ -63,8 +63,7 @@
 	g.base.Log.Info("target looked at after an answer that ended with its connection", "request", a.request, "target", a.target, "address", a.address,
 		"age-ms", (g.base.Timers.Now() - a.endedAt).Milliseconds(), "survived", survived)
 	if survived {
-		g.crashes.RequestAnswered(a.identity, a.target, a.endedAt)
-		g.crashes.PartsAnswered(a.parts, a.endedAt)
+		g.crashes.Answered(a.identity, a.target, a.parts, a.endedAt)
 	}
 	g.base.Metrics.Survival(survived)
 }
