Quarantine: whether an answer would refute a crash is asked of what counts the crashes

Found on reading the change again: Suspects compared the times of crashes and answers by itself, beside the two functions that count the crashes which speak against a request and a part, and a third place chose the earliest time for a part that was never answered. Change: Suspects calls these two; lastSound stands once for the three places; crashes against a request are asked by its name, which also serves addRequestCrash. Tests of quarantine, evidence and of the gateway's crashes passed.

--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 )
@@ -188,10 +187,8 @@
 	var out []suspect
 	for _, part := range partsOf(crashes) {
 		s, needed := suspect{part: part}, minCrashesUnclear
-		s.sound, s.known = l.sound.get(part)
-		if !s.known {
-			s.sound = math.MinInt64
-		}
+		_, s.known = l.sound.get(part)
+		s.sound = l.lastSound(part)
 		s.othersSound = l.othersSound(part, crashes)
 		if !s.known && s.othersSound {
 			needed = minCrashes
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -9,6 +9,7 @@
 	"encoding/hex"
 	"hash/fnv"
 	"io"
+	"math"
 	"slices"
 	"time"
 
@@ -108,8 +109,7 @@
 // were answered whole since.
 func (l *Ledger) matters(c crash, now time.Duration) bool {
 	return now-c.at <= crashLifetime && slices.ContainsFunc(c.parts, func(part string) bool {
-		sound, known := l.sound.get(part)
-		return !known || sound < c.at
+		return l.lastSound(part) < c.at
 	})
 }
 
@@ -174,19 +174,16 @@
 
 // Suspects reports whether a whole answer to a request with the given parts would refute a crash.
 func (l *Ledger) Suspects(r Request, parts []string) bool {
-	if slices.ContainsFunc(r.names(), func(name string) bool {
-		known := l.requests[name]
-		return known != nil && known.against().count > 0
-	}) {
-		return true
-	}
-	if len(l.crashes) == 0 {
-		return false
+	return slices.ContainsFunc(r.names(), func(name string) bool { return l.against(name) > 0 }) ||
+		slices.ContainsFunc(names(parts), func(part string) bool { return against(part, l.crashes, l.lastSound(part)).count > 0 })
+}
+
+// lastSound returns when a part was last answered whole, or the earliest time if that is not known.
+func (l *Ledger) lastSound(part string) time.Duration {
+	if at, known := l.sound.get(part); known {
+		return at
 	}
-	return slices.ContainsFunc(names(parts), func(part string) bool {
-		sound, known := l.sound.get(part)
-		return slices.ContainsFunc(l.crashes, func(c crash) bool { return (!known || c.at > sound) && slices.Contains(c.parts, part) })
-	})
+	return math.MinInt64
 }
 
 // Version returns a number that grows whenever Evidence has news.
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -89,7 +89,7 @@
 	before, seen := l.ended[target]
 	l.noteEnd(target, now)
 	if sent := now - took; seen && sent >= before && sent-before <= restartTime {
-		return l.against(r)
+		return l.against(r.exact)
 	}
 	return l.addRequestCrash(requestCrash{id: attempt + "@" + target, target: target, name: r.name, exact: r.exact, at: now}, true, now)
 }
@@ -104,9 +104,9 @@
 	}
 }
 
-// against returns the number of crashes that speak against a request.
-func (l *Ledger) against(r Request) int {
-	known := l.requests[r.exact]
+// against returns the number of crashes that speak against the requests with a name.
+func (l *Ledger) against(name string) int {
+	known := l.requests[name]
 	if known == nil {
 		return 0
 	}
@@ -195,7 +195,7 @@
 	}
 	l.addNamedCrash(c.name, c, own)
 	l.addNamedCrash(c.exact, c, own)
-	count := l.requests[c.exact].against().count
+	count := l.against(c.exact)
 	l.forgetRequests(now)
 	if count >= minCrashes {
 		l.decide(now)
