Soak: two engines at work on one stream, and arrivals beyond the retry budget (fails)

Users saw streams that ran twice and repeats beyond the budget; the soak could see neither: it counted starts, and its engines ended with their connections. Two of the four engines now work on when a connection was closed, one stream in four lasts for 2.4 s, and TestSoakDeafEngines resets and ends connections between instances and engines in the middle of streams and has engines fall silent for 0.5 to 1.5 s, without any fault that excuses an instance. Checks: an engine works on a run more than 400 ms after it has gone on at another one; more arrivals beyond the first, resumptions and refused ones too, than 0.2 of a service's requests and 21 in 10 s.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -19,6 +19,7 @@
 	kindSafe requestKind = iota
 	kindOnce
 	kindStream
+	kindSlowStream // is recorded as kindStream
 )
 
 // requestRecord is a request and the answer that its caller received.
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -132,7 +132,7 @@
 	c.mu.Unlock()
 	kind, index, _ := strings.Cut(slot, "-")
 	spec := platformtest.Spec{
-		IP: c.prefix + "201", ID: fmt.Sprint(slot, ".", number), Service: platformtest.PlainService, Domain: "zone-" + index, Engine: kind == "engine",
+		IP: c.prefix + "201", ID: fmt.Sprint(slot, ".", number), Service: platformtest.PlainService, Domain: "zone-" + index, Engine: kind == "engine", Deaf: isDeaf(slot),
 		Proxy: func(own string) (string, error) { return c.net.proxy(c.prefix+"202:0", slot, own) },
 	}
 	if spec.Engine {
@@ -148,6 +148,11 @@
 	return nil
 }
 
+// isDeaf reports whether the engine of a slot does not notice that connections were closed.
+func isDeaf(slot string) bool {
+	return slices.Contains([]string{engineName(1), engineName(3)}, slot)
+}
+
 func (c *cluster) target(slot string) *platformtest.Target {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -303,6 +308,9 @@
 	case faultTargetKill, faultTargetEnd, faultTargetFull:
 		c.runTargetStep(s)
 		return
+	case faultCut, faultEnd, faultQuiet, faultMute:
+		c.runEngineStep(s)
+		return
 	case faultListUnavailable:
 		c.fleet.SetUnavailable(true)
 		time.Sleep(s.duration)
--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -75,7 +75,14 @@
 }
 
 // reset resets the connections of a link.
-func (n *network) reset(l link) {
+func (n *network) reset(l link) { n.closeConns(l, resetConn) }
+
+// end closes the connections of a link in the orderly way, also in the middle of an answer.
+func (n *network) end(l link) {
+	n.closeConns(l, func(c net.Conn) { _ = c.Close() }) // it may be closed already
+}
+
+func (n *network) closeConns(l link, closeConn func(net.Conn)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for key, conns := range n.conns {
@@ -83,7 +90,7 @@
 			continue
 		}
 		for c := range conns {
-			resetConn(c)
+			closeConn(c)
 		}
 	}
 }
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,8 @@
 	changeInterval  = 300 * time.Millisecond
 	readInterval    = 100 * time.Millisecond
 	requestBudget   = 6 * time.Second
+	// One stream in slowStreams lasts for seconds.
+	slowStreams = 4
 	// answerTimeout bounds a request of a caller. It exceeds the time after which a missing
 	// answer is a finding.
 	answerTimeout = requestBudget + hangMargin + 5*time.Second
@@ -26,6 +29,8 @@
 // load runs the callers and the operator of a cluster and records what they observe.
 type load struct {
 	cluster *cluster
+	// slowCallers is how many callers of each instance send nothing but slow streams.
+	slowCallers int
 
 	mu      sync.Mutex // guards the rest
 	records []requestRecord
@@ -35,15 +40,15 @@
 	reads   int
 }
 
-func newLoad(c *cluster) *load {
-	return &load{cluster: c, history: history{sent: map[uint64]string{}}}
+func newLoad(c *cluster, slowCallers int) *load {
+	return &load{cluster: c, slowCallers: slowCallers, history: history{sent: map[uint64]string{}}}
 }
 
 // run sends requests and configurations until the context is done, and waits for the last
 // answers.
 func (l *load) run(ctx context.Context, seed uint64) {
 	var workers sync.WaitGroup
-	kinds := []requestKind{kindSafe, kindOnce, kindStream, kindStream}
+	kinds := slices.Concat([]requestKind{kindSafe, kindOnce, kindStream, kindStream}, slices.Repeat([]requestKind{kindSlowStream}, l.slowCallers))
 	for i := range gatewayCount {
 		for j, k := range kinds {
 			random := rand.New(rand.NewPCG(seed, uint64(1+i*len(kinds)+j)))
@@ -84,6 +89,11 @@
 		r.request.Path = pathPrefix(version) + "x"
 	case kindStream:
 		r.request.Path, r.request.Parts = platformtest.StreamPath+"x", soundParts(id)
+		if id%slowStreams == 0 {
+			r.request.Path = platformtest.StreamPath + platformtest.SlowStream
+		}
+	case kindSlowStream:
+		r.kind, r.request.Path, r.request.Parts = kindStream, platformtest.StreamPath+platformtest.SlowStream, soundParts(id)
 	}
 	return l.record(client, r)
 }
@@ -229,6 +239,7 @@
 		out = append(out, checkRecord(r, runs)...)
 	}
 	out = append(out, checkStatements(l.records, l.cluster.fleet.Statements(), l.cluster.fleet.Arrivals())...)
+	out = append(out, checkRetryBudget(l.records, l.cluster.fleet.Arrivals())...)
 	return append(out, l.cluster.fleet.Violations()...)
 }
 
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -40,6 +40,11 @@
 	faultTargetEnd       fault = "target-end"  // a target terminates after a notice and is replaced
 	faultTargetFull      fault = "target-full" // a target refuses all requests
 	faultListUnavailable fault = "list-dark"   // the platform's list of targets does not answer
+	// Faults between instances and engines that are no disruption; makeEngineFaults draws them.
+	faultCut   fault = "cut"   // all connections from an instance to an engine are reset, while both work on
+	faultEnd   fault = "end"   // the same, in the orderly way
+	faultQuiet fault = "quiet" // an engine sends no events for a time
+	faultMute  fault = "mute"  // the same, and it does not answer questions about its runs
 	// Troubles that requests and targets bring by themselves; makeTroubles draws them.
 	faultCrashPart   fault = "crash-part"   // engines crash on a part of some prompts
 	faultTargetLimit fault = "target-limit" // a target states a limit
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -70,7 +70,7 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, binary, seed, mergeSteps(makePlan(seed, *soakDuration), makeTroubles(seed, slices.Concat(troubles, repeatTroubles))))
+			runSeed(t, binary, seed, mergeSteps(makePlan(seed, *soakDuration), makeTroubles(seed, slices.Concat(troubles, repeatTroubles))), 0)
 		})
 	}
 }
@@ -83,14 +83,26 @@
 // link of an instance is narrow.
 func TestSoakRepeats(t *testing.T) { playTroubles(t, repeatTroubles) }
 
+// TestSoakDeafEngines guards against a run that goes on at a second engine while its first one, which has not
+// noticed the end of a connection, works on; and against resumptions beyond the retry budget. Engines lose
+// their connections and fall silent; nothing else happens, so that the check of it binds all of the time.
+func TestSoakDeafEngines(t *testing.T) {
+	playSeeds(t, slowCallers, func(seed uint64) []step { return makeEngineFaults(seed, *soakDuration) })
+}
+
 func playTroubles(t *testing.T, kinds []fault) {
+	t.Helper()
+	playSeeds(t, 0, func(seed uint64) []step { return makeTroubles(seed, kinds) })
+}
+
+func playSeeds(t *testing.T, slowCallers int, plan func(seed uint64) []step) {
 	t.Helper()
 	binary := buildProgram(t)
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, binary, seed, makeTroubles(seed, kinds))
+			runSeed(t, binary, seed, plan(seed), slowCallers)
 		})
 	}
 }
@@ -111,7 +123,7 @@
 	return binary
 }
 
-func runSeed(t *testing.T, binary string, seed uint64, steps []step) {
+func runSeed(t *testing.T, binary string, seed uint64, steps []step, slowCallers int) {
 	t.Helper()
 	folder := t.TempDir()
 	logFolder := folder
@@ -124,7 +136,7 @@
 	require.NoError(t, err)
 	t.Cleanup(c.close) // also after a failed start
 	require.NoError(t, c.open())
-	l := newLoad(c)
+	l := newLoad(c, slowCallers)
 	random := rand.New(rand.NewPCG(seed, 1<<34))
 	l.start(t)
 	runSteps(c, l, seed, steps)
@@ -134,8 +146,8 @@
 		c.addFinding("deployment not recovered after %s: %s", recoveryTimeout, reason)
 	}
 	c.close()
-	findings := slices.Concat(c.findings, l.findings(), l.troubleFindings(steps))
-	t.Logf("seed %d: %d steps, %d reads, version %d, requests by status %v", seed, len(steps), l.reads, l.acked(), l.statusCounts())
+	findings := slices.Concat(c.findings, l.findings(), l.troubleFindings(steps), l.engineFindings(steps))
+	t.Logf("seed %d: %d steps, %s, %d reads, version %d, requests by status %v", seed, len(steps), summarise(c.fleet.Works()), l.reads, l.acked(), l.statusCounts())
 	if len(findings) > 0 {
 		for _, s := range steps {
 			t.Log(s)
