Soak: engine faults cut half of an engine's connections

Connections to targets come from any address of the machine, not from that of their instance, so that a link from one instance to an engine matched none of them. Half of the connections of an engine, chosen by their ports, are cut in its place.

--- a/internal/soak/engine_test.go
+++ b/internal/soak/engine_test.go
@@ -49,10 +49,7 @@
 		engine := engineName(random.IntN(engineCount))
 		switch s.fault {
 		case faultCut, faultEnd:
-			s.subject, s.to = gatewayName(random.IntN(gatewayCount)), engine
-			if random.IntN(3) == 0 {
-				s.subject = anySource
-			}
+			s.subject, s.to = []string{anySource, halfOfSources}[random.IntN(2)], engine
 		default:
 			s.subject, s.duration = engine, between(minSilence, maxSilence)
 		}
--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -14,6 +14,9 @@
 const (
 	// anySource matches every source of a link.
 	anySource = "*"
+	// halfOfSources matches about every second connection of a link, whatever its source: connections to targets
+	// do not come from the address of their instance.
+	halfOfSources = "half"
 	// copyBufferBytes is the size of a copy buffer in bytes.
 	copyBufferBytes = 16 << 10
 	// blockPollInterval is the interval at which a blocked connection checks whether it is
@@ -86,15 +89,29 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for key, conns := range n.conns {
-		if key.to != l.to || l.from != anySource && key.from != l.from {
+		if key.to != l.to || l.from != anySource && l.from != halfOfSources && key.from != l.from {
 			continue
 		}
 		for c := range conns {
-			closeConn(c)
+			if l.from != halfOfSources || inHalf(c) {
+				closeConn(c)
+			}
 		}
 	}
 }
 
+// inHalf reports whether a connection is one of the half that halfOfSources matches. The kernel prefers
+// ports of one parity, so that the lowest bit tells nothing.
+func inHalf(c net.Conn) bool {
+	sum := 0
+	for _, a := range []net.Addr{c.LocalAddr(), c.RemoteAddr()} {
+		if tcp, ok := a.(*net.TCPAddr); ok {
+			sum += tcp.Port
+		}
+	}
+	return sum/2%2 == 0
+}
+
 // resetConn closes a connection with a reset instead of a FIN.
 func resetConn(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
@@ -316,3 +333,49 @@
 	n.close()
 	require.NoError(t, server.Close())
 }
+
+// TestConnectionsEnd checks that connections can be ended in the orderly way, in the middle of an answer, and
+// that this concerns about half of them if it is to.
+func TestConnectionsEnd(t *testing.T) {
+	const connections = 64
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() {
+		for {
+			c, err := server.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Write([]byte("beginning"))
+		}
+	}()
+	n := newNetwork()
+	address, err := n.proxy("127.0.0.1:0", "target", server.Addr().String())
+	require.NoError(t, err)
+	var conns []net.Conn
+	for range connections {
+		conn, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		_, err = io.ReadFull(conn, make([]byte, len("beginning")))
+		require.NoError(t, err)
+		conns = append(conns, conn)
+	}
+	n.end(link{halfOfSources, "target"})
+	ended := 0
+	for _, conn := range conns {
+		if inHalf(conn) {
+			_, err := io.ReadAll(conn)
+			require.NoError(t, err, "an orderly end")
+			ended++
+		}
+	}
+	require.Positive(t, ended)
+	require.Less(t, ended, connections)
+	n.end(link{anySource, "target"})
+	for _, conn := range conns {
+		_, err := io.ReadAll(conn)
+		require.NoError(t, err, "an orderly end")
+	}
+	n.close()
+	require.NoError(t, server.Close())
+}
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -41,7 +41,7 @@
 	faultTargetFull      fault = "target-full" // a target refuses all requests
 	faultListUnavailable fault = "list-dark"   // the platform's list of targets does not answer
 	// Faults between instances and engines that are no disruption; makeEngineFaults draws them.
-	faultCut   fault = "cut"   // all connections from an instance to an engine are reset, while both work on
+	faultCut   fault = "cut"   // all connections to an engine, or half of them, are reset, while both ends work on
 	faultEnd   fault = "end"   // the same, in the orderly way
 	faultQuiet fault = "quiet" // an engine sends no events for a time
 	faultMute  fault = "mute"  // the same, and it does not answer questions about its runs
