--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -27,6 +28,14 @@
 // link identifies the connections from one process to another.
 type link struct{ from, to string }
 
+// connEnd is the end of a proxied connection that one of its two parts leads to.
+type connEnd int
+
+const (
+	sourceEnd connEnd = iota
+	destinationEnd
+)
+
 // linkState counts the faults that affect a link at present, by kind. It is the zero value
 // without faults.
 type linkState struct {
@@ -44,14 +53,14 @@
 type network struct {
 	mu      sync.Mutex // guards the rest
 	links   map[link]linkState
-	conns   map[link]map[net.Conn]struct{}
+	conns   map[link]map[net.Conn]connEnd
 	names   map[string]string // names of processes by IP address
 	closers []func()
 	active  sync.WaitGroup
 }
 
 func newNetwork() *network {
-	return &network{links: map[link]linkState{}, conns: map[link]map[net.Conn]struct{}{}, names: map[string]string{}}
+	return &network{links: map[link]linkState{}, conns: map[link]map[net.Conn]connEnd{}, names: map[string]string{}}
 }
 
 // setName sets the name of the process whose connections come from an IP address.
@@ -77,23 +86,26 @@
 	clear(n.links)
 }
 
-// reset resets the connections of a link.
-func (n *network) reset(l link) { n.closeConns(l, resetConn) }
+// reset resets the connections of a link, at both ends.
+func (n *network) reset(l link) {
+	n.closeConns(l, resetConn, sourceEnd, destinationEnd)
+}
 
-// end closes the connections of a link in the orderly way, also in the middle of an answer.
+// end closes the connections of a link in the orderly way for their sources, also in the middle of an answer.
 func (n *network) end(l link) {
-	n.closeConns(l, func(c net.Conn) { _ = c.Close() }) // it may be closed already
+	n.closeConns(l, func(c net.Conn) { _ = c.Close() }, sourceEnd) // it may be closed already
 }
 
-func (n *network) closeConns(l link, closeConn func(net.Conn)) {
+// closeConns closes the connections of a link at the given ends first. The proxy resets the other end.
+func (n *network) closeConns(l link, closeConn func(net.Conn), ends ...connEnd) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for key, conns := range n.conns {
 		if key.to != l.to || l.from != anySource && l.from != halfOfSources && key.from != l.from {
 			continue
 		}
-		for c := range conns {
-			if l.from != halfOfSources || inHalf(c) {
+		for c, end := range conns {
+			if slices.Contains(ends, end) && (l.from != halfOfSources || end == sourceEnd && inHalf(c)) {
 				closeConn(c)
 			}
 		}
@@ -174,7 +186,7 @@
 	n.mu.Lock()
 	l := link{n.names[host], to}
 	n.mu.Unlock()
-	defer n.track(l, source)()
+	defer n.track(l, source, sourceEnd)()
 	var destination net.Conn
 	for {
 		if n.state(l).forwardBlocks == 0 {
@@ -185,7 +197,7 @@
 		}
 		time.Sleep(blockPollInterval)
 	}
-	defer n.track(l, destination)()
+	defer n.track(l, destination, destinationEnd)()
 	var directions sync.WaitGroup
 	directions.Go(func() {
 		n.copyDirection(destination, source, func() direction { s := n.state(l); return direction{s.forwardBlocks > 0, s.delays > 0, false} })
@@ -197,13 +209,13 @@
 }
 
 // track records a connection of a link until the returned function closes it.
-func (n *network) track(l link, c net.Conn) func() {
+func (n *network) track(l link, c net.Conn, end connEnd) func() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.conns[l] == nil {
-		n.conns[l] = map[net.Conn]struct{}{}
+		n.conns[l] = map[net.Conn]connEnd{}
 	}
-	n.conns[l][c] = struct{}{}
+	n.conns[l][c] = end
 	return func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
