--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -254,3 +254,16 @@
 	}
 	return out
 }
+
+// cutCount returns the number of answers that began and were not complete.
+func (l *load) cutCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	cut := 0
+	for _, r := range l.records {
+		if r.answer.Status != 0 && !r.answer.Complete() {
+			cut++
+		}
+	}
+	return cut
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -147,7 +147,7 @@
 	}
 	c.close()
 	findings := slices.Concat(c.findings, l.findings(), l.troubleFindings(steps), l.engineFindings(steps))
-	t.Logf("seed %d: %d steps, %s, %d reads, version %d, requests by status %v", seed, len(steps), summarise(c.fleet.Works()), l.reads, l.acked(), l.statusCounts())
+	t.Logf("seed %d: %d steps, %s, %d reads, version %d, requests by status %v, %d answers cut", seed, len(steps), summarise(c.fleet.Works()), l.reads, l.acked(), l.statusCounts(), l.cutCount())
 	if len(findings) > 0 {
 		for _, s := range steps {
 			t.Log(s)
