Soak: engine faults last longer than a window of the retry budget

In 8 s no instance had run for a whole window, so that a budget which grows only after one was never at its limit.

--- a/internal/soak/engine_test.go
+++ b/internal/soak/engine_test.go
@@ -22,6 +22,9 @@
 	maxEngineFaultInterval = 600 * time.Millisecond
 	minSilence             = 500 * time.Millisecond
 	maxSilence             = 1500 * time.Millisecond
+	// engineFaultFactor is how many times as long as others engine faults come, so that a seed exceeds a
+	// retryWindow.
+	engineFaultFactor = 2
 )
 
 const (
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -87,7 +87,7 @@
 // noticed the end of a connection, works on; and against resumptions beyond the retry budget. Engines lose
 // their connections and fall silent; nothing else happens, so that the check of it binds all of the time.
 func TestSoakDeafEngines(t *testing.T) {
-	playSeeds(t, slowCallers, func(seed uint64) []step { return makeEngineFaults(seed, *soakDuration) })
+	playSeeds(t, slowCallers, func(seed uint64) []step { return makeEngineFaults(seed, engineFaultFactor**soakDuration) })
 }
 
 func playTroubles(t *testing.T, kinds []fault) {
