Gateway: the end of a connection is no proof that the engine has ended the run

Callers saw one request run at two engines at the same time: a long stream lost the connection to its engine on the way, went on from its copy at another engine, and the first one, which had not noticed, worked on. The same after a stall in which the first engine accepted connections and was silent for a moment.

Cause: a run went on from its copy without a word of its engine unless the gateway had closed the connection itself; and no answer within 400 ms counted as an engine that is lost, whether it could be connected to or not.

Change: whatever ended the connection, the engine is asked to end the run (awaitHalt), every 0.2 s until it does not have the run, has stopped it, or cannot be connected to (vanillaward.ErrUnreachable), while the caller waits. One that accepts connections and is silent is let go 3.5 s after the run's last event. A report that arrives in the first 0.5 s of a run is no proof against it, since reports lag. A run without a copy asks nothing. The log line names cause and resumption; vanillaward_run_halts_total counts the results.

A run whose engine always has requests that it doesn't name is cut after its connection ended, visibly incomplete: that it was dropped can't be told from a preemption.

Tests: the stand-in's default, an engine that answers no question, is now one that cannot be reached, as an engine that has ended is; a silent one has cases of its own.

--- a/internal/gateway/halt.go
+++ b/internal/gateway/halt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -10,14 +11,29 @@
 	"github.com/vanillaward/vanillaward/internal/migration"
 )
 
+const (
+	// haltRetry is the time after which an engine that may still work on a run is asked again.
+	haltRetry = 200 * time.Millisecond
+	// silenceTimeout is the time since the last event of a run after which an engine that accepts connections
+	// and does not answer is taken for one that does not work on the run. A sound engine may be silent
+	// for about a second.
+	silenceTimeout = 3500 * time.Millisecond
+	// reportLag bounds how much older than its arrival an engine's report can be.
+	reportLag = 500 * time.Millisecond
+)
+
 // halt is the result of haltAtEngine.
 type halt int
 
 const (
 	// haltRefused means that the engine works on the run, or may work on it again.
 	haltRefused halt = iota
-	// haltUnanswered means that the engine does not answer: it is lost, or cannot be reached.
-	haltUnanswered
+	// haltSilent means that the engine accepts connections and does not answer: it may be lost, or go on at
+	// any moment.
+	haltSilent
+	// haltUnreachable means that no connection to the engine can be made, or that it has been silent for
+	// silenceTimeout.
+	haltUnreachable
 	// haltUncertain means that the engine was told to stop the run, and has not answered.
 	haltUncertain
 	// haltGone means that the engine does not have the run any more.
@@ -28,47 +44,94 @@
 
 // String returns the result's name in logs.
 func (h halt) String() string {
-	return [...]string{"refused", "unanswered", "uncertain", "gone", "stopped"}[h]
+	return [...]string{"refused", "silent", "unreachable", "uncertain", "gone", "stopped"}[h]
 }
 
 // mayGoOn reports whether the run may go on at another engine.
-func (h halt) mayGoOn() bool { return h == haltUnanswered || h == haltGone || h == haltStopped }
+func (h halt) mayGoOn() bool { return h == haltUnreachable || h == haltGone || h == haltStopped }
+
+// parting is a run that is to leave its engine.
+type parting struct {
+	run       *run
+	cause     string        // why it is to leave
+	lastEvent time.Duration // when the engine sent the last event
+}
+
+// awaitHalt asks a run's engine to end the run, again and again until the engine does not work on it any
+// more or the context ends: the report of an engine that has dropped the run may lag, and one that has
+// not noticed the end of its connection works on.
+func (g *Server) awaitHalt(ctx context.Context, p parting) halt {
+	out := g.haltAtEngine(ctx, p)
+	for !out.mayGoOn() {
+		select {
+		case <-ctx.Done():
+			return out
+		case <-time.After(haltRetry):
+		}
+		out = g.haltAtEngine(ctx, p)
+	}
+	return out
+}
 
 // haltAtEngine makes sure that a run's engine does not work on it any more, so that it can go on at
-// the engine that holds its copy: to close the connection is not enough, since not all engines
-// notice that, and an engine that has preempted the run starts it again later. The context bounds
-// the question what the engine runs; a stop is awaited also after its end, since only the answer
+// the engine that holds its copy. That the connection has ended is not enough, whoever ended it, since not
+// all engines notice that, and an engine that has preempted the run starts it again later. The context
+// bounds the question what the engine runs; a stop is awaited also after its end, since only the answer
 // names the copy.
-func (g *Server) haltAtEngine(ctx context.Context, r *run) halt {
-	runs, err := g.engines.Runs(ctx, r.engine.Address())
+func (g *Server) haltAtEngine(ctx context.Context, p parting) halt {
+	runs, err := g.engines.Runs(ctx, p.run.engine.Address())
 	if err != nil {
-		out := haltUnanswered
-		if errors.Is(err, vanillaward.ErrUnreadable) {
-			out = haltRefused // it is alive
-		}
-		g.logHalt(r, out, err.Error())
+		out := g.classifyNoReport(ctx, p, err)
+		g.logHalt(p, out, err.Error())
 		return out
 	}
-	presence := migration.Locate(runs, r.request)
+	presence := migration.Locate(runs, p.run.request)
 	out := haltRefused
 	switch presence {
 	case migration.Gone:
-		out = haltGone
+		out, err = g.confirmGone(p.run)
 	case migration.Running:
-		out, err = g.stopAtEngine(r)
+		out, err = g.stopAtEngine(p.run)
 	case migration.MayReturn:
 	}
 	reason := presence.String()
 	if err != nil {
 		reason = err.Error()
 	}
-	g.logHalt(r, out, reason)
+	g.logHalt(p, out, reason)
 	return out
 }
 
-func (g *Server) logHalt(r *run, h halt, reason string) {
-	g.base.Log.Info("asked the engine to end a run before it goes on elsewhere", "request", r.request, "target", r.engine.ID(),
-		"result", h.String(), "reason", reason)
+// classifyNoReport returns what it means for a run that its engine has not sent a report.
+func (g *Server) classifyNoReport(ctx context.Context, p parting, err error) halt {
+	switch {
+	case ctx.Err() != nil, errors.Is(err, vanillaward.ErrUnreadable): // not asked to the end, or alive
+		return haltRefused
+	case errors.Is(err, vanillaward.ErrUnreachable), g.base.Timers.Now()-p.lastEvent >= silenceTimeout:
+		return haltUnreachable
+	}
+	return haltSilent
+}
+
+// errEarlyReport is the reason why a report that does not name a run is no proof that the run has ended.
+var errEarlyReport = errors.New("the report may be older than the run")
+
+// confirmGone returns haltGone for a run that a report does not name, if the report is not older than the
+// run.
+func (g *Server) confirmGone(r *run) (halt, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.base.Timers.Now()-r.startedAt < reportLag {
+		return haltRefused, errEarlyReport
+	}
+	return haltGone, nil
+}
+
+func (g *Server) logHalt(p parting, h halt, reason string) {
+	g.base.Metrics.Halt(h.String())
+	g.base.Log.Info("asked the engine to end a run before it goes on elsewhere", "request", p.run.request, "target", p.run.engine.ID(),
+		"resumption", p.run.resumption, "cause", p.cause, "result", h.String(), "reason", reason,
+		"silent-ms", (g.base.Timers.Now() - p.lastEvent).Milliseconds())
 }
 
 // errMoving is the reason why a run is not stopped while it is copied.
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -72,7 +72,7 @@
 // resumeAfter asks the holder of the run's copy, or else the engine that has stopped the run and kept it,
 // to resume the run. It returns nil if neither does, or if the run's engine may still work on it.
 func (req *request) resumeAfter(ctx context.Context, cause error) *resumption {
-	if ctx.Err() != nil || endedHere(cause) && !req.server.haltAtEngine(ctx, req.stream.run).mayGoOn() {
+	if ctx.Err() != nil || !req.leaveEngine(ctx, cause) {
 		return nil
 	}
 	req.server.awaitMove(ctx, req.stream.run)
@@ -83,12 +83,26 @@
 	return r
 }
 
-// endedHere reports whether an error ended the connection to an engine from this side, so that the
-// engine may still work on the run. That of a stalled run has ended already.
-func endedHere(cause error) bool {
-	return cause != nil && !errors.Is(cause, errStalled) && !upstream.IsConnectionEnd(cause) && !errors.Is(cause, errNoEvent)
+// leaveEngine reports whether the run has a copy and may go on from it, because its engine does not work on
+// it any more. The end of the connection, whoever caused it, is no proof of that.
+func (req *request) leaveEngine(ctx context.Context, cause error) bool {
+	if req.stream.halted == haltStopped {
+		return true
+	}
+	req.server.awaitMove(ctx, req.stream.run) // a run is not stopped while it is copied
+	if !req.server.mayHaveCopy(req.stream.run) {
+		return false
+	}
+	p := parting{run: req.stream.run, cause: errNoAnswer.Error(), lastEvent: req.stream.lastPassedAt}
+	if cause != nil {
+		p.cause = cause.Error()
+	}
+	return req.server.awaitHalt(ctx, p).mayGoOn()
 }
 
+// errNoAnswer is the cause logged for a run whose engine has sent no answer.
+var errNoAnswer = errors.New("no answer")
+
 // errEngineGone is logged for a copy whose holder can no longer be sent requests.
 var errEngineGone = errors.New("holder of the copy is no longer listed or is leaving")
 
@@ -179,6 +193,7 @@
 	req.server.removeRun(req.stream.run)
 	req.stream.run = r.run
 	req.stream.resumed++
+	req.stream.halted = haltRefused
 	req.target, req.answerBegan = r.holder.ID(), r.began
 	req.framing, req.stream.unfinished = upstream.FramingOf(r.response), 0
 	req.server.base.Log.Info("run resumed from its copy", "request", req.caller.ID, "target", r.holder.ID(), "events", req.stream.passed,
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -28,15 +28,17 @@
 	copyLifetime   time.Duration // how long the engines keep a copy made on demand
 	copyRate       float64       // tokens that an engine copies in a second; 0 if unknown
 
-	engine   *balance.Target
-	started  bool // the engine has sent an event of the run
-	ended    bool // the run's stream has ended at the engine
-	copy     *heldCopy
-	uncopied bool          // it is counted as a run without a copy
-	kept     *heldCopy     // what the engine keeps of the run since it stopped it without copying it
-	moving   chan struct{} // closed when the copying on demand in progress ends; nil if there is none
-	failures int           // copies on demand that failed
-	avoid    []string      // IDs of engines to which copying failed, or that ran the run before its resumption
+	engine     *balance.Target
+	resumption int           // how often the run was resumed before
+	started    bool          // the engine has sent an event of the run
+	startedAt  time.Duration // when the engine sent the first one
+	ended      bool          // the run's stream has ended at the engine
+	copy       *heldCopy
+	uncopied   bool          // it is counted as a run without a copy
+	kept       *heldCopy     // what the engine keeps of the run since it stopped it without copying it
+	moving     chan struct{} // closed when the copying on demand in progress ends; nil if there is none
+	failures   int           // copies on demand that failed
+	avoid      []string      // IDs of engines to which copying failed, or that ran the run before its resumption
 }
 
 // heldCopy is a copy of a run's KV cache at another engine.
@@ -73,7 +75,7 @@
 func (r *run) resumedAt(engine *balance.Target) *run {
 	return &run{
 		ctx: r.ctx, request: r.request, tokens: r.tokens, continuousCopy: r.continuousCopy, movable: r.movable, copyLifetime: r.copyLifetime, copyRate: r.copyRate, engine: engine,
-		avoid: []string{r.engine.ID()},
+		resumption: r.resumption + 1, avoid: []string{r.engine.ID()},
 	}
 }
 
@@ -85,7 +87,7 @@
 	if r.started {
 		return
 	}
-	r.started = true
+	r.started, r.startedAt = true, g.base.Timers.Now()
 	if g.balancer.Leaving(r.engine, g.base.Timers.Now()) {
 		g.startMoves()
 	}
@@ -161,6 +163,14 @@
 	return r.copy != nil
 }
 
+// mayHaveCopy reports whether a run can go on from a copy, or may be able to once a move that is in progress
+// has ended.
+func (g *Server) mayHaveCopy(r *run) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return r.moving != nil || r.kept != nil || r.copy != nil && migration.CopyExists(r.copy.expires > 0, r.started)
+}
+
 // takeCopy removes the run's copy from the records and returns it if it exists at its
 // engine.
 func (g *Server) takeCopy(r *run) *heldCopy {
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -25,7 +25,7 @@
 // stallWatch detects stalls in the part of a stream that one engine sends. A stalled engine
 // may be lost, or may only have preempted the run in favour of other runs, and the copy may
 // be lost as well. So an engine that answers is first made to end the run; while it may still work
-// on it, the stream from it continues. The connection to an engine that does not answer is closed
+// on it, the stream from it continues. The connection to an engine that cannot be reached is closed
 // only once the holder of the copy has accepted the run; if the holder does not, the stream from the
 // engine continues too.
 type stallWatch struct {
@@ -85,9 +85,10 @@
 	s.requesting = true
 	s.inFlight.Add(1)
 	last := s.req.stream.lastEvent
+	p := parting{run: s.req.stream.run, cause: errStalled.Error(), lastEvent: s.req.stream.lastPassedAt}
 	s.mu.Unlock()
 	defer s.inFlight.Done()
-	halted := s.req.server.haltAtEngine(s.ctx, s.req.stream.run)
+	halted := s.req.server.haltAtEngine(s.ctx, p)
 	var r *resumption
 	if halted.mayGoOn() && halted != haltStopped {
 		r = s.req.requestResumption(s.ctx, last)
@@ -120,9 +121,9 @@
 }
 
 // stop ends the watch. It returns the resumption that the holder of the copy has accepted, or
-// nil, and whether the engine has stopped the run, or may have, so that the end of its stream is not
-// that of the answer.
-func (s *stallWatch) stop() (accepted *resumption, halted bool) {
+// nil, and the last answer of the engine. If the engine has stopped the run, or may have, the end of its
+// stream is not that of the answer.
+func (s *stallWatch) stop() (accepted *resumption, halted halt) {
 	s.mu.Lock()
 	s.stopped = true
 	if s.timer != nil {
@@ -131,5 +132,5 @@
 	s.mu.Unlock()
 	s.cancel()
 	s.inFlight.Wait()
-	return s.accepted, s.halted == haltStopped || s.halted == haltUncertain
+	return s.accepted, s.halted
 }
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -55,6 +55,7 @@
 		"the engine states nothing that can be read": {runs: func() (vanillaward.EngineRuns, error) {
 			return vanillaward.EngineRuns{}, errors.Wrap(vanillaward.ErrUnreadable, "status 500")
 		}},
+		"the engine is silent for a moment": {runs: afterReports(2, silent, states(vanillaward.EngineRuns{Waiting: 1}))},
 		"it is preempted when it is to stop": {runs: named, stop: func(vanillaward.Move) (vanillaward.MoveResult, error) {
 			return vanillaward.MoveResult{}, vanillaward.ErrNotRunning
 		}},
--- a/internal/gateway/standin_test.go
+++ b/internal/gateway/standin_test.go
@@ -91,7 +91,7 @@
 // engines records the requested moves and drops of copies.
 type engines struct {
 	hold chan struct{} // if set, moves wait until it is closed
-	// runs, if set, answers what an engine runs; no engine answers else. stop, if set, answers a move
+	// runs, if set, answers what an engine runs; no engine can be reached else. stop, if set, answers a move
 	// that is to stop its run.
 	runs func() (vanillaward.EngineRuns, error)
 	stop func(vanillaward.Move) (vanillaward.MoveResult, error)
@@ -110,7 +110,7 @@
 	defer e.mu.Unlock()
 	e.asked++
 	if e.runs == nil {
-		return vanillaward.EngineRuns{}, errors.New("the engine does not answer")
+		return vanillaward.EngineRuns{}, vanillaward.ErrUnreachable
 	}
 	return e.runs()
 }
@@ -203,6 +203,7 @@
 	behaviour string
 	listener  net.Listener
 	held      chan struct{} // closing it ends the wait of the behaviours stream-held and stream-paused
+	begins    func()        // if set, is called when a request has arrived
 
 	mu     sync.Mutex // guards the fields below
 	runs   []string   // IDs of the requests that the target ran
@@ -240,6 +241,9 @@
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 413 Too Large\r\n%s: %s\r\nContent-Length: 2\r\n\r\nno", testID, request.Header.Get(testID))
 		}
 		body, _ := io.ReadAll(request.Body)
+		if s.begins != nil {
+			s.begins()
+		}
 		s.mu.Lock()
 		s.seen = append(s.seen, request.Header)
 		s.bodies = append(s.bodies, request.Method+" "+request.RequestURI+" "+request.Host+" "+string(body))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -36,6 +36,7 @@
 	lastPassedAt time.Duration // when the last event was passed on
 	longestGap   time.Duration // longest time between two consecutive events
 	run          *run          // nil for requests that no engine runs
+	halted       halt          // what the engine last answered after a stall
 	accepted     *resumption   // accepted by the holder of the copy after a stall; nil if there is none
 }
 
@@ -99,7 +100,8 @@
 		err = errNoEvent
 	}
 	accepted, halted := watch.stop()
-	if halted && (err == nil && upstream.FramingOf(response) == upstream.FramedByClose || err != nil && !isCallerError(err)) {
+	req.stream.halted = halted
+	if (halted == haltStopped || halted == haltUncertain) && (err == nil && upstream.FramingOf(response) == upstream.FramedByClose || err != nil && !isCallerError(err)) {
 		err = errStalled
 	}
 	if accepted != nil && (err == nil || isCallerError(err)) {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -194,3 +194,8 @@
 	m.set.WritePrometheus(w)
 	metrics.WriteProcessMetrics(w)
 }
+
+// Halt counts an engine that was asked to end a run before it goes on elsewhere, by the result.
+func (m *Metrics) Halt(result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_run_halts_total{result=%q}", result)).Inc()
+}
--- a/vanillaward.go
+++ b/vanillaward.go
@@ -135,7 +135,7 @@
 	// Load reads the load report of the engine at an address.
 	Load(ctx context.Context, address string) (*wire.Load, error)
 	// Runs returns the runs of the engine at an address. The error matches ErrUnreadable if the engine
-	// answers otherwise than with a report.
+	// answers otherwise than with a report, and ErrUnreachable if no connection to it can be made.
 	Runs(ctx context.Context, address string) (EngineRuns, error)
 	// Move copies the KV cache of a run to another engine while the run continues, or stops the run
 	// first. It returns when the copy is complete. The error matches ErrNotRunning if the source does
@@ -160,6 +160,9 @@
 // ErrUnreadable means that an engine answers, but not with what it is asked for.
 var ErrUnreadable = errors.New("the engine's answer cannot be read")
 
+// ErrUnreachable means that no connection to an engine can be made.
+var ErrUnreachable = errors.New("no connection to the engine can be made")
+
 // EngineRuns is what an engine works on, as of a moment ago.
 type EngineRuns struct {
 	// Requests are the IDs of the requests that have begun to run and are not preempted.
