Gateway: an engine that a run has left without its word is followed until the run has ended there

Callers saw one request run at two engines in two more cases: its first engine could not be reached, the run went on from its copy, and the engine came back and worked on; and the holder of a copy was asked to resume the run, its answer did not come or was an error, and the run went on at its engine, or at the engine that had kept it.

Cause: closing the connection was taken for the end of the work there. The engine that had kept a stopped run was asked after any failure of the holder.

Only a holder's statement that it has not run the request lets another engine be asked. A resumption that was not sent since its caller had left does not count against the holder any more. The lines name resumption, engine before and whether the holder stated not to have run; vanillaward_former_runs_total counts.

--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -76,9 +76,9 @@
 		return nil
 	}
 	req.server.awaitMove(ctx, req.stream.run)
-	r := req.requestResumption(ctx, req.stream.lastEvent)
-	if r == nil && req.server.takeKept(req.stream.run) {
-		r = req.requestResumption(ctx, req.stream.lastEvent)
+	r, mayRun := req.requestResumption(ctx, req.stream.lastEvent)
+	if r == nil && !mayRun && req.server.takeKept(req.stream.run) {
+		r, _ = req.requestResumption(ctx, req.stream.lastEvent)
 	}
 	return r
 }
@@ -97,7 +97,8 @@
 	if cause != nil {
 		p.cause = cause.Error()
 	}
-	return req.server.awaitHalt(ctx, p).mayGoOn()
+	req.stream.halted = req.server.awaitHalt(ctx, p)
+	return req.stream.halted.mayGoOn()
 }
 
 // errNoAnswer is the cause logged for a run whose engine has sent no answer.
@@ -113,37 +114,45 @@
 
 // requestResumption asks the holder of the run's copy to resume the run after the event
 // with the number lastEvent. It returns nil if the run cannot be resumed; the copy is no
-// longer available then.
-func (req *request) requestResumption(ctx context.Context, lastEvent uint64) *resumption {
+// longer available then. With mayRun, the holder may run it all the same, and is followed.
+func (req *request) requestResumption(ctx context.Context, lastEvent uint64) (r *resumption, mayRun bool) {
 	if req.stream.resumed >= maxResumes {
-		return nil
+		return nil, false
 	}
 	if _, wait := req.heldBack(); wait > 0 {
-		return nil
+		return nil, false
 	}
 	held := req.server.takeCopy(req.stream.run)
 	if held == nil || ctx.Err() != nil {
-		return nil
+		return nil, false
 	}
 	if !req.server.beginResume(held.holder, req.tokens()) {
 		req.logFailure("copy lost with its holder", held.holder, errEngineGone)
-		return nil
+		return nil, false
 	}
-	r, targetResult := req.sendToHolder(ctx, held, lastEvent)
+	r, mayRun, targetResult := req.sendToHolder(ctx, held, lastEvent)
 	if r == nil {
 		req.server.end(held.holder, req.tokens(), targetResult)
 	}
-	return r
+	if mayRun {
+		req.follow(held.holder, held.source)
+	}
+	return r, mayRun
 }
 
 // sendToHolder sends the request to the holder of its run's copy. If the holder does not
-// resume the run, sendToHolder returns nil and the result to record for the holder.
-func (req *request) sendToHolder(ctx context.Context, held *heldCopy, lastEvent uint64) (*resumption, balance.Result) {
+// resume the run, sendToHolder returns nil and the result to record for the holder, and in mayRun
+// whether the holder may run the request all the same: only its own statement rules that out.
+func (req *request) sendToHolder(ctx context.Context, held *heldCopy, lastEvent uint64) (r *resumption, mayRun bool, result balance.Result) {
 	holder := held.holder
 	conn, err := req.server.pool.Get(ctx, holder.ID(), holder.Address(), req.caller.ID)
+	if err != nil && ctx.Err() != nil {
+		req.logFailure("resumption not sent; the run does not need it any more", holder, ctx.Err())
+		return nil, false, balance.Abandoned
+	}
 	if err != nil {
 		req.logFailure("holder of the copy not reached", holder, err)
-		return nil, balance.Unreachable
+		return nil, false, balance.Unreachable
 	}
 	defer conn.CloseOnDone(ctx)()
 	resumed := req.stream.run.resumedAt(holder)
@@ -155,18 +164,19 @@
 		if upstream.IsConnectionEnd(err) && ctx.Err() == nil && !req.server.isLeaving(holder) {
 			req.server.crashes.RequestCrashed(req.identity, req.caller.ID, holder.ID(), req.sentAt)
 		}
-		return nil, req.classifyFailure(ctx, "no answer from the holder of the copy", holder, err)
+		return nil, true, req.classifyFailure(ctx, "no answer from the holder of the copy", holder, err)
 	}
 	info := req.server.dialect.ReadAnswer(response.StatusCode, response.Header)
 	if response.StatusCode != http.StatusOK {
 		conn.Close()
 		req.server.removeRun(resumed)
-		req.server.base.Log.Info("holder did not resume the run", "request", req.caller.ID, "target", holder.ID(), "status", response.StatusCode, "after", lastEvent)
-		return nil, balance.Abandoned
+		req.server.base.Log.Info("holder did not resume the run", "request", req.caller.ID, "target", holder.ID(), "resumption", resumed.resumption,
+			"status", response.StatusCode, "not-run", info.NotRun, "after", lastEvent)
+		return nil, !info.NotRun, balance.Abandoned
 	}
 	req.server.accepted(holder)
 	began := req.server.base.Timers.Now()
-	return &resumption{run: resumed, holder: holder, conn: conn, response: response, info: info, began: began}, balance.Served
+	return &resumption{run: resumed, holder: holder, conn: conn, response: response, info: info, began: began}, false, balance.Served
 }
 
 func (req *request) sendResume(conn *upstream.Conn, resumed *run, held *heldCopy, lastEvent uint64) (*http.Response, error) {
@@ -184,19 +194,24 @@
 	req.server.removeRun(r.run)
 	req.server.end(r.holder, req.tokens(), balance.Abandoned)
 	req.server.base.Log.Info("resumption cancelled; run stays at its engine", "request", req.caller.ID, "not-at", r.holder.ID())
+	req.follow(r.holder, req.stream.run.engine)
 }
 
 // relayResumed relays the events of a run that was resumed at the holder of its copy. It
 // reports whether the caller was finally served or has disconnected.
 func (req *request) relayResumed(ctx context.Context, r *resumption) bool {
 	defer r.conn.CloseOnDone(ctx)()
-	req.server.removeRun(req.stream.run)
+	former := req.stream.run
+	req.server.removeRun(former)
+	if req.stream.halted == haltUnreachable {
+		req.follow(former.engine, r.holder)
+	}
 	req.stream.run = r.run
 	req.stream.resumed++
 	req.stream.halted = haltRefused
 	req.target, req.answerBegan = r.holder.ID(), r.began
 	req.framing, req.stream.unfinished = upstream.FramingOf(r.response), 0
-	req.server.base.Log.Info("run resumed from its copy", "request", req.caller.ID, "target", r.holder.ID(), "events", req.stream.passed,
+	req.server.base.Log.Info("run resumed from its copy", "request", req.caller.ID, "target", r.holder.ID(), "from", former.engine.ID(), "resumption", r.run.resumption, "events", req.stream.passed,
 		"took-ms", (req.server.base.Timers.Now() - req.arrived).Milliseconds())
 	targetResult := req.relay(ctx, r.holder, r.conn, r.response, r.info)
 	req.server.end(r.holder, req.tokens(), targetResult)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -65,6 +65,7 @@
 	// helperPool holds the connections to other instances, nil without credentials.
 	helperPool *upstream.Pool
 	unused     chan unusedCopy
+	formerDue  chan *formerEngine // engines to ask for their former runs
 	ended      chan endedAnswer
 	buffers    *membudget.Budget // of answers that are read whole
 	crashes    *evidence.Ledger
@@ -85,6 +86,9 @@
 	random   *rand.Rand
 	runs     map[*run]struct{}
 	helpers  handover.Helpers
+	// former holds the engines with former runs by address; formerCount is the number of those runs.
+	former      map[string]*formerEngine
+	formerCount int
 }
 
 // Option configures a gateway.
@@ -105,7 +109,7 @@
 		base: b, settings: s, dialect: dialect, engines: engines, decode: decode,
 		pool:     upstream.NewPool(s.DialTimeout, maxIdleConns),
 		balancer: balance.New(b.Settings.Instance.FailureDomain, random), unused: make(chan unusedCopy, freeQueue), ended: make(chan endedAnswer, survivalQueue),
-		budgets: map[string]*retry.Budget{}, random: random, runs: map[*run]struct{}{}, crashes: evidence.New(b), exchange: noExchange{},
+		budgets: map[string]*retry.Budget{}, random: random, runs: map[*run]struct{}{}, former: map[string]*formerEngine{}, formerDue: make(chan *formerEngine, maxFormerRuns), crashes: evidence.New(b), exchange: noExchange{},
 		buffers: membudget.New(int64(s.BufferMemory)),
 	}
 	if b.Credentials != nil {
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -91,7 +91,7 @@
 	halted := s.req.server.haltAtEngine(s.ctx, p)
 	var r *resumption
 	if halted.mayGoOn() && halted != haltStopped {
-		r = s.req.requestResumption(s.ctx, last)
+		r, _ = s.req.requestResumption(s.ctx, last)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -199,3 +199,8 @@
 func (m *Metrics) Halt(result string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_run_halts_total{result=%q}", result)).Inc()
 }
+
+// FormerRun counts a run that its request had left and that has ended at its engine, by how.
+func (m *Metrics) FormerRun(result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_former_runs_total{result=%q}", result)).Inc()
+}
