--- a/internal/gateway/halt.go
+++ b/internal/gateway/halt.go
@@ -19,7 +19,7 @@
 	// for about a second.
 	silenceTimeout = 3500 * time.Millisecond
 	// reportLag bounds how much older than its arrival an engine's report can be.
-	reportLag = 500 * time.Millisecond
+	reportLag = time.Second
 )
 
 // halt is the result of haltAtEngine.
