Gateway: a holder that runs the request again has not resumed it, and the run ends there

Callers saw one request begin up to five times within half a second: the holder of a copy that did not exist ran the request from its beginning, its first event was out of order, and the run went on from the copy at the next holder, which had none either.

Cause: a stream whose events are out of order was resumed from the run's copy whatever its first event was; the copy of a run that was begun again is not there.

Change: if the first event of a resumed stream is not the one after the caller's last, the answer is aborted, and the holder is followed until it has ended the run.

Before: TestRunFromItsBeginningIsNoResumption asks two holders (expected 1, actual 2). After: passes. A holder without a copy that sends only the events after the caller's last can't be told from one that resumes.

--- a/internal/gateway/former_test.go
+++ b/internal/gateway/former_test.go
@@ -103,3 +103,24 @@
 	require.Error(t, answer.err, "the answer must not look complete")
 	require.Equal(t, 1, first.requestCount())
 }
+
+// TestRunFromItsBeginningIsNoResumption guards against a request that runs again at one engine after another: each
+// holder has no copy, runs the request from its beginning, and the run goes on from the next copy.
+func TestRunFromItsBeginningIsNoResumption(t *testing.T) {
+	first, second, third := newStandin(t, "target-0", "stream:2"), newStandin(t, "target-1", "stream:restart"), newStandin(t, "target-2", "stream:restart")
+	r := newRig(t, configuration(1, route.Stream, 1, 30*time.Second), first, second, third)
+	r.engines.runsOf = func(address string) (vanillaward.EngineRuns, error) {
+		if address == first.address() {
+			return vanillaward.EngineRuns{}, vanillaward.ErrUnreachable
+		}
+		return named()
+	}
+	got := r.send(t, http.MethodPost, "/r/x", "", map[string]string{testBudget: "30000"})
+	require.Error(t, got.err, "the answer must not look complete")
+	require.Equal(t, 1, second.requestCount()+third.requestCount())
+	holder := second
+	if third.requestCount() > 0 {
+		holder = third
+	}
+	requireStopped(t, r, holder, first)
+}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -58,6 +58,11 @@
 	if req.stream.run == nil || isCallerError(cause) {
 		return false
 	}
+	if errors.Is(cause, errNotResumed) { // it has no copy to go on from, and the next holder would have none either
+		req.server.removeRun(req.stream.run)
+		req.follow(req.stream.run.engine, req.stream.run.from)
+		return false
+	}
 	accepted := req.stream.accepted
 	req.stream.accepted = nil
 	if accepted == nil {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -29,10 +29,11 @@
 	copyRate       float64       // tokens that an engine copies in a second; 0 if unknown
 
 	engine     *balance.Target
-	resumption int           // how often the run was resumed before
-	started    bool          // the engine has sent an event of the run
-	startedAt  time.Duration // when the engine sent the first one
-	ended      bool          // the run's stream has ended at the engine
+	from       *balance.Target // the engine before the last resumption; nil for a run that was not resumed
+	resumption int             // how often the run was resumed before
+	started    bool            // the engine has sent an event of the run
+	startedAt  time.Duration   // when the engine sent the first one
+	ended      bool            // the run's stream has ended at the engine
 	copy       *heldCopy
 	uncopied   bool          // it is counted as a run without a copy
 	kept       *heldCopy     // what the engine keeps of the run since it stopped it without copying it
@@ -75,7 +76,7 @@
 func (r *run) resumedAt(engine *balance.Target) *run {
 	return &run{
 		ctx: r.ctx, request: r.request, tokens: r.tokens, continuousCopy: r.continuousCopy, movable: r.movable, copyLifetime: r.copyLifetime, copyRate: r.copyRate, engine: engine,
-		resumption: r.resumption + 1, avoid: []string{r.engine.ID()},
+		from: r.engine, resumption: r.resumption + 1, avoid: []string{r.engine.ID()},
 	}
 }
 
--- a/internal/gateway/standin_test.go
+++ b/internal/gateway/standin_test.go
@@ -343,6 +343,9 @@
 	if request.Header.Get(testResume) != "" {
 		from, _ = strconv.Atoi(request.Header.Get(testAfter))
 	}
+	if argument == "restart" { // runs the request again though it is asked to resume it
+		from = 0
+	}
 	if argument == "unframed" || argument == "unframed-crash" {
 		s.streamUnframed(conn, request, argument == "unframed-crash")
 		return false
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -20,6 +20,9 @@
 var (
 	// errOrder is returned for a stream whose events are not numbered consecutively.
 	errOrder = errors.New("events are not numbered consecutively")
+	// errNotResumed is returned for the stream of a holder that was asked to resume a run and has begun elsewhere
+	// than after the last event, as one does that has no copy and runs the request again.
+	errNotResumed = errors.Wrap(errOrder, "the holder of the copy has not resumed the run")
 	// errNoEvent is returned for a stream that ends with its connection before its first
 	// event: without an event, such an end is no sign that the answer is complete.
 	errNoEvent = errors.New("connection ended before the first event")
@@ -131,7 +134,11 @@
 		if read == 0 && req.stream.run != nil {
 			req.server.markStarted(req.stream.run)
 		}
-		if err := watch.event(func() error { return req.passEvent(control, event, !reader.Buffered()) }); err != nil {
+		err = watch.event(func() error { return req.passEvent(control, event, !reader.Buffered()) })
+		if read == 0 && req.stream.resumed > 0 && errors.Is(err, errOrder) {
+			err = errNotResumed
+		}
+		if err != nil {
 			return read, err
 		}
 	}
