Platform: an engine that ends the connection of a question is alive

Callers saw one request run at two engines: the first one reset each connection on which it was asked for its report, as one with too many connections does, and worked on; it counted as silent, and was let go 3.5 s after the run's last event.

Change: a connection that was made and then ended without a report reads as ErrUnreadable, so that the run does not go on from its copy until the engine is asked to better effect or refuses connections. A gateway whose connections are all reset on the way reaches no holder of a copy either, so it loses nothing by that.

--- a/vanillaward.go
+++ b/vanillaward.go
@@ -135,7 +135,7 @@
 	// Load reads the load report of the engine at an address.
 	Load(ctx context.Context, address string) (*wire.Load, error)
 	// Runs returns the runs of the engine at an address. The error matches ErrUnreadable if the engine
-	// answers otherwise than with a report, and ErrUnreachable if no connection to it can be made.
+	// answers otherwise than with a report or ends the connection, and ErrUnreachable if no connection to it can be made.
 	Runs(ctx context.Context, address string) (EngineRuns, error)
 	// Move copies the KV cache of a run to another engine while the run continues, or stops the run
 	// first. It returns when the copy is complete. The error matches ErrNotRunning if the source does
