Gateway: engines with former runs are bounded by the queue that they wait in

An engine that is forgotten a moment after its last former run could have filled the queue, on which the gateway would have waited with its lock held. Found by reading; it has no test.

--- a/internal/gateway/former.go
+++ b/internal/gateway/former.go
@@ -16,7 +16,7 @@
 const (
 	// formerRetry is the time after which an engine is asked again for its former runs.
 	formerRetry = 200 * time.Millisecond
-	// maxFormerRuns bounds the former runs that are followed at the same time.
+	// maxFormerRuns bounds the former runs that are followed at the same time, and their engines.
 	maxFormerRuns = 256
 	// formerWorkers is how many engines are asked concurrently: one that cannot be reached occupies a worker
 	// until the question's time limit.
@@ -51,7 +51,7 @@
 func (g *Server) addFormer(engine *balance.Target, f formerRun) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.formerCount >= maxFormerRuns {
+	if g.formerCount >= maxFormerRuns || len(g.former) >= maxFormerRuns {
 		return false
 	}
 	g.formerCount++
@@ -59,7 +59,7 @@
 	if e == nil {
 		e = &formerEngine{target: engine}
 		g.former[engine.Address()] = e
-		g.formerDue <- e // has room for an engine of each former run
+		g.formerDue <- e // has room for each engine, which is in it once at most
 	}
 	e.runs = append(e.runs, f)
 	return true
