--- /dev/null
+++ b/internal/retry/share_test.go
@@ -0,0 +1,54 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillaward/vanillaward/internal/retry"
+)
+
+// TestShareBegins checks that an instance has a share one window after its start, if it was told the
+// number of instances within a window.
+func TestShareBegins(t *testing.T) {
+	const window, start = 10 * time.Second, 33 * time.Second
+	s := retry.NewShare(window, 100, start)
+	require.Zero(t, s.Reserve(start))
+	require.Zero(t, s.Reserve(start+2*window), "not told")
+	s = retry.NewShare(window, 100, start)
+	s.UpdateInstances(4, start+time.Second)
+	require.Zero(t, s.Reserve(start+window))
+	first := s.Reserve(start + window + time.Millisecond)
+	require.Positive(t, first)
+	require.LessOrEqual(t, first, 100.0/4)
+	require.Zero(t, s.Reserve(start+window+2*time.Second), "told more than a window ago")
+	s.UpdateInstances(4, start+2*window)
+	require.Equal(t, first, s.Reserve(start+2*window))
+}
+
+// TestShareGrowsLate guards against a share that grows as soon as some instances are not heard of: they go
+// on with the share that they had.
+func TestShareGrowsLate(t *testing.T) {
+	const window = 10 * time.Second
+	s := retry.NewShare(window, 100, 0)
+	told := func(n int, now time.Duration) float64 {
+		s.UpdateInstances(n, now)
+		return s.Reserve(now)
+	}
+	for now := time.Second; now < 2*window; now += time.Second {
+		told(8, now)
+	}
+	of8 := told(8, 2*window)
+	require.LessOrEqual(t, of8*8, 100.0)
+	for now := 2*window + time.Second; now < 6*window; now += time.Second {
+		require.Equal(t, of8, told(4, now), "after %s", now)
+	}
+	require.Equal(t, 2*of8, func() float64 {
+		for now := 6 * window; now < 20*window; now += time.Second {
+			told(4, now)
+		}
+		return told(4, 20*window)
+	}())
+	require.Equal(t, of8, told(8, 20*window), "it shrinks at once")
+}
