Gateway: resumptions draw from the retry budget

Cause, possible: runs that went on at another engine, up to eight times each, were not counted at all. Change: a resumption asks the budget where it is sent. A denied one frees the copy and ends the answer visibly incomplete, with the outcome over-budget. Each repeat has a log line (allowed or not, how many of how many) and counts in vanillaward_gateway_repeats_total. The budget has a file of its own.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -266,6 +266,9 @@
 // abortAnswer makes sure that a truncated answer does not look complete to the caller.
 func (req *request) abortAnswer() {
 	req.reason = reasonCutOff
+	if req.stream.overBudget {
+		req.reason = reasonOverBudget
+	}
 	if req.callerLeft() {
 		req.reason = reasonCallerLeft
 	}
--- /dev/null
+++ b/internal/gateway/budget.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"maps"
+
+	"github.com/vanillaward/vanillaward/internal/balance"
+	"github.com/vanillaward/vanillaward/internal/retry"
+	"github.com/vanillaward/vanillaward/internal/route"
+)
+
+// repeat is a kind of sending a request once more after a target has got it.
+type repeat string
+
+const (
+	// repeatAttempt sends a request to another target from its beginning.
+	repeatAttempt repeat = "attempt"
+	// repeatResumption has another engine go on with a run.
+	repeatResumption repeat = "resumption"
+)
+
+// allowRepeat reports whether the retry budget of the request's service allows to send it once more, and
+// counts the repeat if so.
+func (req *request) allowRepeat(kind repeat) bool {
+	allowed, use := req.server.allowRepeat(req.service)
+	req.server.base.Metrics.Repeat(string(kind), allowed)
+	req.server.base.Log.Info("repeat", "request", req.caller.ID, "kind", string(kind), "service", req.service, "allowed", allowed,
+		"repeats", use.Repeats(), "limit", use.Limit())
+	return allowed
+}
+
+// allowResumption is allowRepeat for the resumption of a run at an engine that has been counted as its
+// target. If it is denied, it does not count there, and the request ends as over its budget.
+func (req *request) allowResumption(held *heldCopy) bool {
+	req.stream.overBudget = !req.allowRepeat(repeatResumption)
+	if !req.stream.overBudget {
+		return true
+	}
+	req.server.end(held.holder, req.tokens(), balance.Abandoned)
+	if held.expires > 0 || held.source == held.holder { // engines drop continuously updated copies themselves
+		req.server.free(unusedCopy{request: req.caller.ID, address: held.address, handle: held.handle})
+	}
+	return false
+}
+
+// allowRepeat reports whether the retry budget of a service allows a repeat, and counts it if so. It also
+// returns what the window holds then.
+func (g *Server) allowRepeat(service string) (bool, retry.Use) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.base.Timers.Now()
+	b := g.budget(service)
+	allowed := b.Allow(now)
+	return allowed, b.Use(now)
+}
+
+// countRequest counts a request for the retry budget of its service.
+func (g *Server) countRequest(service string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget(service).Request(g.base.Timers.Now())
+}
+
+// budget returns the retry budget of a service. It is called with the lock held.
+func (g *Server) budget(service string) *retry.Budget {
+	b := g.budgets[service]
+	if b == nil {
+		b = retry.New(g.settings.RetryWindow, g.settings.RetryRatio, g.settings.RetryReserve)
+		g.budgets[service] = b
+	}
+	return b
+}
+
+// forgetBudgets drops the retry budgets of services that the table does not have.
+func (g *Server) forgetBudgets(table *route.Table) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	maps.DeleteFunc(g.budgets, func(service string, _ *retry.Budget) bool { return table.Service(service) == nil })
+}
--- /dev/null
+++ b/internal/gateway/budget_test.go
@@ -0,0 +1,90 @@
+package gateway_test
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillaward/vanillaward/internal/route"
+	"github.com/vanillaward/vanillaward/internal/settings"
+)
+
+// budgetWindow is a window that does not end during a test.
+const budgetWindow = time.Hour
+
+// TestResumptionsKeepToTheBudget guards against runs that go on elsewhere without regard to the retry
+// budget: many streams lose their engine at once, again and again, and each may go on once.
+func TestResumptionsKeepToTheBudget(t *testing.T) {
+	const (
+		rounds  = 5
+		streams = 6
+		reserve = 7
+	)
+	var resumed atomic.Int64
+	loseOrResume := func(conn net.Conn, request *http.Request) {
+		events := fiveEvents
+		if request.Header.Get(testResume) == "" {
+			events = strings.Join(strings.SplitAfterN(fiveEvents, "\n\n", 3)[:2], "")
+		} else {
+			resumed.Add(1)
+			events = strings.SplitAfterN(events, "\n\n", 3)[2]
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s",
+			testID, request.Header.Get(testID), len(events)+len(fiveEvents)*btoi(request.Header.Get(testResume) == ""), events)
+	}
+	r := newRigWith(t, configuration(1, route.Stream, 1, 30*time.Second), func(s *settings.Gateway) {
+		s.RetryWindow, s.RetryRatio, s.RetryReserve = budgetWindow, 0, reserve
+	})
+	whole, cut := 0, 0
+	for round := range rounds {
+		var targets []*standin // those of the round before have ended
+		for n := range 4 {
+			targets = append(targets, newRawStandin(t, fmt.Sprintf("target-%d-%d", round, n), loseOrResume))
+		}
+		r.updateTargets(targets...)
+		answers := make(chan reply, streams)
+		for n := range streams {
+			id := fmt.Sprintf("request-%d-%d", round, n)
+			go func() {
+				answers <- r.send(t, http.MethodPost, "/r/"+id, id, map[string]string{testID: id, testBudget: "20000", testLongest: "300"})
+			}()
+		}
+		for range streams {
+			got := <-answers
+			require.Equal(t, http.StatusOK, got.status)
+			if got.err == nil {
+				require.Equal(t, fiveEvents, got.body)
+				whole++
+			} else {
+				require.True(t, strings.HasPrefix(fiveEvents, got.body), "%q", got.body)
+				cut++
+			}
+		}
+	}
+	require.EqualValues(t, reserve, resumed.Load())
+	require.Equal(t, reserve, whole)
+	require.Equal(t, rounds*streams-reserve, cut)
+	require.Contains(t, r.metricsText(), fmt.Sprintf("vanillaward_gateway_repeats_total{kind=\"resumption\",result=\"allowed\"} %d\n", reserve))
+	require.Contains(t, r.metricsText(), "vanillaward_gateway_repeats_total{kind=\"resumption\",result=\"denied\"}")
+	require.Contains(t, r.metricsText(), "vanillaward_outcomes_total{class=\"r\",outcome=\"over-budget\"}")
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (r *rig) metricsText() string {
+	var out bytes.Buffer
+	r.metrics.Write(&out)
+	return out.String()
+}
--- a/internal/gateway/reason.go
+++ b/internal/gateway/reason.go
@@ -13,7 +13,8 @@
 	reasonComplete     reason = "complete"
 	reasonTargetFailed reason = "target-failed"
 	reasonCallerLeft   reason = "caller-left"
-	reasonCutOff       reason = "cut-off" // an answer was truncated
+	reasonCutOff       reason = "cut-off"     // an answer was truncated
+	reasonOverBudget   reason = "over-budget" // an answer was truncated whose run the retry budget did not allow to resume
 	reasonTimeout      reason = "timeout"
 	reasonBroken       reason = "broken" // a target failed before the end of its answer; the request may have run
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -126,9 +126,9 @@
 	case req.sent >= req.route.Attempts():
 		return false
 	case a.outcome == notRun:
-		return req.server.allowRetry(req.service)
+		return req.allowRepeat(repeatAttempt)
 	default:
-		return req.route.Kind() == route.Idempotent && req.server.allowRetry(req.service)
+		return req.route.Kind() == route.Idempotent && req.allowRepeat(repeatAttempt)
 	}
 }
 
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -135,6 +135,9 @@
 		req.logFailure("copy lost with its holder", held.holder, errEngineGone)
 		return nil, false
 	}
+	if !req.allowResumption(held) {
+		return nil, false
+	}
 	r, mayRun, targetResult := req.sendToHolder(ctx, held, lastEvent)
 	if r == nil {
 		req.server.end(held.holder, req.tokens(), targetResult)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -276,38 +275,6 @@
 	return done
 }
 
-// allowRetry reports whether the retry budget of a service allows a retry, and counts the
-// retry if so.
-func (g *Server) allowRetry(service string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.budget(service).Allow(g.base.Timers.Now())
-}
-
-// countRequest counts a request for the retry budget of its service.
-func (g *Server) countRequest(service string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.budget(service).Request(g.base.Timers.Now())
-}
-
-// budget returns the retry budget of a service. It is called with the lock held.
-func (g *Server) budget(service string) *retry.Budget {
-	b := g.budgets[service]
-	if b == nil {
-		b = retry.New(g.settings.RetryWindow, g.settings.RetryRatio, g.settings.RetryReserve)
-		g.budgets[service] = b
-	}
-	return b
-}
-
-// forgetBudgets drops the retry budgets of services that the table does not have.
-func (g *Server) forgetBudgets(table *route.Table) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	maps.DeleteFunc(g.budgets, func(service string, _ *retry.Budget) bool { return table.Service(service) == nil })
-}
-
 // begin chooses a target and counts the request there, with the tokens of its prompt that the target
 // has to process. It returns nil without a target. An engine is chosen by what all instances have begun
 // until now, and the others are told of the choice.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -35,6 +35,7 @@
 	unfinished   int           // bytes of an unfinished event at the end of the last answer
 	headSent     bool          // the head of the answer was sent to the caller
 	resumed      int           // how often the run was resumed from a copy
+	overBudget   bool          // the retry budget did not allow the last resumption
 	timeToFirst  time.Duration // from the request's arrival to the first event
 	lastPassedAt time.Duration // when the last event was passed on
 	longestGap   time.Duration // longest time between two consecutive events
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -169,6 +169,15 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_retries_total{kind=%q}", kind)).Inc()
 }
 
+// Repeat counts a request that was to be sent once more, by kind.
+func (m *Metrics) Repeat(kind string, allowed bool) {
+	result := "denied"
+	if allowed {
+		result = "allowed"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_gateway_repeats_total{kind=%q,result=%q}", kind, result)).Inc()
+}
+
 // TokenDropped counts a token that did not belong to the current run of its request.
 func (m *Metrics) TokenDropped() { m.set.GetOrCreateCounter("vanillaward_tokens_dropped_total").Inc() }
 
