Gateway: a service that comes back has the budget that it had

What callers saw: nothing known; found by reading. Cause: a configuration without a service dropped its retry budget at once, and the next one with it began with a new one. Change: the budget of a service that is gone stays until nothing in it counts any more (two windows), and is looked at each second then, so that none stays for ever.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"maps"
-
 	"github.com/vanillaward/vanillaward/internal/balance"
 	"github.com/vanillaward/vanillaward/internal/retry"
 	"github.com/vanillaward/vanillaward/internal/route"
@@ -70,9 +68,15 @@
 	return b
 }
 
-// forgetBudgets drops the retry budgets of services that the table does not have.
+// forgetBudgets drops the retry budgets of services that the table does not have, once nothing in them
+// counts any more: a service may come back before.
 func (g *Server) forgetBudgets(table *route.Table) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	maps.DeleteFunc(g.budgets, func(service string, _ *retry.Budget) bool { return table.Service(service) == nil })
+	now := g.base.Timers.Now()
+	for service, b := range g.budgets {
+		if table.Service(service) == nil && b.Idle(now) {
+			delete(g.budgets, service)
+		}
+	}
 }
--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/vanillaward/vanillaward/internal/route"
 	"github.com/vanillaward/vanillaward/internal/settings"
+	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
 // budgetWindow is a window that does not end during a test.
@@ -88,3 +89,28 @@
 	r.metrics.Write(&out)
 	return out.String()
 }
+
+// newRefusingRig returns a gateway whose two targets refuse each request, and that may send each to both.
+func newRefusingRig(t *testing.T, c *route.Configuration, change func(*settings.Gateway)) (*rig, []*standin) {
+	t.Helper()
+	targets := []*standin{newStandin(t, "target-0", "refuse"), newStandin(t, "target-1", "refuse")}
+	return newRigWith(t, c, change, targets...), targets
+}
+
+// TestServiceThatComesBackKeepsItsBudget guards against a service that has its whole budget again because
+// a configuration did not have it for a moment.
+func TestServiceThatComesBackKeepsItsBudget(t *testing.T) {
+	c := configuration(1, route.Once, 2, 30*time.Second)
+	r, targets := newRefusingRig(t, c, func(s *settings.Gateway) { s.RetryWindow, s.RetryReserve = budgetWindow, 1 })
+	require.Equal(t, http.StatusServiceUnavailable, r.send(t, http.MethodPost, "/r/x", "", nil).status)
+	require.Equal(t, 2, sentTo(targets))
+	whole := *c
+	c.Number, c.Routes, c.Services = 2, nil, nil
+	require.NoError(t, r.gateway.Install(&wire.Document{Number: 2}))
+	require.Equal(t, http.StatusNotFound, r.send(t, http.MethodPost, "/r/x", "", nil).status)
+	*c = whole
+	c.Number = 3
+	require.NoError(t, r.gateway.Install(&wire.Document{Number: 3}))
+	require.Equal(t, http.StatusServiceUnavailable, r.send(t, http.MethodPost, "/r/x", "", nil).status)
+	require.Equal(t, 3, sentTo(targets), "the service has no repeat left")
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -27,7 +27,8 @@
 )
 
 const (
-	// expireInterval is the interval at which expired idle connections to targets are closed.
+	// expireInterval is the interval at which expired idle connections to targets are closed and budgets
+	// that are over are dropped.
 	expireInterval = time.Second
 	// maxIdleConns bounds the idle connections to one target.
 	maxIdleConns = 4
@@ -259,8 +260,8 @@
 	return time.Duration(g.stopDeadline.Load()) - g.base.Timers.Now()
 }
 
-// expireConns closes expired idle connections to targets until the context ends, and then
-// sends nil on the returned channel.
+// expireConns closes expired idle connections to targets, and drops the retry budgets of services that are
+// gone, until the context ends, and then sends nil on the returned channel.
 func (g *Server) expireConns(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
@@ -269,6 +270,9 @@
 			if g.helperPool != nil {
 				g.helperPool.Expire()
 			}
+			if table := g.table.Load(); table != nil {
+				g.forgetBudgets(table)
+			}
 		}
 		done <- nil
 	}()
