Gateway: the reserve of the retry budget is shared, and not whole at each start

Change: an instance may repeat retry-spare (2) and an equal part of the new retry-slack (40), less a twentieth, from one window after its start on. Test: TestRestartedInstanceHasNoReserveAtOnce failed before (2 arrivals of one request, 1 now).

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/vanillaward/vanillaward/internal/balance"
 	"github.com/vanillaward/vanillaward/internal/retry"
 	"github.com/vanillaward/vanillaward/internal/route"
@@ -47,6 +49,9 @@
 	defer g.mu.Unlock()
 	now := g.base.Timers.Now()
 	b := g.budget(service)
+	if g.share != nil {
+		b.SetReserve(g.share.Reserve(now))
+	}
 	allowed := b.Allow(now)
 	return allowed, b.Use(now)
 }
@@ -80,3 +85,12 @@
 		}
 	}
 }
+
+// newShare returns what the instance may repeat beside the ratio; nil if the settings leave no slack to all
+// instances, and each has a reserve of its own from the start.
+func (g *Server) newShare(now time.Duration) *retry.Share {
+	if g.settings.RetrySlack == 0 {
+		return nil
+	}
+	return retry.NewShare(g.settings.RetryWindow, g.settings.RetrySlack, g.settings.RetryReserve, now)
+}
--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -97,6 +97,31 @@
 	return newRigWith(t, c, change, targets...), targets
 }
 
+// TestRestartedInstanceHasNoReserveAtOnce guards against instances that have their whole reserve again
+// with each start, so that restarts in series multiply it.
+func TestRestartedInstanceHasNoReserveAtOnce(t *testing.T) {
+	r, targets := newRefusingRig(t, configuration(1, route.Once, 2, 30*time.Second), func(s *settings.Gateway) {
+		s.RetryWindow, s.RetrySlack = budgetWindow, 100
+	})
+	r.gateway.UpdatePeerUses(nil, 2)
+	require.Equal(t, http.StatusServiceUnavailable, r.send(t, http.MethodPost, "/r/x", "", nil).status)
+	require.Equal(t, 1, sentTo(targets))
+}
+
+// TestShareOfTheSlack checks that an instance that has run for a window and knows of the others sends
+// requests once more.
+func TestShareOfTheSlack(t *testing.T) {
+	r, targets := newRefusingRig(t, configuration(1, route.Once, 2, 30*time.Second), func(s *settings.Gateway) {
+		s.RetryWindow, s.RetrySlack, s.RetryReserve = 400*time.Millisecond, 100, 0
+	})
+	require.Eventually(t, func() bool {
+		before := sentTo(targets)
+		r.gateway.UpdatePeerUses(nil, 2)
+		r.send(t, http.MethodPost, "/r/x", "", nil)
+		return sentTo(targets) == before+2
+	}, 20*time.Second, time.Millisecond)
+}
+
 // TestServiceThatComesBackKeepsItsBudget guards against a service that has its whole budget again because
 // a configuration did not have it for a moment.
 func TestServiceThatComesBackKeepsItsBudget(t *testing.T) {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -83,6 +83,7 @@
 	mu       sync.Mutex // guards the fields below; never held while another lock is taken
 	balancer *balance.Balancer
 	budgets  map[string]*retry.Budget
+	share    *retry.Share // in the repeats of all instances beside the ratio; nil if each has a reserve of its own
 	random   *rand.Rand
 	runs     map[*run]struct{}
 	helpers  handover.Helpers
@@ -116,6 +117,7 @@
 		g.helperPool = upstream.NewPool(helperDialTimeout, maxHelperConns, upstream.WithDial(b.Credentials.Dial))
 	}
 	g.openRequests, g.endRequests = context.WithCancel(context.Background())
+	g.share = g.newShare(b.Timers.Now())
 	for _, option := range options {
 		option(g)
 	}
@@ -191,7 +193,11 @@
 func (g *Server) UpdatePeerUses(uses []*wire.Use, instances int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.balancer.UpdatePeerUses(uses, instances, g.base.Timers.Now())
+	now := g.base.Timers.Now()
+	g.balancer.UpdatePeerUses(uses, instances, now)
+	if g.share != nil {
+		g.share.UpdateInstances(instances, now)
+	}
 	g.startMoves()
 }
 
--- a/internal/retry/share.go
+++ b/internal/retry/share.go
@@ -11,15 +11,16 @@
 	heldWindows = 6
 )
 
-// Share is the share of one instance in the repeats that all instances together may send in a window beside
-// the ratio. It is the same for each service. It is not safe for concurrent use.
+// Share is what one instance may repeat in a window beside the ratio: what each instance has, and a part of
+// the slack that all instances share. It is the same for each service. It is not safe for concurrent use.
 //
-// An instance has no share before it has run for a window: the process in whose place it was started may
-// have used up its own, and the others count the new one by then. It has none either while it has not been
-// told the number of instances for a window: others may have been started meanwhile.
+// An instance has nothing before it has run for a window: the process in whose place it was started may
+// have used up its share, and the others count the new one by then. It has no part of the slack while it has
+// not been told the number of instances for a window: others may have been started meanwhile.
 type Share struct {
 	window time.Duration
-	slack  float64
+	slack  float64 // of all instances
+	each   float64 // of each instance in addition
 	start  time.Duration
 	last   int // the number of instances that was told last, 0 for none
 	toldAt time.Duration
@@ -27,9 +28,10 @@
 	newest int64                // number of the newest window since the start of the clock
 }
 
-// NewShare returns the share in a slack of an instance that starts now.
-func NewShare(window time.Duration, slack float64, now time.Duration) *Share {
-	return &Share{window: window, slack: slack, start: now, newest: int64(now / window)}
+// NewShare returns the share of an instance that starts now, in the slack of all instances and what each has
+// in addition.
+func NewShare(window time.Duration, slack, each float64, now time.Duration) *Share {
+	return &Share{window: window, slack: slack, each: each, start: now, newest: int64(now / window)}
 }
 
 // UpdateInstances updates the number of instances.
@@ -42,15 +44,18 @@
 
 // Reserve returns how many repeats of a service's requests the instance may send in a window beside the ratio.
 func (s *Share) Reserve(now time.Duration) float64 {
-	if s.last == 0 || now-s.start <= s.window || now-s.toldAt > s.window {
+	if now-s.start <= s.window {
 		return 0
 	}
+	if s.last == 0 || now-s.toldAt > s.window {
+		return usableSlack * s.each
+	}
 	s.advance(now)
 	instances := 0
 	for _, n := range s.most {
 		instances = max(instances, n)
 	}
-	return usableSlack * s.slack / float64(instances)
+	return usableSlack * (s.slack/float64(instances) + s.each)
 }
 
 // advance begins the windows until now. The number of instances that was told last holds in them.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -102,7 +102,8 @@
 	DialTimeout    time.Duration `ini:"dial-timeout" default:"250ms" min:"1000000" doc:"Bound on connecting to a target."`
 	RetryWindow    time.Duration `ini:"retry-window" default:"10s" min:"1000000" doc:"Window in which repeated requests are counted."`
 	RetryRatio     float64       `ini:"retry-ratio" default:"0.18" min:"0" doc:"Part of a service's requests that may be sent once more within a window."`
-	RetryReserve   float64       `ini:"retry-spare" default:"2" min:"0" doc:"Requests that may be sent once more beside that part."`
+	RetryReserve   float64       `ini:"retry-spare" default:"2" min:"0" doc:"Requests of a service that each instance may send once more within a window beside that part."`
+	RetrySlack     float64       `ini:"retry-slack" default:"40" min:"0" doc:"Requests of a service that all instances together may send once more within a window, in addition to what each may. Each has an equal share, while it is told how many there are. An instance has its share and retry-spare from one window after its start on. 0: no such share, and retry-spare from the start on."`
 	CopyFromTokens int           `ini:"copy-from-tokens" default:"200" min:"0" doc:"Longest output in tokens from which on an engine's memory of a run is copied to another engine, so that the run can go on there."`
 	StopDelay      time.Duration `ini:"stop-delay" default:"2500ms" doc:"How long a stopping instance still serves at least, so that the balancer sees that it is not ready."`
 	BufferMemory   inifile.Bytes `ini:"buffer-memory" default:"16MiB" min:"1" doc:"Memory for long answers of targets that are read whole, all together, and for long events of streams. Beyond it a long answer is passed on as it arrives, and a stream with a long event is cut."`
