--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -139,3 +139,33 @@
 	require.Equal(t, http.StatusServiceUnavailable, r.send(t, http.MethodPost, "/r/x", "", nil).status)
 	require.Equal(t, 3, sentTo(targets), "the service has no repeat left")
 }
+
+// TestRequestHandedOnIsCountedOnce guards against a request that counts for the retry budget of each helper
+// that declines it: the repeats of all instances would be a part of more requests than there are.
+func TestRequestHandedOnIsCountedOnce(t *testing.T) {
+	c := configuration(1, route.Once, 2, handoverTimeout)
+	declined := 0
+	for _, decliningFirst := range []bool{true, false} { // helpers take turns
+		declining := newRig(t, c)
+		helper, targets := newRefusingRig(t, c, func(s *settings.Gateway) {
+			s.RetryWindow, s.RetryRatio, s.RetryReserve = budgetWindow, 2, 0 // a repeat for the first request that counts
+		})
+		cut := newCutRig(t, c)
+		for !cut.gateway.LacksTargets() {
+			require.Equal(t, http.StatusServiceUnavailable, cut.sendPatiently(t, "notices").status)
+		}
+		if decliningFirst {
+			cut.helpedBy(declining, helper)
+		} else {
+			cut.helpedBy(helper, declining)
+		}
+		require.Equal(t, http.StatusServiceUnavailable, cut.sendPatiently(t, "request").status)
+		if strings.Contains(declining.metricsText(), "vanillaward_taken_over_total{outcome=\"no-target\"} 1\n") {
+			declined++
+			require.Equal(t, 1, sentTo(targets), "the helper that declined it has counted it")
+		} else {
+			require.Equal(t, 2, sentTo(targets))
+		}
+	}
+	require.NotZero(t, declined)
+}
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -34,6 +34,8 @@
 			req.helper = helper
 			return true
 		}
+		// A helper that declines a request may have counted it before; it must not count twice.
+		req.counted = req.counted || end == handover.Refused
 	}
 	return false
 }
