Retry budget: an instance that others may not count has no part of the slack

Cause, read from the model's moves, not traced: an instance that hears nothing kept its part for a window while new ones began theirs; and one that was not heard of for longer than its place is kept had its part again at once. Change: the number of instances is known for a quarter of a window, the part begins a quarter of a window later than the rest of the reserve, and an instance that was not told for five windows waits as after a start.

--- a/internal/retry/share.go
+++ b/internal/retry/share.go
@@ -9,20 +9,26 @@
 	// heldWindows is for how many windows a number of instances counts. An instance that the others do
 	// not hear of for a while goes on with the share that it had.
 	heldWindows = 6
+	// knownDivisor divides the window; the quotient is for how long a number of instances that was told is
+	// taken for known. The part in the slack begins as much later than a window after the start, so that an
+	// instance that does not know of a new one has stopped using its part a window before that one begins.
+	knownDivisor = 4
 )
 
 // Share is what one instance may repeat in a window beside the ratio: what each instance has, and a part of
 // the slack that all instances share. It is the same for each service. It is not safe for concurrent use.
 //
 // An instance has nothing before it has run for a window: the process in whose place it was started may
-// have used up its share, and the others count the new one by then. It has no part of the slack while it has
-// not been told the number of instances for a window: others may have been started meanwhile.
+// have used up its share. It has no part of the slack for a little longer, until the others count it, and while
+// it has not been told the number of instances lately: others may have been started meanwhile. After so long
+// without being told that the others may not count it any more it waits as after a start.
 type Share struct {
 	window time.Duration
 	slack  float64 // of all instances
 	each   float64 // of each instance in addition
 	start  time.Duration
-	last   int // the number of instances that was told last, 0 for none
+	joined time.Duration // from when on the others count it
+	last   int           // the number of instances that was told last, 0 for none
 	toldAt time.Duration
 	most   [heldWindows + 1]int // the largest number of instances, by window
 	newest int64                // number of the newest window since the start of the clock
@@ -31,12 +37,15 @@
 // NewShare returns the share of an instance that starts now, in the slack of all instances and what each has
 // in addition.
 func NewShare(window time.Duration, slack, each float64, now time.Duration) *Share {
-	return &Share{window: window, slack: slack, each: each, start: now, newest: int64(now / window)}
+	return &Share{window: window, slack: slack, each: each, start: now, joined: now, newest: int64(now / window)}
 }
 
 // UpdateInstances updates the number of instances.
 func (s *Share) UpdateInstances(n int, now time.Duration) {
 	s.advance(now)
+	if s.last > 0 && now-s.toldAt > (heldWindows-1)*s.window {
+		s.joined = now
+	}
 	s.last, s.toldAt = n, now
 	most := &s.most[s.newest%int64(len(s.most))]
 	*most = max(*most, n)
@@ -47,7 +56,8 @@
 	if now-s.start <= s.window {
 		return 0
 	}
-	if s.last == 0 || now-s.toldAt > s.window {
+	known := s.window / knownDivisor
+	if s.last == 0 || now-s.toldAt > known || now-s.joined <= s.window+known {
 		return usableSlack * s.each
 	}
 	s.advance(now)
--- a/internal/retry/share_test.go
+++ b/internal/retry/share_test.go
@@ -9,22 +9,35 @@
 	"github.com/vanillaward/vanillaward/internal/retry"
 )
 
-// TestShareBegins checks that an instance has a share one window after its start, if it was told the
-// number of instances within a window.
+// tellUntil tells a share each second how many instances there are, until a time.
+func tellUntil(s *retry.Share, n int, from, to time.Duration) {
+	for now := from; now <= to; now += time.Second {
+		s.UpdateInstances(n, now)
+	}
+}
+
+// TestShareBegins checks that an instance has no part of the slack in the window after its start, nor while
+// it does not know the number of instances, and that it waits again once the others may have forgotten it.
 func TestShareBegins(t *testing.T) {
-	const window, start = 10 * time.Second, 33 * time.Second
+	const window, start, instances = 10 * time.Second, 33 * time.Second, 4
 	s := retry.NewShare(window, 100, 0, start)
-	require.Zero(t, s.Reserve(start))
-	require.Zero(t, s.Reserve(start+2*window), "not told")
+	require.Zero(t, s.Reserve(start+2*window), "never told")
 	s = retry.NewShare(window, 100, 0, start)
-	s.UpdateInstances(4, start+time.Second)
+	tellUntil(s, instances, start, start+window)
 	require.Zero(t, s.Reserve(start+window))
-	first := s.Reserve(start + window + time.Millisecond)
+	begun := start + 2*window
+	tellUntil(s, instances, start+window, begun)
+	first := s.Reserve(begun)
 	require.Positive(t, first)
-	require.LessOrEqual(t, first, 100.0/4)
-	require.Zero(t, s.Reserve(start+window+2*time.Second), "told more than a window ago")
-	s.UpdateInstances(4, start+2*window)
-	require.Equal(t, first, s.Reserve(start+2*window))
+	require.LessOrEqual(t, first, 100.0/instances)
+	require.Zero(t, s.Reserve(begun+window/2), "not told for half a window")
+	s.UpdateInstances(instances, begun+window/2)
+	require.Equal(t, first, s.Reserve(begun+window/2))
+	back := begun + 10*window
+	s.UpdateInstances(instances, back)
+	require.Zero(t, s.Reserve(back), "the others may not count it any more")
+	tellUntil(s, instances, back, back+2*window)
+	require.Equal(t, first, s.Reserve(back+2*window))
 }
 
 // TestShareOfEachInstance checks that what each instance has needs no knowledge of the others, and is not
