--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -51,15 +51,14 @@
 
 // Allow reports whether a request may be sent once more, and counts the repeat if so.
 func (b *Budget) Allow(now time.Duration) bool {
-	current := b.bucketAt(now)
-	if b.left() < 1 {
+	if b.Use(now).left() < 1 {
 		return false
 	}
-	current.repeats++
+	b.bucketAt(now).repeats++
 	return true
 }
 
-// Use is what a window of a budget holds.
+// Use is what a window of a budget holds so far.
 type Use struct {
 	repeats int
 	limit   float64
@@ -68,15 +67,22 @@
 // Repeats returns the repeats in the window.
 func (u Use) Repeats() int { return u.repeats }
 
+// left returns how many further repeats the window may have.
+func (u Use) left() float64 { return u.limit - float64(u.repeats) }
+
 // Limit returns how many repeats the window may have.
 func (u Use) Limit() float64 { return u.limit }
 
-// Use returns what the oldest window holds that is not over.
+// Use returns what the window holds that allows the fewest further repeats.
 func (b *Budget) Use(now time.Duration) Use {
 	b.bucketAt(now)
-	var oldest Use
-	b.eachWindow(func(u Use) { oldest = u })
-	return oldest
+	tightest := Use{limit: math.Inf(1)}
+	b.eachWindow(func(u Use) {
+		if u.left() < tightest.left() {
+			tightest = u
+		}
+	})
+	return tightest
 }
 
 // Idle reports whether the budget holds nothing that could still bound a repeat.
@@ -85,13 +91,6 @@
 	return b.counts == [bucketCount]bucketCounts{}
 }
 
-// left returns how many repeats all windows that are not over still allow.
-func (b *Budget) left() float64 {
-	left := math.Inf(1)
-	b.eachWindow(func(u Use) { left = min(left, u.limit-float64(u.repeats)) })
-	return left
-}
-
 // eachWindow calls a function with what each window holds so far that is not over, from the newest on.
 func (b *Budget) eachWindow(f func(Use)) {
 	repeats, requests := 0, 0
--- a/internal/retry/share.go
+++ b/internal/retry/share.go
@@ -6,6 +6,9 @@
 	// usableSlack is the part of the slack that the instances share; the rest covers that a target counts
 	// a request at another time than the instance that sends it.
 	usableSlack = 0.95
+	// startPart is the part of what each instance has that it has from its start on. The process before may
+	// have used as much in the same window, so that no more of it is used at any time.
+	startPart = 0.5
 	// heldWindows is for how many windows a number of instances counts. An instance that the others do
 	// not hear of for a while goes on with the share that it had.
 	heldWindows = 6
@@ -18,10 +21,11 @@
 // Share is what one instance may repeat in a window beside the ratio: what each instance has, and a part of
 // the slack that all instances share. It is the same for each service. It is not safe for concurrent use.
 //
-// An instance has nothing before it has run for a window: the process in whose place it was started may
-// have used up its share. It has no part of the slack for a little longer, until the others count it, and while
-// it has not been told the number of instances lately: others may have been started meanwhile. After so long
-// without being told that the others may not count it any more it waits as after a start.
+// An instance may use half of what it has for itself at any time: the process in whose place it was started
+// may have used as much in the same window. It has no part of the slack in the window after its start and a
+// little longer, until the others count it, nor while it has not been told the number of instances lately:
+// others may have been started meanwhile. After so long without being told that the others may not count it
+// any more it waits as after a start.
 type Share struct {
 	window time.Duration
 	slack  float64 // of all instances
@@ -53,19 +57,20 @@
 
 // Reserve returns how many repeats of a service's requests the instance may send in a window beside the ratio.
 func (s *Share) Reserve(now time.Duration) float64 {
+	own := s.each * startPart
 	if now-s.start <= s.window {
-		return 0
+		return own
 	}
 	known := s.window / knownDivisor
 	if s.last == 0 || now-s.toldAt > known || now-s.joined <= s.window+known {
-		return usableSlack * s.each
+		return own
 	}
 	s.advance(now)
 	instances := 0
 	for _, n := range s.most {
 		instances = max(instances, n)
 	}
-	return usableSlack * (s.slack/float64(instances) + s.each)
+	return own + usableSlack*s.slack/float64(instances)
 }
 
 // advance begins the windows until now. The number of instances that was told last holds in them.
