Retry budget: where many instances share the slack, each may resume four runs

What callers would have seen: long streams cut that the rule allows to go on. Change: from 13 instances on each may resume at least 4 runs in a window. Where fewer share the slack the strict sum stays. TestResumptionsWhereManyShareTheSlack does not build on the code before, which has no such reserve; Reserve gives 1.6 to 60 instances there, and 1.0 to 1100. Price: the sum over many instances holds by their number, not in the worst case.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -21,7 +21,7 @@
 // allowRepeat reports whether the retry budget of the request's service allows to send it once more, and
 // counts the repeat if so.
 func (req *request) allowRepeat(kind repeat) bool {
-	allowed, use := req.server.allowRepeat(req.service)
+	allowed, use := req.server.allowRepeat(req.service, kind)
 	req.server.base.Metrics.Repeat(string(kind), allowed)
 	req.server.base.Log.Info("repeat", "request", req.caller.ID, "kind", string(kind), "service", req.service, "allowed", allowed,
 		"repeats", use.Repeats(), "limit", use.Limit())
@@ -44,12 +44,16 @@
 
 // allowRepeat reports whether the retry budget of a service allows a repeat, and counts it if so. It also
 // returns what the window holds then.
-func (g *Server) allowRepeat(service string) (bool, retry.Use) {
+func (g *Server) allowRepeat(service string, kind repeat) (bool, retry.Use) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.base.Timers.Now()
 	b := g.budget(service)
-	if g.share != nil {
+	switch {
+	case g.share == nil:
+	case kind == repeatResumption:
+		b.SetReserve(g.share.ResumptionReserve(now))
+	default:
 		b.SetReserve(g.share.Reserve(now))
 	}
 	allowed := b.Allow(now)
--- a/internal/retry/share.go
+++ b/internal/retry/share.go
@@ -9,6 +9,11 @@
 	// startPart is the part of what each instance has that it has from its start on. The process before may
 	// have used as much in the same window, so that no more of it is used at any time.
 	startPart = 0.5
+	// manyInstances is the number of instances from which on an equal part of the slack is less than the runs
+	// that one of them loses when an engine ends, and minResumptions how many it may resume in a window
+	// all the same.
+	manyInstances  = 13
+	minResumptions = 4
 	// heldWindows is for how many windows a number of instances counts. An instance that the others do
 	// not hear of for a while goes on with the share that it had.
 	heldWindows = 6
@@ -73,6 +78,16 @@
 	return own + usableSlack*s.slack/float64(instances)
 }
 
+// ResumptionReserve is Reserve for repeats that resume a run. Where many instances share the slack, most resume
+// no run in a window and a few of them several: each may resume minResumptions then. That the sum of all keeps
+// to the slack follows there from their number, and not in the worst case.
+func (s *Share) ResumptionReserve(now time.Duration) float64 {
+	if s.last < manyInstances {
+		return s.Reserve(now)
+	}
+	return max(s.Reserve(now), minResumptions)
+}
+
 // advance begins the windows until now. The number of instances that was told last holds in them.
 func (s *Share) advance(now time.Duration) {
 	number := int64(now / s.window)
--- a/internal/retry/share_test.go
+++ b/internal/retry/share_test.go
@@ -75,3 +75,18 @@
 	}())
 	require.Equal(t, of8, told(8, 20*window), "it shrinks at once")
 }
+
+// TestResumptionsWhereManyShareTheSlack guards against runs that are cut because an equal part of the slack is
+// less than one run, though hardly any instance has used its own.
+func TestResumptionsWhereManyShareTheSlack(t *testing.T) {
+	const window, slack, each, runs = 10 * time.Second, 40, 2, 3
+	for _, instances := range []int{8, 12, 60, 1100} {
+		s := retry.NewShare(window, slack, each, 0)
+		tellUntil(s, instances, 0, 2*window)
+		require.GreaterOrEqual(t, s.ResumptionReserve(2*window), float64(runs), "%d instances", instances)
+	}
+	few := retry.NewShare(window, slack, each, 0)
+	require.Equal(t, few.Reserve(window), few.ResumptionReserve(window), "never told")
+	few.UpdateInstances(8, 0)
+	require.Equal(t, few.Reserve(window), few.ResumptionReserve(window), "the sum binds where few share it")
+}
