--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -21,6 +21,8 @@
 	callTimeout = 2 * time.Second
 	// stopTimeout bounds the exit of a process after SIGTERM.
 	stopTimeout = 20 * time.Second
+	// sharedRetrySlack is what all instances share of retrySlack; each has 2 of it for itself.
+	sharedRetrySlack = retrySlack - 2*gatewayCount
 )
 
 // cluster is a deployment of separate processes that are connected through the proxies of
@@ -183,8 +185,10 @@
 	if p.proxyIP != "" {
 		listenSection += "advertised-peers = " + p.proxyIP + ":" + platformtest.PeerPort + "\n"
 	}
+	text = strings.Replace(text, "[listen]\n", listenSection, 1)
+	text = strings.Replace(text, "[gateway]\n", fmt.Sprint("[gateway]\nretry-slack = ", sharedRetrySlack, "\n"), 1)
 	file := filepath.Join(c.folder, p.name+".ini")
-	return file, os.WriteFile(file, []byte(strings.Replace(text, "[listen]\n", listenSection, 1)), 0o600)
+	return file, os.WriteFile(file, []byte(text), 0o600)
 }
 
 // start starts a process unless it is running.
