Gateway: a copy that is made while the run goes on counts half a second after the first event

What callers saw: one request that began again at the holder of its copy, which had none yet and was at fault, soon after its first event. Cause: one event was taken for a sign of the copy, though that follows in parts, some times a second, over a link. Change: it counts from copy-after (500 ms) after the first event on; earlier the run is not taken elsewhere. TestLostSoonAfterFirstEvent failed before (with copy-after taken for 0): An error is expected but got nil. After: passes, with internal/gateway's tests of streams, TestDeployment, TestVersionsSideBySide and the soak. Their stand-ins have copies at once and play with copy-after 0. TestCopyExists asks the same of more cases. Not mended: a holder that had no room for the copy; a gateway cannot know that.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/vanillaward/vanillaward/internal/inifile"
 	"github.com/vanillaward/vanillaward/internal/route"
+	"github.com/vanillaward/vanillaward/internal/settings"
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
@@ -267,6 +268,18 @@
 	require.Zero(t, second.requestCount())
 }
 
+// TestLostSoonAfterFirstEvent guards against a run that is begun again by a faulty engine, which should hold
+// its copy when nothing of that can have arrived there.
+func TestLostSoonAfterFirstEvent(t *testing.T) {
+	first := newStandin(t, "target-0", "stream:2")
+	second := newStandin(t, "target-1", "stream:")
+	r := newRigWith(t, configuration(1, route.Stream, 1, 30*time.Second), func(s *settings.Gateway) { s.CopyAfter = time.Hour }, first, second)
+	got := r.send(t, http.MethodPost, "/r/x", "", map[string]string{testBudget: "30000"})
+	require.Error(t, got.err, "the answer must not look complete")
+	require.Equal(t, 1, first.runCount())
+	require.Zero(t, second.requestCount())
+}
+
 // TestStalledEngine checks that a run whose engine stalls is resumed from its copy, and that
 // the connection to the engine is closed only once the holder has accepted the run: the
 // engine may only have preempted the run while the copy is lost. The stream was cut off in
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -80,6 +80,7 @@
 	require.Empty(t, inifile.Decode(inifile.NewSection("test", "gateway", "", 0), &s.Gateway))
 	s.Gateway.StopDelay = 2 * time.Second
 	s.Gateway.DialTimeout = testDialTimeout
+	s.Gateway.CopyAfter = 0  // the stand-ins have copies at once
 	s.Gateway.RetrySlack = 0 // the reserve is there from the start, and that of one instance
 	change(&s.Gateway)
 	s.Instance.FailureDomain = ownDomain
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -169,7 +169,7 @@
 func (g *Server) mayHaveCopy(r *run) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return r.moving != nil || r.kept != nil || r.copy != nil && migration.CopyExists(r.copy.expires > 0, r.started)
+	return r.moving != nil || r.kept != nil || g.copyExists(r)
 }
 
 // takeCopy removes the run's copy from the records and returns it if it exists at its
@@ -177,14 +177,22 @@
 func (g *Server) takeCopy(r *run) *heldCopy {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	exists := g.copyExists(r)
 	c := r.copy
 	g.removeCopy(r)
-	if c == nil || !migration.CopyExists(c.expires > 0, r.started) {
+	if !exists {
 		return nil
 	}
 	return c
 }
 
+// copyExists reports whether a copy of the run is recorded that its holder should have. It is called with the
+// lock held.
+func (g *Server) copyExists(r *run) bool {
+	running := g.base.Timers.Now() - r.startedAt
+	return r.copy != nil && migration.CopyExists(r.copy.expires > 0, r.started, running, g.settings.CopyAfter)
+}
+
 // removeCopy removes the run's copy from the records. It is called with the lock held.
 func (g *Server) removeCopy(r *run) {
 	if r.copy != nil {
--- a/internal/migration/migration.go
+++ b/internal/migration/migration.go
@@ -2,6 +2,8 @@
 // engine that holds the copy of its KV cache, is leaving. It uses neither clocks nor sockets.
 package migration
 
+import "time"
+
 // RunState is the last known state of one run.
 type RunState struct {
 	// EngineLeaving is true when the run's engine is leaving.
@@ -42,10 +44,12 @@
 )
 
 // CopyExists reports whether a run can resume from its recorded copy. A copy made on demand
-// is recorded once it exists; a continuously updated one exists only once the run has
-// started. Before that, an engine that is asked to resume the run has no copy of it, and a
-// faulty engine may start another run instead.
-func CopyExists(onDemand, started bool) bool { return onDemand || started }
+// is recorded once it exists; a continuously updated one counts as there once the run has sent
+// events for some time. Before that, an engine that is asked to resume the run may have no copy
+// of it, and a faulty engine may start another run instead.
+func CopyExists(onDemand, started bool, running, copyAfter time.Duration) bool {
+	return onDemand || started && running >= copyAfter
+}
 
 // NextStep returns the step to take for a run.
 func NextStep(s RunState) Step {
--- a/internal/migration/migration_test.go
+++ b/internal/migration/migration_test.go
@@ -2,18 +2,23 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/vanillaward/vanillaward/internal/migration"
 )
 
-// TestCopyExists: a continuously updated copy exists once the run has started, one made on
-// demand always.
+// TestCopyExists: a continuously updated copy exists once the run has sent events for some time, one made
+// on demand always.
 func TestCopyExists(t *testing.T) {
-	require.True(t, migration.CopyExists(false, true))
-	require.True(t, migration.CopyExists(true, false))
-	require.False(t, migration.CopyExists(false, false))
+	const after = 500 * time.Millisecond
+	require.True(t, migration.CopyExists(false, true, after, after))
+	require.True(t, migration.CopyExists(false, true, 0, 0))
+	require.True(t, migration.CopyExists(true, false, 0, after))
+	require.False(t, migration.CopyExists(false, true, after-1, after))
+	require.False(t, migration.CopyExists(false, false, after, after))
+	require.False(t, migration.CopyExists(false, false, 0, 0))
 }
 
 // TestNextStep: a copy is made on demand only for a run that needs one and can have one.
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -186,7 +186,7 @@
 		listenSection += "advertised-peers = " + p.proxyIP + ":" + platformtest.PeerPort + "\n"
 	}
 	text = strings.Replace(text, "[listen]\n", listenSection, 1)
-	text = strings.Replace(text, "[gateway]\n", fmt.Sprint("[gateway]\nretry-slack = ", sharedRetrySlack, "\n"), 1)
+	text = strings.Replace(text, "[gateway]\n", fmt.Sprint("[gateway]\nretry-slack = ", sharedRetrySlack, "\ncopy-after = 0s\n"), 1)
 	file := filepath.Join(c.folder, p.name+".ini")
 	return file, os.WriteFile(file, []byte(text), 0o600)
 }
