--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/vanillaward/vanillaward/internal/balance"
 	"github.com/vanillaward/vanillaward/internal/retry"
 	"github.com/vanillaward/vanillaward/internal/route"
 )
@@ -28,20 +27,6 @@
 	return allowed
 }
 
-// allowResumption is allowRepeat for the resumption of a run at an engine that has been counted as its
-// target. If it is denied, it does not count there, and the request ends as over its budget.
-func (req *request) allowResumption(held *heldCopy) bool {
-	req.stream.overBudget = !req.allowRepeat(repeatResumption)
-	if !req.stream.overBudget {
-		return true
-	}
-	req.server.end(held.holder, req.tokens(), balance.Abandoned)
-	if held.expires > 0 || held.source == held.holder { // engines drop continuously updated copies themselves
-		req.server.free(unusedCopy{request: req.caller.ID, address: held.address, handle: held.handle})
-	}
-	return false
-}
-
 // allowRepeat reports whether the retry budget of a service allows a repeat, and counts it if so. It also
 // returns what the window holds then.
 func (g *Server) allowRepeat(service string, kind repeat) (bool, retry.Use) {
--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -175,3 +175,27 @@
 	}
 	require.NotZero(t, declined)
 }
+
+// TestUnreachedHolderIsNoRepeat guards against a budget that is used up by resumptions which no engine got.
+func TestUnreachedHolderIsNoRepeat(t *testing.T) {
+	first, second := newStandin(t, "target-0", "stream:2"), newStandin(t, "target-1", "dead")
+	r := newRig(t, configuration(1, route.Stream, 1, 30*time.Second), first, second)
+	r.send(t, http.MethodPost, "/r/x", "", map[string]string{testBudget: "3000"})
+	require.Equal(t, 1, first.runCount())
+	require.NotContains(t, r.metricsText(), "vanillaward_gateway_repeats_total")
+}
+
+// TestDeniedResumptionKeepsTheCopy guards against a stalled run that is given up since the budget has denied its
+// resumption once.
+func TestDeniedResumptionKeepsTheCopy(t *testing.T) {
+	first, second := newStandin(t, "target-0", "stream-paused:2"), newStandin(t, "target-1", "stream:")
+	r := newRigWith(t, configuration(1, route.Stream, 1, 30*time.Second), func(s *settings.Gateway) {
+		s.RetryRatio, s.RetryReserve = 0, 0
+	}, first, second)
+	got := make(chan reply, 1)
+	go func() { got <- r.send(t, http.MethodPost, "/r/x", "", map[string]string{testBudget: "30000"}) }()
+	require.Eventually(t, func() bool { return r.engines.askedCount() > 1 }, 20*time.Second, time.Millisecond, "the stalled run is looked at again")
+	close(first.held)
+	requireWholeStream(t, got)
+	require.Zero(t, second.requestCount())
+}
--- a/internal/gateway/former.go
+++ b/internal/gateway/former.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// formerRetry is the time after which an engine is asked again for its former runs.
-	formerRetry = 200 * time.Millisecond
+	// formerRetry is the time after which an engine is asked again for its former runs, and refusedRetry that
+	// after it has refused a connection.
+	formerRetry  = 200 * time.Millisecond
+	refusedRetry = time.Second
 	// maxFormerRuns bounds the former runs that are followed at the same time, and their engines.
 	maxFormerRuns = 256
 	// formerWorkers is how many engines are asked concurrently: one that cannot be reached occupies a worker
@@ -42,11 +44,24 @@
 // another engine of the service.
 func (req *request) follow(engine, destination *balance.Target) {
 	g := req.server
+	if destination.Address() == engine.Address() { // it has kept the run
+		destination = g.otherEngine(req.stream.run, destination)
+	}
 	f := formerRun{request: req.caller.ID, destination: destination.Address(), since: g.base.Timers.Now(), deadline: req.deadline}
 	added := g.addFormer(engine, f)
 	g.base.Log.Info("engine may still work on a run that has left it", "request", f.request, "target", engine.ID(), "to", destination.ID(), "followed", added)
 }
 
+// otherEngine returns an engine that a run could be moved to from the given one, or that one if there is none.
+func (g *Server) otherEngine(r *run, engine *balance.Target) *balance.Target {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if other := g.balancer.ChooseMigrationDestination(engine, r.tokens, r.avoid, g.base.Timers.Now()); other != nil {
+		return other
+	}
+	return engine
+}
+
 // addFormer records a former run. It reports false if there are too many.
 func (g *Server) addFormer(engine *balance.Target, f formerRun) bool {
 	g.mu.Lock()
@@ -76,10 +91,15 @@
 	if len(open) == 0 {
 		return
 	}
-	if runs, err := g.engines.Runs(ctx, e.target.Address()); err == nil {
+	runs, err := g.engines.Runs(ctx, e.target.Address())
+	if err == nil {
 		g.endAt(ctx, e, open, runs)
 	}
-	time.AfterFunc(formerRetry, func() {
+	retry := formerRetry
+	if errors.Is(err, vanillaward.ErrUnreachable) {
+		retry = refusedRetry
+	}
+	time.AfterFunc(retry, func() {
 		select {
 		case g.formerDue <- e:
 		case <-ctx.Done():
@@ -100,6 +120,13 @@
 	return slices.Clone(e.runs)
 }
 
+// isFormer reports whether a run has still to be ended at its engine: its request may have come back there.
+func (g *Server) isFormer(e *formerEngine, f formerRun) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Contains(e.runs, f) && !g.runsAt(f.request, e.target)
+}
+
 // removeFormer forgets the former runs of an engine for which done returns true. It is called with the lock
 // held.
 func (g *Server) removeFormer(e *formerEngine, done func(formerRun) bool) {
@@ -111,7 +138,7 @@
 // runsAt reports whether this instance has a request run at an engine. It is called with the lock held.
 func (g *Server) runsAt(request string, engine *balance.Target) bool {
 	for r := range g.runs {
-		if r.request == request && r.engine.ID() == engine.ID() {
+		if r.request == request && r.engine.Address() == engine.Address() { // also in a later lifetime of it
 			return true
 		}
 	}
@@ -137,6 +164,9 @@
 
 // stopFormer stops a former run by a move, and frees what is kept of it.
 func (g *Server) stopFormer(ctx context.Context, e *formerEngine, f formerRun) {
+	if !g.isFormer(e, f) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
 	address := e.target.Address()
--- a/internal/gateway/free.go
+++ b/internal/gateway/free.go
@@ -32,6 +32,14 @@
 	}
 }
 
+// freeUnused queues a copy that was made on demand, or kept, and that the run cannot go on from. Engines drop
+// continuously updated copies themselves.
+func (req *request) freeUnused(held *heldCopy) {
+	if held.expires > 0 || held.source == held.holder {
+		req.server.free(unusedCopy{request: req.caller.ID, address: held.address, handle: held.handle})
+	}
+}
+
 // freeCopies frees queued copies until the context ends and then sends nil on the returned
 // channel.
 func (g *Server) freeCopies(ctx context.Context) <-chan error {
--- a/internal/gateway/halt.go
+++ b/internal/gateway/halt.go
@@ -14,10 +14,15 @@
 const (
 	// haltRetry is the time after which an engine that may still work on a run is asked again.
 	haltRetry = 200 * time.Millisecond
-	// silenceTimeout is the time since the last event of a run after which an engine that accepts connections
-	// and does not answer is taken for one that does not work on the run. A sound engine may be silent
-	// for about a second.
-	silenceTimeout = 3500 * time.Millisecond
+	// silenceTimeout is the time since the first of several questions in a row that an engine has not answered
+	// after which it is taken for one that does not work on the run. A sound engine may be silent for
+	// about a second.
+	silenceTimeout = 2500 * time.Millisecond
+	// minUnanswered is the least number of these questions: this process may have been paused during one.
+	minUnanswered = 2
+	// haltTimeout bounds how long a run that has lost its connection waits for its engine's word. Then the
+	// caller learns that the answer is incomplete.
+	haltTimeout = 6 * time.Second
 	// reportLag bounds how much older than its arrival an engine's report can be.
 	reportLag = time.Second
 )
@@ -31,8 +36,7 @@
 	// haltSilent means that the engine accepts connections and does not answer: it may be lost, or go on at
 	// any moment.
 	haltSilent
-	// haltUnreachable means that no connection to the engine can be made, or that it has been silent for
-	// silenceTimeout.
+	// haltUnreachable means that the engine refuses connections, or that it has been silent for silenceTimeout.
 	haltUnreachable
 	// haltUncertain means that the engine was told to stop the run, and has not answered.
 	haltUncertain
@@ -54,7 +58,7 @@
 type parting struct {
 	run       *run
 	cause     string        // why it is to leave
-	lastEvent time.Duration // when the engine sent the last event
+	lastEvent time.Duration // when its last event was passed on
 }
 
 // awaitHalt asks a run's engine to end the run, again and again until the engine does not work on it any
@@ -79,9 +83,11 @@
 // bounds the question what the engine runs; a stop is awaited also after its end, since only the answer
 // names the copy.
 func (g *Server) haltAtEngine(ctx context.Context, p parting) halt {
+	asked := g.base.Timers.Now()
 	runs, err := g.engines.Runs(ctx, p.run.engine.Address())
+	silent := g.noteQuestion(ctx, p.run, asked, err)
 	if err != nil {
-		out := g.classifyNoReport(ctx, p, err)
+		out := classifyNoReport(ctx, err, silent)
 		g.logHalt(p, out, err.Error())
 		return out
 	}
@@ -102,12 +108,30 @@
 	return out
 }
 
+// noteQuestion records whether an engine has answered the question that was asked at a time, and reports
+// whether it has been silent for silenceTimeout.
+func (g *Server) noteQuestion(ctx context.Context, r *run, asked time.Duration, err error) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case err == nil || errors.Is(err, vanillaward.ErrUnreadable):
+		r.unanswered = 0
+		return false
+	case ctx.Err() != nil:
+		return false
+	case r.unanswered == 0:
+		r.silentSince = asked
+	}
+	r.unanswered++
+	return r.unanswered >= minUnanswered && g.base.Timers.Now()-r.silentSince >= silenceTimeout
+}
+
 // classifyNoReport returns what it means for a run that its engine has not sent a report.
-func (g *Server) classifyNoReport(ctx context.Context, p parting, err error) halt {
+func classifyNoReport(ctx context.Context, err error, silent bool) halt {
 	switch {
 	case ctx.Err() != nil, errors.Is(err, vanillaward.ErrUnreadable): // not asked to the end, or alive
 		return haltRefused
-	case errors.Is(err, vanillaward.ErrUnreachable), g.base.Timers.Now()-p.lastEvent >= silenceTimeout:
+	case errors.Is(err, vanillaward.ErrUnreachable), silent:
 		return haltUnreachable
 	}
 	return haltSilent
@@ -121,7 +145,7 @@
 func (g *Server) confirmGone(r *run) (halt, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.base.Timers.Now()-r.startedAt < reportLag {
+	if !r.started || g.base.Timers.Now()-r.startedAt < reportLag {
 		return haltRefused, errEarlyReport
 	}
 	return haltGone, nil
@@ -134,8 +158,8 @@
 		"silent-ms", (g.base.Timers.Now() - p.lastEvent).Milliseconds())
 }
 
-// errMoving is the reason why a run is not stopped while it is copied.
-var errMoving = errors.New("the run is being copied")
+// errMoving is the reason why a run is not stopped while it is copied, or has no copy to go on from.
+var errMoving = errors.New("the run is being copied, or has no copy")
 
 // stopAtEngine has a run's engine stop the run and copy it to the holder of its copy.
 func (g *Server) stopAtEngine(r *run) (halt, error) {
--- a/internal/gateway/lost_conn_test.go
+++ b/internal/gateway/lost_conn_test.go
@@ -1,6 +1,8 @@
 package gateway_test
 
 import (
+	"fmt"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -95,3 +97,65 @@
 		})
 	}
 }
+
+// TestOneUnansweredQuestionIsNoProof guards against a run that goes on at two engines: the first one, which has
+// stated for seconds that the run may be there, does not answer one question in time.
+func TestOneUnansweredQuestionIsNoProof(t *testing.T) {
+	const answered = 20 // questions, one each 0.2 s
+	waits := states(vanillaward.EngineRuns{Waiting: 1})
+	first, second := newStandin(t, "target-0", "stream:2"), newStandin(t, "target-1", "stream:")
+	r := newRig(t, configuration(1, route.Stream, 1, 30*time.Second), first, second)
+	asked := 0
+	r.engines.runs = func() (vanillaward.EngineRuns, error) { // called with a lock held
+		if asked++; asked == answered {
+			return silent()
+		}
+		return waits()
+	}
+	got := r.send(t, http.MethodPost, "/r/x", "", map[string]string{testBudget: "5000"})
+	require.Error(t, got.err, "the answer must not look complete")
+	require.Greater(t, r.engines.askedCount(), answered)
+	require.Zero(t, second.requestCount(), "the run went on at a second engine")
+}
+
+// TestStopInVainFreesItsCopy guards against copies that stay at engines: one was made by a stop whose answer came
+// when the caller's time was over.
+func TestStopInVainFreesItsCopy(t *testing.T) {
+	first, second := newStandin(t, "target-0", "stream:2"), newStandin(t, "target-1", "stream:")
+	r := newRig(t, configuration(1, route.Stream, 1, 30*time.Second), first, second)
+	r.engines.runs = named
+	r.engines.stop = func(vanillaward.Move) (vanillaward.MoveResult, error) {
+		time.Sleep(1500 * time.Millisecond) // longer than the caller waits
+		return vanillaward.MoveResult{Handle: "handle"}, nil
+	}
+	r.send(t, http.MethodPost, "/r/x", "", map[string]string{testBudget: "1000"})
+	require.Eventually(t, func() bool { return len(r.engines.dropped()) > 0 }, 20*time.Second, time.Millisecond)
+	require.Zero(t, second.requestCount())
+}
+
+// TestRunIsNotMovedToItsOwnEngine guards against a stop that names the run's own engine as the destination: the
+// engine has kept the run and does not say whether it resumes it.
+func TestRunIsNotMovedToItsOwnEngine(t *testing.T) {
+	over := make(chan struct{})
+	first := newRawStandin(t, "target-0", func(conn net.Conn, request *http.Request) {
+		if request.Header.Get(testResume) != "" {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 500 X\r\n%s: request-1\r\nContent-Length: 0\r\n\r\n", testID) // the gateway may have left
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: request-1\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: event 1\n\n", testID)
+		<-over
+	})
+	second := newStandin(t, "target-1", "refuse")
+	r := newRig(t, configuration(1, route.Stream, 1, 30*time.Second), first, second)
+	r.engines.runs = named
+	r.engines.stop = func(vanillaward.Move) (vanillaward.MoveResult, error) {
+		return vanillaward.MoveResult{Handle: "kept"}, vanillaward.ErrNotCopied
+	}
+	r.send(t, http.MethodPost, "/r/x", "", map[string]string{testBudget: "8000"})
+	require.Equal(t, 2, first.requestCount(), "the engine that has kept the run is asked to resume it")
+	require.Eventually(t, func() bool { return r.engines.moveCount() > 1 }, 20*time.Second, time.Millisecond)
+	close(over)
+	for _, m := range r.engines.movesMade() {
+		require.NotEqual(t, m.Source, m.Destination)
+	}
+}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -102,6 +102,8 @@
 	if cause != nil {
 		p.cause = cause.Error()
 	}
+	ctx, cancel := context.WithTimeout(ctx, haltTimeout)
+	defer cancel()
 	req.stream.halted = req.server.awaitHalt(ctx, p)
 	return req.stream.halted.mayGoOn()
 }
@@ -128,22 +130,32 @@
 		return nil, false
 	}
 	held := req.server.takeCopy(req.stream.run)
-	if held == nil || ctx.Err() != nil {
+	if held == nil {
 		return nil, false
 	}
-	if !req.server.beginResume(held.holder, req.tokens()) {
-		req.logFailure("copy lost with its holder", held.holder, errEngineGone)
+	if ctx.Err() != nil {
+		req.freeUnused(held)
 		return nil, false
 	}
-	if !req.allowResumption(held) {
+	if !req.server.beginResume(held.holder, req.tokens()) {
+		req.logFailure("copy lost with its holder", held.holder, errEngineGone)
+		req.freeUnused(held)
 		return nil, false
 	}
 	r, mayRun, targetResult := req.sendToHolder(ctx, held, lastEvent)
 	if r == nil {
 		req.server.end(held.holder, req.tokens(), targetResult)
 	}
-	if mayRun {
+	switch {
+	case mayRun:
+		if held.holder == held.source { // the run is over here, though its engine may have gone on with it
+			req.server.removeRun(req.stream.run)
+		}
 		req.follow(held.holder, held.source)
+	case r == nil && req.stream.overBudget:
+		req.server.returnCopy(req.stream.run, held)
+	case r == nil:
+		req.freeUnused(held)
 	}
 	return r, mayRun
 }
@@ -163,6 +175,10 @@
 		return nil, false, balance.Unreachable
 	}
 	defer conn.CloseOnDone(ctx)()
+	if req.stream.overBudget = !req.allowRepeat(repeatResumption); req.stream.overBudget {
+		conn.Close()
+		return nil, false, balance.Abandoned
+	}
 	resumed := req.stream.run.resumedAt(holder)
 	req.server.addRun(resumed)
 	response, err := req.sendResume(conn, resumed, held, lastEvent) //nolint:bodyclose // closing the connection or reading to the end releases it
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -40,6 +40,10 @@
 	moving     chan struct{} // closed when the copying on demand in progress ends; nil if there is none
 	failures   int           // copies on demand that failed
 	avoid      []string      // IDs of engines to which copying failed, or that ran the run before its resumption
+	// unanswered is how many questions in a row the engine has not answered, and silentSince when the first
+	// of them was asked.
+	unanswered  int
+	silentSince time.Duration
 }
 
 // heldCopy is a copy of a run's KV cache at another engine.
@@ -186,6 +190,15 @@
 	return c
 }
 
+// returnCopy records a copy again that was taken and not used.
+func (g *Server) returnCopy(r *run, c *heldCopy) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r.copy == nil {
+		g.addCopy(r, c)
+	}
+}
+
 // copyExists reports whether a copy of the run is recorded that its holder should have. It is called with the
 // lock held.
 func (g *Server) copyExists(r *run) bool {
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -102,6 +102,9 @@
 	case !halted.mayGoOn() && !s.stopped:
 		s.awaitEngine(s.req.stream.lastEvent != last)
 	case r == nil:
+		if !s.stopped && s.req.server.hasCopy(s.req.stream.run) {
+			s.awaitEngine(s.req.stream.lastEvent != last)
+		}
 	case s.stopped || s.req.stream.lastEvent != last:
 		s.req.cancelResumption(r)
 	default:
