--- a/internal/gateway/halt.go
+++ b/internal/gateway/halt.go
@@ -9,6 +9,7 @@
 	"github.com/vanillaward/vanillaward"
 	"github.com/vanillaward/vanillaward/internal/balance"
 	"github.com/vanillaward/vanillaward/internal/migration"
+	"github.com/vanillaward/vanillaward/internal/timer"
 )
 
 const (
@@ -67,10 +68,9 @@
 func (g *Server) awaitHalt(ctx context.Context, p parting) halt {
 	out := g.haltAtEngine(ctx, p)
 	for !out.mayGoOn() {
-		select {
-		case <-ctx.Done():
-			return out
-		case <-time.After(haltRetry):
+		timer.Sleep(ctx, haltRetry)
+		if ctx.Err() != nil {
+			break
 		}
 		out = g.haltAtEngine(ctx, p)
 	}
