--- a/internal/retry/share.go
+++ b/internal/retry/share.go
@@ -14,8 +14,8 @@
 	// all the same.
 	manyInstances  = 13
 	minResumptions = 4
-	// heldWindows is for how many windows a number of instances counts. An instance that the others do
-	// not hear of for a while goes on with the share that it had.
+	// heldWindows is for how many windows a number of instances counts: one that is not heard of for a while may
+	// still be using its share, so that those of the others must not grow by it.
 	heldWindows = 6
 	// knownDivisor divides the window; the quotient is for how long a number of instances that was told is
 	// taken for known. The part in the slack begins as much later than a window after the start, so that an
