--- a/vanillaward.go
+++ b/vanillaward.go
@@ -135,7 +135,7 @@
 	// Load reads the load report of the engine at an address.
 	Load(ctx context.Context, address string) (*wire.Load, error)
 	// Runs returns the runs of the engine at an address. The error matches ErrUnreadable if the engine
-	// answers otherwise than with a report or ends the connection, and ErrUnreachable if no connection to it can be made.
+	// answers otherwise than with a report or ends the connection, and ErrUnreachable if nobody takes connections there.
 	Runs(ctx context.Context, address string) (EngineRuns, error)
 	// Move copies the KV cache of a run to another engine while the run continues, or stops the run
 	// first. It returns when the copy is complete. The error matches ErrNotRunning if the source does
@@ -160,8 +160,9 @@
 // ErrUnreadable means that an engine answers, but not with what it is asked for.
 var ErrUnreadable = errors.New("the engine's answer cannot be read")
 
-// ErrUnreachable means that no connection to an engine can be made.
-var ErrUnreachable = errors.New("no connection to the engine can be made")
+// ErrUnreachable means that nobody takes connections at an engine's address. A connection that is not made in
+// time is another error.
+var ErrUnreachable = errors.New("nobody takes connections at the engine's address")
 
 // EngineRuns is what an engine works on, as of a moment ago.
 type EngineRuns struct {
