Gateway: one predicate tells copies that grow from those that an engine has stated

Found on reading the change again. Four places asked each in their own way whether a copy is updated while the run goes on; one that an engine keeps looked like a growing one to two of them. So memory stayed taken at an engine that had kept a run whose resumption the budget denied (TestDeniedResumptionFreesWhatIsKept: not freed within 20 s before, freed now), and, by reading, a copy given back after a denial was counted on when the kept one took its place. heldCopy.growing is asked by all, and removeRun frees through the same function as the resumption.

--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -12,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/vanillaward/vanillaward"
 	"github.com/vanillaward/vanillaward/internal/route"
 	"github.com/vanillaward/vanillaward/internal/settings"
 	"github.com/vanillaward/vanillaward/internal/wire"
@@ -199,3 +201,20 @@
 	requireWholeStream(t, got)
 	require.Zero(t, second.requestCount())
 }
+
+// TestDeniedResumptionFreesWhatIsKept guards against memory that stays taken at the engine that has stopped a run and
+// kept it, since the budget did not allow the run to be resumed.
+func TestDeniedResumptionFreesWhatIsKept(t *testing.T) {
+	first, second := newStandin(t, "target-0", "stream:2"), newStandin(t, "target-1", "stream:")
+	r := newRigWith(t, configuration(1, route.Stream, 1, 30*time.Second), func(s *settings.Gateway) {
+		s.RetryRatio, s.RetryReserve = 0, 0
+	}, first, second)
+	r.engines.runs = named
+	r.engines.stop = func(vanillaward.Move) (vanillaward.MoveResult, error) {
+		return vanillaward.MoveResult{Handle: "kept"}, vanillaward.ErrNotCopied
+	}
+	got := r.send(t, http.MethodPost, "/r/x", "", map[string]string{testBudget: "30000"})
+	require.Error(t, got.err, "the answer must not look complete")
+	require.Zero(t, second.requestCount())
+	require.Eventually(t, func() bool { return slices.Contains(r.engines.dropped(), "kept") }, 20*time.Second, time.Millisecond)
+}
--- a/internal/gateway/free.go
+++ b/internal/gateway/free.go
@@ -32,11 +32,11 @@
 	}
 }
 
-// freeUnused queues a copy that was made on demand, or kept, and that the run cannot go on from. Engines drop
-// continuously updated copies themselves.
-func (req *request) freeUnused(held *heldCopy) {
-	if held.expires > 0 || held.source == held.holder {
-		req.server.free(unusedCopy{request: req.caller.ID, address: held.address, handle: held.handle})
+// freeUnused queues a copy, if there is one, that was made on demand, or kept, and that its run does not go on from.
+// Engines drop continuously updated copies themselves.
+func (g *Server) freeUnused(request string, held *heldCopy) {
+	if held != nil && !held.growing() {
+		g.free(unusedCopy{request: request, address: held.address, handle: held.handle})
 	}
 }
 
--- a/internal/gateway/halt.go
+++ b/internal/gateway/halt.go
@@ -209,6 +209,7 @@
 	if r.kept == nil {
 		return false
 	}
+	g.removeCopy(r) // one that the budget did not allow to be used may be there
 	g.addCopy(r, r.kept)
 	r.kept = nil
 	return true
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -134,12 +134,12 @@
 		return nil, false
 	}
 	if ctx.Err() != nil {
-		req.freeUnused(held)
+		req.server.freeUnused(req.caller.ID, held)
 		return nil, false
 	}
 	if !req.server.beginResume(held.holder, req.tokens()) {
 		req.logFailure("copy lost with its holder", held.holder, errEngineGone)
-		req.freeUnused(held)
+		req.server.freeUnused(req.caller.ID, held)
 		return nil, false
 	}
 	r, mayRun, targetResult := req.sendToHolder(ctx, held, lastEvent)
@@ -155,7 +155,7 @@
 	case r == nil && req.stream.overBudget:
 		req.server.returnCopy(req.stream.run, held)
 	case r == nil:
-		req.freeUnused(held)
+		req.server.freeUnused(req.caller.ID, held)
 	}
 	return r, mayRun
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -55,6 +55,10 @@
 	expires time.Duration // when the engine drops the copy; 0 for a continuously updated copy
 }
 
+// growing reports whether the copy is updated while the run goes on. Its engines drop such a copy themselves, and
+// nothing tells that it is there; one made on demand, or kept by the run's engine, has been stated by an engine.
+func (c *heldCopy) growing() bool { return c.expires == 0 && c.source != c.holder }
+
 // addRun registers a run at an engine.
 func (g *Server) addRun(r *run) {
 	g.mu.Lock()
@@ -141,13 +145,8 @@
 	kept := r.kept
 	r.kept = nil
 	g.mu.Unlock()
-	if kept != nil {
-		g.free(unusedCopy{request: r.request, address: kept.address, handle: kept.handle})
-	}
-	unused := g.takeCopy(r)
-	if unused != nil && unused.expires > 0 { // engines drop continuously updated copies themselves
-		g.free(unusedCopy{request: r.request, address: unused.address, handle: unused.handle})
-	}
+	g.freeUnused(r.request, kept)
+	g.freeUnused(r.request, g.takeCopy(r))
 }
 
 // copyHolderAddress returns the address to which an engine should copy the run's KV cache
@@ -155,7 +154,7 @@
 func (g *Server) copyHolderAddress(r *run) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if r == nil || r.copy == nil || r.copy.expires > 0 {
+	if r == nil || r.copy == nil || !r.copy.growing() {
 		return ""
 	}
 	return r.copy.address
@@ -203,7 +202,7 @@
 // lock held.
 func (g *Server) copyExists(r *run) bool {
 	running := g.base.Timers.Now() - r.startedAt
-	return r.copy != nil && migration.CopyExists(r.copy.expires > 0, r.started, running, g.settings.CopyAfter)
+	return r.copy != nil && migration.CopyExists(!r.copy.growing(), r.started, running, g.settings.CopyAfter)
 }
 
 // removeCopy removes the run's copy from the records. It is called with the lock held.
