Route: resumable streams, longest pauses and cold targets are read from the configuration

The operator's configuration states which streams another engine can continue, the longest pause between events, and how many requests a cold target tolerates; none of it was read. Decoded and offered by accessors; nothing acts on it yet.

--- a/internal/route/spec.go
+++ b/internal/route/spec.go
@@ -57,7 +57,12 @@
 	Public bool
 	// Generation is true for routes whose requests are run by engines.
 	Generation bool
-	Shares     []Share
+	// Resumable is true for streams that another engine can continue after a given event.
+	Resumable bool
+	// LongestPause is the longest time between two events for which a stream is still in time; 0 if the
+	// route does not say.
+	LongestPause time.Duration
+	Shares       []Share
 }
 
 // Share is the part of a route's requests that a service gets, relative to the
@@ -82,6 +87,10 @@
 	// CopyLifetime is how long they keep such a copy.
 	Moves        bool
 	CopyLifetime time.Duration
+	// ColdTime is how long a target is cold after it has started, and ColdPerSecond the number of requests
+	// a second from all instances that a cold target tolerates; 0 for any number.
+	ColdTime      time.Duration
+	ColdPerSecond float64
 	// CopyTokensPerSecond is how many tokens of KV cache an engine copies in a second to an engine of
 	// its failure domain; 0 if unknown.
 	CopyTokensPerSecond float64
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -128,6 +128,16 @@
 // Generation reports whether an engine runs the route's requests.
 func (r *Route) Generation() bool { return r.spec.Generation }
 
+// Resumable reports whether another engine can continue the route's streams after a given event.
+func (r *Route) Resumable() bool { return r.spec.Kind == Stream && r.spec.Resumable }
+
+// Repeatable reports whether the route's requests may run more than once.
+func (r *Route) Repeatable() bool { return r.spec.Kind == Idempotent || r.Resumable() }
+
+// LongestPause returns the longest time between two events for which a stream is still in time, 0 if the
+// route does not say.
+func (r *Route) LongestPause() time.Duration { return r.spec.LongestPause }
+
 // Pick returns the service for a request. Random is uniform in [0, 1).
 func (r *Route) Pick(random float64) string {
 	remaining := random * r.totalWeight
@@ -167,3 +177,10 @@
 
 // CopyLifetime returns how long an engine keeps a copy made on demand.
 func (s *Service) CopyLifetime() time.Duration { return s.spec.CopyLifetime }
+
+// ColdTime returns how long a target of the service is cold after it has started.
+func (s *Service) ColdTime() time.Duration { return s.spec.ColdTime }
+
+// ColdPerSecond returns how many requests a second from all instances a cold target tolerates, 0 for any
+// number.
+func (s *Service) ColdPerSecond() float64 { return s.spec.ColdPerSecond }
