Gateway's tests: the address of a dead target stays bound

With the gateways' logs: the port of the dead target, whose listener was closed, had been given to the next listener, the other gateway's address for handed-over requests, which answered 400. Not the product's fault. The address now is bound without listening until the test ends, so that connections are refused for certain.

--- a/internal/gateway/standin_test.go
+++ b/internal/gateway/standin_test.go
@@ -7,10 +7,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -213,8 +215,10 @@
 	id        string
 	behaviour string
 	listener  net.Listener
-	held      chan struct{} // closing it ends the wait of the behaviours stream-held and stream-paused
-	begins    func()        // if set, is called when a request has arrived
+	// boundAddress is the address of a target that refuses connections; it has no listener.
+	boundAddress string
+	held         chan struct{} // closing it ends the wait of the behaviours stream-held and stream-paused
+	begins       func()        // if set, is called when a request has arrived
 
 	mu     sync.Mutex // guards the fields below
 	runs   []string   // IDs of the requests that the target ran
@@ -226,19 +230,40 @@
 
 func newStandin(t *testing.T, id, behaviour string) *standin {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	s := &standin{id: id, behaviour: behaviour, listener: listener, held: make(chan struct{})}
+	s := &standin{id: id, behaviour: behaviour, held: make(chan struct{})}
 	if behaviour == "dead" {
-		require.NoError(t, listener.Close())
+		s.boundAddress = bindWithoutListening(t)
 		return s
 	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s.listener = listener
 	t.Cleanup(func() { _ = listener.Close() })
 	go acceptAll(listener, s.serve)
 	return s
 }
 
-func (s *standin) address() string { return s.listener.Addr().String() }
+// bindWithoutListening returns an address that refuses connections until the test ends. The port stays bound:
+// that of a closed listener can be given to the next one, which would then answer in the place of the target.
+func bindWithoutListening(t *testing.T) string {
+	t.Helper()
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = syscall.Close(socket) })
+	require.NoError(t, syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := syscall.Getsockname(socket)
+	require.NoError(t, err)
+	inet, ok := bound.(*syscall.SockaddrInet4)
+	require.True(t, ok)
+	return netip.AddrPortFrom(netip.AddrFrom4(inet.Addr), uint16(inet.Port)).String()
+}
+
+func (s *standin) address() string {
+	if s.boundAddress != "" {
+		return s.boundAddress
+	}
+	return s.listener.Addr().String()
+}
 
 func (s *standin) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
