Gateway: streams of resumable routes continue after a given event

Cause: the header Last-Event-Id of callers was dropped, so a stream that a caller wanted the rest of was sent from its beginning, and a stream that broke off without a copy of its run ended incomplete.

Change: on a route that declares resumable, the number goes to the engine with each attempt, a value that is no number is refused with 400, and the head is sent only once the first event is the one that follows. When such a stream breaks off and no copy can be used, another attempt continues it after the last event passed on, within the attempts of the route and the retry budget. The engine that was left is followed as after a resumption. A request that is handed over carries the number.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -52,6 +52,9 @@
 		}
 		req.org, req.orgRank = org.Name(), org.Rank()
 	}
+	if !req.acceptLastEvent() {
+		return req.refuse(reasonLastEvent)
+	}
 	wait := found.Timeout()
 	if req.caller.Budget > 0 {
 		wait = min(wait, req.caller.Budget)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -97,6 +97,7 @@
 	attemptCtx, cancel := req.boundAttempt(ctx)
 	defer cancel()
 	defer conn.CloseOnDone(attemptCtx)()
+	req.stream.beginAttempt()
 	req.startRun(ctx, t)
 	defer req.endRun()
 	targetResult := req.exchange(attemptCtx, t, conn, &result)
@@ -127,13 +128,25 @@
 	req.logFailure("target not reached", t, err)
 }
 
-// boundAttempt limits the time of an attempt of an idempotent request if another attempt
-// may follow, so that time is left for it.
+// boundAttempt limits the time of an attempt of a repeatable request if another attempt
+// may follow, so that time is left for it. In a stream, each event restarts the limit.
 func (req *request) boundAttempt(ctx context.Context) (context.Context, context.CancelFunc) {
-	if req.route.Kind() != route.Idempotent || req.sent >= req.route.Attempts() {
-		return context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(ctx)
+	if !req.route.Repeatable() || req.sent >= req.route.Attempts() {
+		return ctx, cancel
 	}
-	return context.WithTimeout(ctx, max(minAttemptTime, req.left()/attemptTimeDivisor))
+	limit := time.AfterFunc(req.attemptTime(), cancel)
+	req.stream.limit = limit
+	return ctx, func() {
+		limit.Stop()
+		cancel()
+	}
+}
+
+// attemptTime returns the time limit of an attempt, or of a pause in a stream, that may be followed by another
+// attempt.
+func (req *request) attemptTime() time.Duration {
+	return max(minAttemptTime, req.left()/attemptTimeDivisor)
 }
 
 // exchange sends the request and handles the answer.
@@ -166,8 +179,14 @@
 	}
 	req.server.accepted(t)
 	if req.isStream(response) {
-		result.outcome = delivered
-		return req.relay(ctx, t, conn, response, info)
+		targetResult := req.relay(ctx, t, conn, response, info)
+		if !req.stream.broken {
+			result.outcome = delivered
+		}
+		return targetResult
+	}
+	if req.stream.headSent {
+		return req.rejectContinuation(t, conn, response, info)
 	}
 	return req.bufferAnswer(ctx, t, conn, response, info, result)
 }
@@ -290,6 +309,7 @@
 	req.server.dialect.Forward(h, vanillaward.Forwarding{
 		Remaining: max(time.Millisecond, req.left()), Target: t.ID(), Organisation: req.org,
 		Urgency: req.urgency(), Generation: req.route.Generation(), CopyHolder: req.server.copyHolderAddress(r), Resume: resume,
+		After: req.continuesAfter(),
 	})
 	return req.withHeader(h)
 }
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -13,6 +13,8 @@
 const (
 	// repeatAttempt sends a request to another target from its beginning.
 	repeatAttempt repeat = "attempt"
+	// repeatContinuation has another target send the rest of a stream, without a copy of its run.
+	repeatContinuation repeat = "continuation"
 	// repeatResumption has another engine go on with a run.
 	repeatResumption repeat = "resumption"
 )
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -35,6 +35,11 @@
 	Runs       []int    `ini:"runs"`
 	Events     int      `ini:"events" default:"0"`
 	RetryAfter bool     `ini:"comes-back" default:"false"`
+	Resumable  bool     `ini:"resumable" default:"false"`
+	Copies     bool     `ini:"copies" default:"false"`
+	After      string   `ini:"last-event" default:""`
+	From       int      `ini:"first-event" default:"1"`
+	Asked      []string `ini:"asked-after"`
 }
 
 // TestScripts runs the scripts of testdata.
@@ -64,8 +69,15 @@
 	for i, behaviour := range s.Targets {
 		targets = append(targets, newStandin(t, fmt.Sprint("target-", i), behaviour))
 	}
-	r := newRig(t, configuration(1, kinds[s.Kind], s.Attempts, time.Duration(s.Timeout)*time.Millisecond), targets...)
-	got := r.send(t, http.MethodPost, "/r/path?query=1", strings.Repeat("x", s.Body), nil)
+	c := configuration(1, kinds[s.Kind], s.Attempts, time.Duration(s.Timeout)*time.Millisecond)
+	c.Routes[0].Resumable = s.Resumable
+	c.Services[0].ContinuousCopies = s.Copies || !s.Resumable
+	r := newRig(t, c, targets...)
+	var header map[string]string
+	if s.After != "" {
+		header = map[string]string{testAfter: s.After}
+	}
+	got := r.send(t, http.MethodPost, "/r/path?query=1", strings.Repeat("x", s.Body), header)
 	require.Equal(t, s.Broken, got.err != nil, "error of the answer: %v", got.err)
 	require.Equal(t, s.Status, got.status)
 	if s.Complete {
@@ -73,7 +85,7 @@
 	}
 	if s.Events > 0 {
 		want := ""
-		for i := 1; i <= s.Events; i++ {
+		for i := s.From; i < s.From+s.Events; i++ {
 			want += fmt.Sprintf("id: %d\ndata: event %d\n\n", i, i)
 		}
 		require.Equal(t, want, got.body)
@@ -82,6 +94,9 @@
 	for i, runs := range s.Runs {
 		require.Equal(t, runs, targets[i].runCount(), "runs at target %d", i)
 	}
+	for i, after := range s.Asked {
+		require.Equal(t, strings.TrimSuffix(after, "-"), targets[i].lastHeader().Get(testAfter), "number sent to target %d; - for none", i)
+	}
 }
 
 // TestRequestForwardedUnchanged checks that method, path, query, host and body reach the
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -92,6 +92,9 @@
 	dropConnectionHeaders(h)
 	h.Del("Expect")
 	req.server.dialect.SetBudget(h, max(time.Millisecond, req.left()))
+	if after := req.continuesAfter(); after != nil {
+		req.server.dialect.SetLastEvent(h, *after)
+	}
 	handover.NewTerms(req.table.Number(), req.sent, req.counted).Set(h)
 	return req.withHeader(h)
 }
@@ -121,6 +124,10 @@
 	if req.isStream(response) {
 		return req.passHelperStream(ctx, conn, response)
 	}
+	if req.stream.headSent {
+		req.abortAnswer()
+		return errNotContinued
+	}
 	body, whole, err := readBuffered(response, req.hold)
 	if err != nil {
 		return err
@@ -141,13 +148,15 @@
 // passHelperStream passes a stream on, event by event. The other instance resumes its run from a copy
 // where that is possible.
 func (req *request) passHelperStream(ctx context.Context, conn *upstream.Conn, response *http.Response) error {
-	err := req.startStream(response)
+	err := req.startUnchecked(response)
 	if err == nil {
 		err = req.passEvents(ctx, conn, response)
 	}
 	if err != nil {
 		req.flushEvents(err)
-		req.abortAnswer()
+		if req.stream.headSent {
+			req.abortAnswer()
+		}
 		return err
 	}
 	req.reason = reasonComplete
--- a/internal/gateway/reason.go
+++ b/internal/gateway/reason.go
@@ -24,6 +24,7 @@
 	reasonMalformed    reason = "malformed"
 	reasonNoRoute      reason = "no-route"
 	reasonNoKey        reason = "unknown-key"
+	reasonLastEvent    reason = "invalid-last-event" // on a route whose streams can be continued
 	reasonBodyTooLarge reason = "body-too-large"
 	reasonBodyBroken   reason = "body-broken"
 	reasonTooLate      reason = "too-late" // the deadline passed before the first attempt
@@ -58,6 +59,7 @@
 	reasonMalformed:    {status: http.StatusBadRequest, closing: true},
 	reasonNoRoute:      {status: http.StatusNotFound},
 	reasonNoKey:        {status: http.StatusUnauthorized},
+	reasonLastEvent:    {status: http.StatusBadRequest},
 	reasonBodyTooLarge: {status: http.StatusRequestEntityTooLarge, closing: true},
 	reasonBodyBroken:   {status: http.StatusBadRequest, closing: true},
 	reasonTooLate:      {status: http.StatusServiceUnavailable},
@@ -76,6 +78,10 @@
 // refuse answers the request with the refusal for a reason. It always returns false, so
 // that functions which report whether to continue can return its result.
 func (req *request) refuse(why reason) bool {
+	if req.stream.headSent { // the caller has a part of the answer
+		req.abortAnswer()
+		return false
+	}
 	answer := refusals[why]
 	req.reason, req.status = why, answer.status
 	h := req.w.Header()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -97,6 +97,9 @@
 			return
 		}
 		avoid = append(avoid, a.target)
+		if req.target != a.target { // the run was resumed there
+			avoid = append(avoid, req.target)
+		}
 		retrying := req.mayRetry(ctx, a)
 		req.server.base.Log.Info("attempt ended", "request", req.caller.ID, "target", a.target, "result", a.outcome.String(),
 			"reason", string(a.reason), "status", a.status(), "again", retrying, "left-ms", req.left().Milliseconds())
@@ -106,6 +109,7 @@
 			}
 			return
 		}
+		req.leaveTarget(a)
 	}
 }
 
@@ -127,8 +131,14 @@
 		return false
 	case a.outcome == notRun:
 		return req.allowRepeat(repeatAttempt)
+	case !req.route.Repeatable() || req.stream.unnumbered:
+		return false
+	case req.stream.passed > 0:
+		allowed := req.allowRepeat(repeatContinuation)
+		req.stream.overBudget = !allowed
+		return allowed
 	default:
-		return req.route.Kind() == route.Idempotent && req.allowRepeat(repeatAttempt)
+		return req.allowRepeat(repeatAttempt)
 	}
 }
 
@@ -136,6 +146,8 @@
 // otherwise with a refusal.
 func (req *request) fail(ctx context.Context, a attemptResult) {
 	switch {
+	case req.stream.headSent:
+		req.abortAnswer()
 	case req.callerLeft():
 		req.reason = reasonCallerLeft
 	case a.failureAnswer != nil:
@@ -197,6 +209,7 @@
 	}
 	g.base.Log.Info("request", "request", req.caller.ID, "route", name, "organisation", req.org, "service", req.service,
 		"target", req.target, "sent", req.sent, "maybe-run", req.maybeRun, "status", req.status, "events", req.stream.passed, "resumed", req.stream.resumed,
+		"after", req.caller.LastEvent.Number, "continued", req.stream.continued,
 		"framing", string(req.framing), "unfinished-bytes", req.stream.unfinished,
 		"first-ms", req.stream.timeToFirst.Milliseconds(), "longest-gap-ms", req.stream.longestGap.Milliseconds(),
 		"outcome", string(req.reason), "helper", req.helper, "taken-over", req.terms != nil,
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -55,7 +55,7 @@
 // disconnected. The connection to the engine must have been closed before, so that events of
 // two engines are not mixed.
 func (req *request) resumeFromCopy(ctx context.Context, cause error) bool {
-	if req.stream.run == nil || isCallerError(cause) {
+	if req.stream.run == nil || isCallerError(cause) || errors.Is(cause, errNotContinued) {
 		return false
 	}
 	if errors.Is(cause, errNotResumed) { // it has no copy to go on from, and the next holder would have none either
@@ -239,7 +239,7 @@
 		"took-ms", (req.server.base.Timers.Now() - req.arrived).Milliseconds())
 	targetResult := req.relay(ctx, r.holder, r.conn, r.response, r.info)
 	req.server.end(r.holder, req.tokens(), targetResult)
-	return !req.aborted
+	return !req.aborted && !req.stream.broken
 }
 
 // tokens estimates the memory, in tokens, that a generation needs on average: its prompt and
--- a/internal/gateway/standin_test.go
+++ b/internal/gateway/standin_test.go
@@ -47,9 +47,11 @@
 func (dialect) ReadRequest(h http.Header) vanillaward.CallerRequest {
 	budget, _ := strconv.Atoi(h.Get(testBudget))
 	longest, _ := strconv.Atoi(h.Get(testLongest))
+	after, afterErr := strconv.ParseInt(h.Get(testAfter), 10, 64)
 	return vanillaward.CallerRequest{
 		ID: h.Get(testID), Budget: time.Duration(budget) * time.Millisecond, Key: h.Get(testKey),
 		PromptTokens: longest, LongestTokens: longest, SharedParts: strings.Fields(h.Get(testParts)),
+		LastEvent: vanillaward.LastEvent{Stated: h.Get(testAfter) != "", Valid: afterErr == nil && after >= 0, Number: uint64(max(0, after))},
 	}
 }
 
@@ -59,6 +61,10 @@
 	h.Set(testTarget, f.Target)
 	h.Set(testOrg, f.Organisation)
 	h.Del(testBackup)
+	h.Del(testAfter)
+	if f.After != nil {
+		h.Set(testAfter, strconv.FormatUint(*f.After, 10))
+	}
 	if f.CopyHolder != "" {
 		h.Set(testBackup, f.CopyHolder)
 	}
@@ -72,6 +78,10 @@
 	h.Set(testBudget, strconv.FormatInt(remaining.Milliseconds(), 10))
 }
 
+func (dialect) SetLastEvent(h http.Header, number uint64) {
+	h.Set(testAfter, strconv.FormatUint(number, 10))
+}
+
 func (dialect) ReadAnswer(_ int, h http.Header) vanillaward.TargetAnswer {
 	wait, _ := strconv.Atoi(h.Get(testWait))
 	keep, _ := strconv.Atoi(h.Get(testKeep))
@@ -340,10 +350,10 @@
 func (s *standin) stream(conn net.Conn, request *http.Request, argument string) bool {
 	const events = 5
 	from := 0
-	if request.Header.Get(testResume) != "" {
+	if request.Header.Get(testAfter) != "" {
 		from, _ = strconv.Atoi(request.Header.Get(testAfter))
 	}
-	if argument == "restart" { // runs the request again though it is asked to resume it
+	if argument == "restart" { // runs the request again though it is asked to continue it
 		from = 0
 	}
 	if argument == "unframed" || argument == "unframed-crash" {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -31,7 +31,11 @@
 // stream is the state of a request's stream and of its run at an engine.
 type stream struct {
 	passed       int           // events that were passed on to the caller
-	lastEvent    uint64        // number of the last event passed on
+	lastEvent    uint64        // number of the last event passed on; before, that of the last one that the caller stated to have
+	unnumbered   bool          // events were passed on whose numbers do not tell where the stream can be continued
+	broken       bool          // the last engine's stream has broken off, and another one may continue it
+	continued    int           // how often another engine was asked to continue the stream without a copy of its run
+	limit        *time.Timer   // ends an attempt that another one may follow; nil for others
 	unfinished   int           // bytes of an unfinished event at the end of the last answer
 	headSent     bool          // the head of the answer was sent to the caller
 	resumed      int           // how often the run was resumed from a copy
@@ -48,7 +52,7 @@
 // from its copy; without a copy, the answer is aborted so that it does not look complete.
 func (req *request) relay(ctx context.Context, t *balance.Target, conn *upstream.Conn, response *http.Response, info vanillaward.TargetAnswer) balance.Result {
 	req.maybeRun = true
-	err := req.startStream(response)
+	err := req.startUnchecked(response)
 	if err == nil {
 		err = req.passEvents(ctx, conn, response)
 	}
@@ -64,15 +68,15 @@
 	req.flushEvents(err)
 	targetResult := req.classifyFailure(ctx, "stream ended before it was complete", t, err)
 	if !req.resumeFromCopy(ctx, err) {
-		req.abortAnswer()
+		req.breakOff(err)
 	}
 	return targetResult
 }
 
 // flushEvents sends complete events that are still buffered when a stream has ended with an error, unless
-// that is one of the caller's connection.
+// that is one of the caller's connection or the head was not sent.
 func (req *request) flushEvents(err error) {
-	if !isCallerError(err) {
+	if req.stream.headSent && !isCallerError(err) {
 		_ = http.NewResponseController(req.w).Flush() // fails if the caller has disconnected
 	}
 }
@@ -86,7 +90,10 @@
 	req.copyHeader(response.Header)
 	req.w.WriteHeader(response.StatusCode)
 	req.status = response.StatusCode
-	return http.NewResponseController(req.w).Flush()
+	if err := http.NewResponseController(req.w).Flush(); err != nil {
+		return callerError{err}
+	}
+	return nil
 }
 
 // callerError marks an error of the caller's connection, after which resuming the run is
@@ -99,10 +106,13 @@
 // complete, and a callerError if the caller's connection failed.
 func (req *request) passEvents(ctx context.Context, conn *upstream.Conn, response *http.Response) error {
 	watch := req.watchStall(ctx, conn)
-	read, err := req.readEvents(watch, response.Body)
+	read, err := req.readEvents(watch, response)
 	if err == nil && read == 0 && upstream.FramingOf(response) == upstream.FramedByClose {
 		err = errNoEvent
 	}
+	if err == nil {
+		err = req.startStream(response) // unless its first event has done so
+	}
 	accepted, halted := watch.stop()
 	req.stream.halted = halted
 	if (halted == haltStopped || halted == haltUncertain) && (err == nil && upstream.FramingOf(response) == upstream.FramedByClose || err != nil && !isCallerError(err)) {
@@ -118,11 +128,12 @@
 
 // readEvents passes the events of one engine on until its stream ends. It returns how many
 // there were, and nil if the stream ended after a complete event.
-func (req *request) readEvents(watch *stallWatch, body io.Reader) (int, error) {
-	reader := sse.NewReader(body, sse.WithBudget(req.server.buffers))
+func (req *request) readEvents(watch *stallWatch, response *http.Response) (int, error) {
+	reader := sse.NewReader(response.Body, sse.WithBudget(req.server.buffers))
 	defer reader.Close()
 	control := http.NewResponseController(req.w)
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }() // fails only if the connection is closed
+	checked := req.checksFirst()
 	for read := 0; ; read++ {
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) {
@@ -132,11 +143,20 @@
 			req.stream.unfinished = reader.Unfinished()
 			return read, err
 		}
+		if read == 0 && checked {
+			if isFiller(event) {
+				read-- // it is no event, and of an answer that is not continued rightly nothing may be passed on
+				continue
+			}
+			if err := req.checkFirst(event, response); err != nil {
+				return read, err
+			}
+		}
 		if read == 0 && req.stream.run != nil {
 			req.server.markStarted(req.stream.run)
 		}
 		err = watch.event(func() error { return req.passEvent(control, event, !reader.Buffered()) })
-		if read == 0 && req.stream.resumed > 0 && errors.Is(err, errOrder) {
+		if read == 0 && req.resumesRun() && errors.Is(err, errOrder) {
 			err = errNotResumed
 		}
 		if err != nil {
@@ -150,7 +170,10 @@
 		if req.stream.passed > 0 && number != req.stream.lastEvent+1 {
 			return errOrder
 		}
+		req.stream.unnumbered = req.stream.unnumbered || number != req.stream.lastEvent+1
 		req.stream.lastEvent = number
+	} else if !isFiller(event) {
+		req.stream.unnumbered = true
 	}
 	if err := control.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil {
 		return callerError{err}
@@ -159,6 +182,7 @@
 		return callerError{err}
 	}
 	req.stream.passed++
+	req.extendAttempt()
 	req.stream.recordTimes(req.server.base.Timers.Now(), req.arrived)
 	if !flush {
 		return nil
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -178,6 +178,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_gateway_repeats_total{kind=%q,result=%q}", kind, result)).Inc()
 }
 
+// NotContinued counts an answer to a request for the rest of a stream that began with another event.
+func (m *Metrics) NotContinued() {
+	m.set.GetOrCreateCounter("vanillaward_gateway_streams_not_continued_total").Inc()
+}
+
 // TokenDropped counts a token that did not belong to the current run of its request.
 func (m *Metrics) TokenDropped() { m.set.GetOrCreateCounter("vanillaward_tokens_dropped_total").Inc() }
 
--- a/vanillaward.go
+++ b/vanillaward.go
@@ -206,6 +206,9 @@
 	// SetBudget replaces what a caller's request says of how long the caller waits from now on. The
 	// request is handed over to another instance, which reads it as the caller's own.
 	SetBudget(h http.Header, remaining time.Duration)
+	// SetLastEvent replaces what a caller's request says of the last event that the caller has. The
+	// request is handed over to another instance, which reads it as the caller's own.
+	SetLastEvent(h http.Header, number uint64)
 	// ReadAnswer reads the status and headers of a target's answer.
 	ReadAnswer(status int, h http.Header) TargetAnswer
 	// SetRetryAfter sets the headers by which the caller of a refused request learns how long
@@ -231,6 +234,18 @@
 	// SharedParts are the IDs of the parts that a generation's prompt may have in common with
 	// other prompts, in order. The part that belongs to this request alone is not among them.
 	SharedParts []string
+	// LastEvent is what the request says of the last event of the stream that the caller has.
+	LastEvent LastEvent
+}
+
+// LastEvent is what a caller's request says of the last event of the stream that the caller has.
+type LastEvent struct {
+	// Stated is true if the request says anything of it.
+	Stated bool
+	// Valid is true if what it says is a number of an event.
+	Valid bool
+	// Number is the number of the event, 0 for none: the stream is wanted from its beginning.
+	Number uint64
 }
 
 // Forwarding is the information that a target gets in addition to the caller's own headers.
@@ -250,6 +265,9 @@
 	CopyHolder string
 	// Resume is set when the request resumes from a copy.
 	Resume *Resume
+	// After is set when the target is to run the request anew and to send only the events after the one with
+	// this number. Resume states such a number itself.
+	After *uint64
 }
 
 // Resume tells an engine to resume a run from a copy of its KV cache.
