--- a/internal/gateway/continuation.go
+++ b/internal/gateway/continuation.go
@@ -105,17 +105,30 @@
 	if a.outcome != failed || !req.route.Resumable() {
 		return
 	}
-	if req.stream.passed > 0 {
-		req.stream.continued++
-		req.server.base.Log.Info("stream is continued at another target", "request", req.caller.ID, "from", req.target, "after", req.stream.lastEvent,
-			"events", req.stream.passed, "took-ms", (req.server.base.Timers.Now() - req.arrived).Milliseconds())
-	}
+	req.noteContinued(req.target, "")
 	if req.stream.run != nil && a.failureAnswer == nil { // otherwise the engine has ended the run itself
 		engine := req.stream.run.engine
 		req.follow(engine, engine)
 	}
 }
 
+// leaveHelper is called before the request goes elsewhere after its stream has broken off at another instance.
+func (req *request) leaveHelper(helper string) {
+	req.helper = helper
+	req.noteContinued(req.target, helper)
+	req.stream.beginAttempt()
+}
+
+// noteContinued records that another target is asked for the rest of a stream.
+func (req *request) noteContinued(from, helper string) {
+	if req.stream.passed == 0 {
+		return
+	}
+	req.stream.continued++
+	req.server.base.Log.Info("stream is continued at another target", "request", req.caller.ID, "from", from, "helper", helper, "after", req.stream.lastEvent,
+		"events", req.stream.passed, "took-ms", (req.server.base.Timers.Now() - req.arrived).Milliseconds())
+}
+
 // beginAttempt forgets what concerns the engine of the last attempt.
 func (s *stream) beginAttempt() {
 	s.broken, s.run, s.halted, s.accepted, s.unfinished, s.limit = false, nil, haltRefused, nil, 0, nil
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -20,6 +20,7 @@
 	}
 	var tried []string
 	for len(tried) < handover.MaxTries && ctx.Err() == nil && req.left() > 0 {
+		req.stream.beginAttempt()
 		helper, ok := req.server.beginHandover(tried)
 		if !ok {
 			return false
@@ -30,6 +31,13 @@
 		req.server.endHandover(helper, end)
 		req.server.base.Log.Info("request handed over", "request", req.caller.ID, "helper", helper, "result", end.String(), "reason", why,
 			"left-ms", req.left().Milliseconds(), "took-ms", (req.server.base.Timers.Now() - begun).Milliseconds())
+		if req.stream.broken && req.mayRetry(ctx, attemptResult{outcome: failed}) {
+			req.leaveHelper(helper)
+			continue
+		}
+		if req.stream.broken {
+			req.fail(ctx, attemptResult{outcome: failed, reason: reasonBroken})
+		}
 		if end.Taken() {
 			req.helper = helper
 			return true
@@ -125,7 +133,8 @@
 		return req.passHelperStream(ctx, conn, response)
 	}
 	if req.stream.headSent {
-		req.abortAnswer()
+		req.sent++
+		req.breakOff(errNotContinued)
 		return errNotContinued
 	}
 	body, whole, err := readBuffered(response, req.hold)
@@ -154,9 +163,8 @@
 	}
 	if err != nil {
 		req.flushEvents(err)
-		if req.stream.headSent {
-			req.abortAnswer()
-		}
+		req.sent++ // the helper has sent the request once at least
+		req.breakOff(err)
 		return err
 	}
 	req.reason = reasonComplete
@@ -167,6 +175,9 @@
 // failHandover ends a request whose handover failed after it may have been sent, unless its answer has
 // been begun.
 func (req *request) failHandover(ctx context.Context, err error) (handover.End, string) {
+	if req.stream.broken && !req.callerLeft() {
+		return handover.CutOff, err.Error()
+	}
 	if !req.aborted {
 		req.fail(ctx, attemptResult{outcome: failed, reason: reasonUnreachable})
 	}
