Control: orders that evacuate or restore a failure domain are committed to the log

Cause: an operator has no way to take a whole failure domain out of use.

Follow answers state the index, the orders if the instance lacks them, and whether the replica is current: it has a leader, holds a committed record of its term, and has applied all that the leader stated as committed. Node.Read with linearizable set also requires that what is committed has been applied: a new leader may learn in one batch of calls that records are committed and be asked for them before they are applied.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -231,11 +231,12 @@
 }
 
 // Read runs a function on the core and the state. With linearizable set it returns
-// ErrNotCurrent unless this replica leads with a valid lease.
+// ErrNotCurrent unless this replica leads with a valid lease and has applied what is committed: a new leader
+// may learn in the same batch of calls that records which an earlier leader acknowledged are committed.
 func (n *Node) Read(ctx context.Context, linearizable bool, read func(*replog.Core, *State)) error {
 	var refused error
 	err := n.do(ctx, func() {
-		if linearizable && !n.core.LeaseValid(n.timers.Now()) {
+		if linearizable && (!n.core.LeaseValid(n.timers.Now()) || n.applied < n.core.Commit()) {
 			refused = ErrNotCurrent
 			return
 		}
@@ -322,8 +323,13 @@
 	leader          string
 	addresses       []string
 	voters          int
+	evacuation      Evacuation
+	evacuationView  wire.EvacuationView
 }
 
+// Evacuation returns the evacuated failure domains that the replica knows of.
+func (s LogStatus) Evacuation() Evacuation { return s.evacuation }
+
 // Voters returns the number of voters in the membership that the replica knows.
 func (s LogStatus) Voters() int { return s.voters }
 
@@ -349,6 +355,7 @@
 	err := n.do(ctx, func() {
 		out.leaderReachable = n.core.HasLeader(n.timers.Now(), 2*n.timing.Election)
 		out.member = n.core.IsMember()
+		out.evacuation, out.evacuationView = n.state.Evacuation(), n.evacuationView()
 		for _, r := range n.core.Membership().GetReplicas() {
 			out.addresses = append(out.addresses, r.GetAddress())
 			if !r.GetLearner() {
--- a/internal/control/documents.go
+++ b/internal/control/documents.go
@@ -144,6 +144,10 @@
 	if request.GetAsksForHelpers() {
 		answer.Helpers = s.helpersOf(request)
 	}
+	if answer.EvacuationIndex = status.evacuation.Index(); answer.GetEvacuationIndex() > request.GetEvacuationIndex() {
+		answer.Evacuated = status.evacuation.Orders()
+	}
+	answer.EvacuationView = status.evacuationView
 	s.evidence.answer(request, answer, s.timers.Now())
 	return nil
 }
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -335,6 +335,7 @@
 		if outcome.Document != nil {
 			n.publisher.PublishDocument(n.state.Document())
 		}
+		n.publisher.PublishEvacuation(n.state.Evacuation().Index())
 		n.completeProposal(e, outcome)
 	}
 	return nil
@@ -386,6 +387,7 @@
 	n.state = state
 	n.applied = s.GetIndex()
 	n.publisher.PublishDocument(state.Document())
+	n.publisher.PublishEvacuation(state.Evacuation().Index())
 	if state.Version() > n.published.Version() {
 		if err := n.published.Reset(state.Version(), config.SectionsFromTexts(state.Texts())); err != nil {
 			n.log.Error(err, "cannot apply the configuration restored from the snapshot", "version", state.Version())
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -24,6 +24,7 @@
 	readAt       time.Duration         // when the complete list of targets was last read
 	loads        map[string]loadReport // by engine ID
 	loadsVersion uint64                // incremented by each call of PublishLoads
+	evacuation   uint64                // index of the last change of the evacuated failure domains
 	changed      chan struct{}         // closed and replaced at the next change
 }
 
@@ -46,6 +47,25 @@
 	p.notifyFollowers()
 }
 
+// PublishEvacuation ends the waits of followers that hold orders for failure domains of a lower index. The
+// orders are not published here: an answer takes them from the state that it describes.
+func (p *Publisher) PublishEvacuation(index uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if index <= p.evacuation {
+		return
+	}
+	p.evacuation = index
+	p.notifyFollowers()
+}
+
+// evacuationAfter reports whether a follower that knows orders for failure domains lacks the newest.
+func (p *Publisher) evacuationAfter(r *wire.FollowRequest) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return r.EvacuationIndex != nil && p.evacuation > r.GetEvacuationIndex()
+}
+
 // Fetch returns a piece of the transfer of a document.
 func (p *Publisher) Fetch(r *wire.FetchRequest) (*wire.FetchResponse, error) {
 	return p.archive.piece(r)
@@ -106,8 +126,8 @@
 	p.changed = make(chan struct{})
 }
 
-// Await returns the updates that a follower lacks. If there is no new document or
-// list, it waits for one at most the given time. Now is called before and after the
+// Await returns the updates that a follower lacks. If there is no new document, list
+// or order for a failure domain, it waits for one at most the given time. Now is called before and after the
 // wait, for the ages in the response.
 func (p *Publisher) Await(ctx context.Context, r *wire.FollowRequest, wait time.Duration, now func() time.Duration) *wire.FollowResponse {
 	timeout := time.NewTimer(wait)
@@ -115,7 +135,7 @@
 	for {
 		answer, changed := p.updatesFor(r, now())
 		unheard := r.GetFetchesDocuments() && answer.GetDocumentNumber() > r.GetDocumentHeard()
-		if unheard || answer.GetDocument() != nil || answer.GetListChanged() {
+		if unheard || answer.GetDocument() != nil || answer.GetListChanged() || p.evacuationAfter(r) {
 			return answer
 		}
 		select {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -211,7 +211,7 @@
 	err := s.node.Read(ctx, linearizable, func(core *replog.Core, state *State) {
 		answer.Leader, answer.Term, answer.Version = core.LeaderID(), core.Term(), state.Version()
 		answer.Current = core.LeaseValid(s.timers.Now())
-		answer.Orders = state.Orders()
+		answer.Orders, answer.Evacuated = state.TargetOrders(), state.Evacuation().Orders()
 		for _, r := range core.Membership().GetReplicas() {
 			answer.Replicas = append(answer.Replicas, &wire.ReplicaStatus{
 				Replica: r, MatchIndex: core.MatchIndex(r.GetId()), Leader: r.GetId() == core.LeaderID(),
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -32,6 +32,8 @@
 	byID    map[string]*wire.KnownChange
 	domains map[string]*wire.OpenDomain
 	orders  map[string]*wire.OrderStep
+	// evacuation is derived from the orders
+	evacuation Evacuation
 	// document is the configuration document with the highest number, or nil
 	document *wire.Document
 }
@@ -66,7 +68,7 @@
 // OrderFor returns the last recorded order step for a target, or nil.
 func (s *State) OrderFor(target string) *wire.OrderStep { return s.orders[target] }
 
-// Orders returns the last recorded order step of each target, sorted by target.
+// Orders returns the last recorded order step of each target and failure domain, sorted by target.
 func (s *State) Orders() []*wire.OrderStep {
 	out := make([]*wire.OrderStep, 0, len(s.orders))
 	for _, o := range s.orders {
@@ -188,8 +190,16 @@
 
 // recordOrder stores an order step with the record's index as its fencing number.
 func (s *State) recordOrder(index uint64, o *wire.OrderStep) {
-	step := &wire.OrderStep{Target: o.GetTarget(), State: o.GetState(), Issuer: o.GetIssuer(), Fence: index}
-	s.orders[o.GetTarget()] = step
+	if s.repeatsDomainOrder(o) {
+		return
+	}
+	s.orders[o.GetTarget()] = &wire.OrderStep{
+		Target: o.GetTarget(), State: o.GetState(), Issuer: o.GetIssuer(), Fence: index, Note: o.GetNote(), IssuedUnixMs: o.GetIssuedUnixMs(),
+	}
+	if isDomainOrder(o) {
+		s.dropOldRestorations()
+		s.updateEvacuation()
+	}
 }
 
 // Document returns the document in force, or nil before the first.
@@ -254,6 +264,7 @@
 	for _, o := range in.GetOrders() {
 		s.orders[o.GetTarget()] = o
 	}
+	s.updateEvacuation()
 	return s, nil
 }
 
--- a/internal/replog/core.go
+++ b/internal/replog/core.go
@@ -50,7 +50,9 @@
 	vote   string
 	leader string
 	commit uint64
-	log    entryLog
+	// leaderCommit is the highest index that a leader has stated as committed
+	leaderCommit uint64
+	log          entryLog
 	// savedCommit is the commit index that is durable
 	savedCommit uint64
 	snapshot    *wire.Snapshot
@@ -150,6 +152,13 @@
 		c.committedInTerm()
 }
 
+// Current reports whether this replica leads with a valid lease, or holds all records that its leader had
+// committed when it last sent a message, which was within the given time. A leader's commit index is
+// complete only once a record of its own term is committed.
+func (c *Core) Current(now, within time.Duration) bool {
+	return c.HasLeader(now, within) && c.committedInTerm() && c.commit >= c.leaderCommit
+}
+
 // Tick advances time: it starts elections, sends heartbeats and makes a leader that has
 // lost contact with the majority step down.
 func (c *Core) Tick(now time.Duration) []Action {
--- a/internal/replog/replication.go
+++ b/internal/replog/replication.go
@@ -148,6 +148,7 @@
 
 func (c *Core) onAppend(m *wire.Message) {
 	c.acceptLeader(m.GetFrom())
+	c.leaderCommit = max(c.leaderCommit, m.GetCommit())
 	reply := &wire.Message{Kind: wire.Kind_KIND_APPEND_REPLY, To: m.GetFrom(), Round: m.GetRound()}
 	prevIndex := m.GetIndex()
 	if prevIndex > c.commit {
@@ -244,6 +245,7 @@
 
 func (c *Core) onSnapshot(m *wire.Message) {
 	c.acceptLeader(m.GetFrom())
+	c.leaderCommit = max(c.leaderCommit, m.GetCommit())
 	s := m.GetSnapshot()
 	if s.GetIndex() > c.commit {
 		// Records that follow the snapshot in a matching log were acknowledged and must
