Gateway: no request, copy or resumption goes to an evacuated failure domain

Cause: orders for failure domains are committed by the control replicas and have no effect at the instances.

Change: a follower takes the orders with the highest index of all replicas and never older ones. The balancer does not choose a target in an evacuated domain, neither for requests nor for copies, and refuses resumptions there; such a target is not leaving, so runs under way stay. A service of which all targets are evacuated is refused as not run (503, Retry-After). A follower passes no list of targets on before a replica that is current has answered, so that an instance that is ready knows all orders acknowledged before; without such a replica it starts after 8 s with the newest orders it has heard of, after 1 s if only replicas of the previous build answer.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -112,6 +112,7 @@
 	byID      map[string][]*Target // more than one only if the list has an identity twice
 	byService map[string][]*Target
 	hasList   bool
+	evacuated map[string]bool // failure domains
 	// pairs counts this instance's copies by the run's engine and the holder.
 	pairs map[pair]int
 	// partitionedUntil is the time until which a failure domain is considered partitioned.
@@ -211,7 +212,7 @@
 	var best *Target
 	bestScore, ties := 0.0, 0
 	for _, t := range b.byService[service] {
-		if t.isLeaving(now) || !allowed(t, now) || !b.withinLimit(t, now) || tokens > 0 && !b.hasRoom(t, tokens, now) || slices.Contains(avoid, t.id) {
+		if !b.usable(t, now) || !allowed(t, now) || !b.withinLimit(t, now) || tokens > 0 && !b.hasRoom(t, tokens, now) || slices.Contains(avoid, t.id) {
 			continue
 		}
 		score := b.score(t, tokens, now)
@@ -269,7 +270,7 @@
 // Resumable reports whether a request may still be sent to the holder of its run's copy. An
 // engine is sent no more requests once it has been known to be leaving for leavingGrace.
 func (b *Balancer) Resumable(t *Target, now time.Duration) bool {
-	if !b.isListed(t) || !t.accepts(now) && !t.mayBeProbed(now) || !b.resumableWithinLimit(t, now) {
+	if !b.isListed(t) || b.Evacuated(t) || !t.accepts(now) && !t.mayBeProbed(now) || !b.resumableWithinLimit(t, now) {
 		return false
 	}
 	return !t.knownLeaving() || now < t.leavingSince+leavingGrace
--- a/internal/balance/copies.go
+++ b/internal/balance/copies.go
@@ -90,7 +90,7 @@
 	var best *Target
 	bestScore := 0.0
 	for _, t := range b.byService[source.service] {
-		if t.isLeaving(now) || !t.accepts(now) || !b.withinLimit(t, now) || t == source || now < t.ejectedUntil || t.load.waiting > 0 || slices.Contains(avoid, t.id) {
+		if !b.usable(t, now) || !t.accepts(now) || !b.withinLimit(t, now) || t == source || now < t.ejectedUntil || t.load.waiting > 0 || slices.Contains(avoid, t.id) {
 			continue
 		}
 		score, known := t.memory(tokens, now)
@@ -138,7 +138,7 @@
 	needed, capacity := 0, 0
 	for _, t := range b.byService[service] {
 		needed += t.tokens - t.copyTokens + t.peerUse.tokens - t.peerUse.copyTokens
-		if !t.isLeaving(now) {
+		if b.usable(t, now) {
 			capacity += t.load.capacity
 		}
 	}
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -112,7 +112,7 @@
 func (b *Balancer) AtCapacity(service string, tokens int, now time.Duration) bool {
 	known := false
 	for _, t := range b.byService[service] {
-		if t.isLeaving(now) || t.asksToWait(now) {
+		if !b.usable(t, now) || t.asksToWait(now) {
 			continue
 		}
 		memory, ok := t.memory(tokens, now)
--- a/internal/balance/reach.go
+++ b/internal/balance/reach.go
@@ -68,17 +68,21 @@
 	b.reachAll.fail(t, b.groupAll, now)
 }
 
-// countGroups counts the targets of each service, and of all.
+// countGroups counts the targets of each service, and of all, without evacuated ones: no connection shows
+// anything of these.
 func (b *Balancer) countGroups() {
 	b.groups, b.groupAll = make(map[string]group, len(b.byService)), group{services: len(b.byService)}
 	allDomains := map[string]bool{}
 	for service, listed := range b.byService {
-		domains := map[string]bool{}
+		domains, targets := map[string]bool{}, 0
 		for _, t := range listed {
-			domains[t.domain], allDomains[t.domain] = true, true
+			if !b.Evacuated(t) {
+				domains[t.domain], allDomains[t.domain] = true, true
+				targets++
+			}
 		}
-		b.groups[service] = group{targets: len(listed), domains: len(domains), services: 1}
-		b.groupAll.targets += len(listed)
+		b.groups[service] = group{targets: targets, domains: len(domains), services: 1}
+		b.groupAll.targets += targets
 	}
 	b.groupAll.domains = len(allDomains)
 }
@@ -113,7 +117,7 @@
 	for range listed {
 		t := listed[r.probes%len(listed)]
 		r.probes++
-		if !t.isLeaving(now) {
+		if b.usable(t, now) {
 			return t
 		}
 	}
--- a/internal/balance/statements.go
+++ b/internal/balance/statements.go
@@ -187,7 +187,7 @@
 func (b *Balancer) EarliestReturn(service string, now time.Duration) time.Duration {
 	var earliest time.Duration
 	for _, t := range b.byService[service] {
-		if t.isLeaving(now) {
+		if !b.usable(t, now) {
 			continue
 		}
 		wait := max(t.stated.waitUntil-now, b.limitWait(t, now), b.waitForRoom(t, now))
--- /dev/null
+++ b/internal/follow/evacuation.go
@@ -0,0 +1,73 @@
+package follow
+
+import (
+	"time"
+
+	"github.com/vanillaward/vanillaward/internal/control"
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+const (
+	// unsettledWait is how long a replica may hold a long poll open until this instance has learned the
+	// orders for failure domains: a replica that becomes current does not end the poll.
+	unsettledWait = 100 * time.Millisecond
+	// settleTimeout is the time from the first response after which an instance uses the list of targets
+	// although no replica is current. It is longer than the replicas are expected to be without a leader
+	// (7 s), and bounds how long the loss of their majority keeps an instance from starting.
+	settleTimeout = 8 * time.Second
+	// settleEarlierBuild is that time while all replicas that have responded are of a build that does not know
+	// such orders. Another replica may know them.
+	settleEarlierBuild = time.Second
+)
+
+// evacuation is what an instance knows of the orders for failure domains.
+type evacuation struct {
+	index uint64 // of the last record that changed them
+	// settled is set once the orders are known that were acknowledged before this instance started. No list
+	// of targets is passed on before.
+	settled bool
+	heard   bool          // a replica has responded
+	firstAt time.Duration // when the first one did
+	known   bool          // a replica that knows such orders has responded
+}
+
+// updateEvacuation passes the orders of a response to the sink if they are newer than those held, of
+// whichever replica these are: the state of the highest index is the newest. It is called with the lock held.
+func (f *Follower) updateEvacuation(address string, resp *wire.FollowResponse) {
+	e := &f.evacuation
+	if resp.GetEvacuationIndex() > e.index {
+		e.index = resp.GetEvacuationIndex()
+		f.sink.UpdateEvacuation(e.index, domainOrders(resp.GetEvacuated()))
+	}
+	if e.settled || !e.settles(resp, f.timers.Now()) {
+		return
+	}
+	e.settled = true
+	f.log.Info("orders for failure domains known", "replica", address, "index", e.index, "view", resp.GetEvacuationView().String(),
+		"after-ms", (f.timers.Now() - e.firstAt).Milliseconds())
+	if len(f.lists) > 0 {
+		f.passTargets(address, resp.GetListAgeMs())
+	}
+}
+
+// settles reports whether, with a response, the orders are known as well as they can be.
+func (e *evacuation) settles(resp *wire.FollowResponse, now time.Duration) bool {
+	if !e.heard {
+		e.heard, e.firstAt = true, now
+	}
+	view := resp.GetEvacuationView()
+	e.known = e.known || view != wire.EvacuationView_EVACUATION_VIEW_UNSPECIFIED
+	waited := now - e.firstAt
+	return view == wire.EvacuationView_EVACUATION_VIEW_CURRENT || waited >= settleTimeout || !e.known && waited >= settleEarlierBuild
+}
+
+// domainOrders returns the orders that are for failure domains.
+func domainOrders(orders []*wire.OrderStep) []*wire.OrderStep {
+	var out []*wire.OrderStep
+	for _, o := range orders {
+		if control.DomainOf(o) != "" {
+			out = append(out, o)
+		}
+	}
+	return out
+}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -57,6 +57,9 @@
 	Install(d *wire.Document) error
 	// UpdateTargets replaces the list of targets.
 	UpdateTargets(list []*wire.Target)
+	// UpdateEvacuation replaces the orders that evacuate failure domains, as of the record with an
+	// index. If there are any, it is called before the first call of UpdateTargets.
+	UpdateEvacuation(index uint64, orders []*wire.OrderStep)
 	// UpdateLoads updates the load reports of some engines.
 	UpdateLoads(loads []*wire.Load)
 	// LocalUses returns this instance's uses of targets.
@@ -96,6 +99,7 @@
 	usesInterval   time.Duration     // interval at which the leader receives the uses
 	heard          map[string]uint64 // number of the document that each replica has
 	lists          map[string]*targetList
+	evacuation     evacuation
 	exchanges      map[string]*exchange
 	statuses       map[string]string // last logged status by replica: current, behind or lost
 	currentAt      time.Duration     // when a current replica last responded
@@ -234,6 +238,10 @@
 		request.ListEpoch, request.ListVersion, request.LoadsVersion = l.epoch, l.version, l.loadsVersion
 	}
 	interval := f.usesInterval
+	request.EvacuationIndex = proto.Uint64(f.evacuation.index)
+	if !f.evacuation.settled {
+		request.WaitMs = min(request.WaitMs, uint64(unsettledWait.Milliseconds()))
+	}
 	f.mu.Unlock()
 	if isLeader {
 		// The leader responds at once, because the uses that it receives and the sums
@@ -309,6 +317,7 @@
 		f.sink.UpdatePeerUses(resp.GetOthers(), int(resp.GetFollowers()))
 	}
 	f.noteDocument(address, resp.GetDocumentNumber())
+	f.updateEvacuation(address, resp)
 	f.updateList(address, resp)
 	if len(resp.GetLoads()) > 0 {
 		f.sink.UpdateLoads(resp.GetLoads())
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -41,14 +41,15 @@
 
 type sink struct{}
 
-func (sink) Number() uint64                           { return 0 }
-func (sink) Install(*wire.Document) error             { return nil }
-func (sink) UpdateTargets([]*wire.Target)             {}
-func (sink) UpdateLoads([]*wire.Load)                 {}
-func (sink) LocalUses() []*wire.Use                   { return []*wire.Use{{Target: "t"}} }
-func (sink) UpdatePeerUses([]*wire.Use, int)          {}
-func (sink) Evidence(uint64) (*wire.Evidence, uint64) { return nil, 0 }
-func (sink) MergeEvidence(*wire.Evidence)             {}
+func (sink) Number() uint64                             { return 0 }
+func (sink) Install(*wire.Document) error               { return nil }
+func (sink) UpdateTargets([]*wire.Target)               {}
+func (sink) UpdateEvacuation(uint64, []*wire.OrderStep) {}
+func (sink) UpdateLoads([]*wire.Load)                   {}
+func (sink) LocalUses() []*wire.Use                     { return []*wire.Use{{Target: "t"}} }
+func (sink) UpdatePeerUses([]*wire.Use, int)            {}
+func (sink) Evidence(uint64) (*wire.Evidence, uint64)   { return nil, 0 }
+func (sink) MergeEvidence(*wire.Evidence)               {}
 
 // TestLeaderIsFollowed checks that the leader is always among the three followed of eight
 // replicas, also after a change of leader, because only the leader receives the uses of all
--- a/internal/follow/lists.go
+++ b/internal/follow/lists.go
@@ -21,7 +21,7 @@
 }
 
 // updateList stores the list of targets of a response and, if it changed, passes the
-// merged lists to the sink. It is called with the lock held.
+// merged lists to the sink, unless the orders for failure domains are still to be learned. It is called with the lock held.
 func (f *Follower) updateList(address string, resp *wire.FollowResponse) {
 	if resp.GetListVersion() == 0 {
 		return
@@ -37,8 +37,15 @@
 		return
 	}
 	l.epoch, l.version, l.targets = resp.GetListEpoch(), resp.GetListVersion(), f.checkTargets(address, resp.GetTargets())
+	if f.evacuation.settled {
+		f.passTargets(address, resp.GetListAgeMs())
+	}
+}
+
+// passTargets passes the merged lists to the sink. It is called with the lock held.
+func (f *Follower) passTargets(address string, ageMs uint64) {
 	merged := mergeLists(f.lists)
-	f.log.Info("targets", "replica", address, "age-ms", resp.GetListAgeMs(), "ready", countReady(merged), "listed", len(merged))
+	f.log.Info("targets", "replica", address, "age-ms", ageMs, "ready", countReady(merged), "listed", len(merged))
 	f.sink.UpdateTargets(merged)
 }
 
--- a/internal/follow/spread_test.go
+++ b/internal/follow/spread_test.go
@@ -180,11 +180,12 @@
 	}
 }
 
-func (s *recordingSink) UpdateLoads([]*wire.Load)                 {}
-func (s *recordingSink) LocalUses() []*wire.Use                   { return nil }
-func (s *recordingSink) UpdatePeerUses([]*wire.Use, int)          {}
-func (s *recordingSink) Evidence(uint64) (*wire.Evidence, uint64) { return nil, 0 }
-func (s *recordingSink) MergeEvidence(*wire.Evidence)             {}
+func (s *recordingSink) UpdateEvacuation(uint64, []*wire.OrderStep) {}
+func (s *recordingSink) UpdateLoads([]*wire.Load)                   {}
+func (s *recordingSink) LocalUses() []*wire.Use                     { return nil }
+func (s *recordingSink) UpdatePeerUses([]*wire.Use, int)            {}
+func (s *recordingSink) Evidence(uint64) (*wire.Evidence, uint64)   { return nil, 0 }
+func (s *recordingSink) MergeEvidence(*wire.Evidence)               {}
 
 // awaitNumber returns when the document with a number came into force, 0 if it did not within a minute.
 func (s *recordingSink) awaitNumber(number uint64) time.Duration {
--- a/internal/gateway/reason.go
+++ b/internal/gateway/reason.go
@@ -29,6 +29,7 @@
 	reasonTooLate      reason = "too-late" // the deadline passed before the first attempt
 	reasonStopping     reason = "stopping" // the request might not end before the gateway stops
 	reasonNoTarget     reason = "no-target"
+	reasonEvacuated    reason = "evacuated"         // the failure domains of all targets are evacuated
 	reasonUnreachable  reason = "unreachable"       // no connection to the last target could be made
 	reasonFull         reason = "full"              // the last target stated that it did not run the request
 	reasonTargetsWait  reason = "targets-wait"      // all targets asked to get no requests for a time
@@ -63,6 +64,7 @@
 	reasonTooLate:      {status: http.StatusServiceUnavailable},
 	reasonStopping:     {status: http.StatusServiceUnavailable, retryAfter: 400 * time.Millisecond, closing: true},
 	reasonNoTarget:     {status: http.StatusServiceUnavailable, retryAfter: 400 * time.Millisecond},
+	reasonEvacuated:    {status: http.StatusServiceUnavailable, retryAfter: time.Second},
 	reasonUnreachable:  {status: http.StatusServiceUnavailable, retryAfter: 150 * time.Millisecond},
 	reasonFull:         {status: http.StatusServiceUnavailable, retryAfter: 150 * time.Millisecond},
 	reasonTargetsWait:  {status: http.StatusServiceUnavailable, retryAfter: 150 * time.Millisecond},
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -157,7 +157,10 @@
 		req.refuse(reasonBroken)
 		return
 	}
-	if wait := req.server.earliestReturn(req.service); wait > 0 {
+	if req.server.serviceEvacuated(req.service) {
+		req.server.base.Metrics.EvacuationRefusal()
+		why = reasonEvacuated
+	} else if wait := req.server.earliestReturn(req.service); wait > 0 {
 		why, req.comeBack = reasonTargetsWait, wait
 	}
 	req.refuse(why)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -252,14 +252,14 @@
 
 // usable reports whether a run can rely on a copy. It is called with the lock held.
 func (g *Server) usable(c *heldCopy, now time.Duration) bool {
-	return c != nil && !g.balancer.Leaving(c.holder, now) && (c.expires == 0 || now < c.expires)
+	return c != nil && g.mayHold(c.holder, now) && (c.expires == 0 || now < c.expires)
 }
 
 // destination returns the engine that a run's KV cache should be copied to, or nil. It is
 // the holder of an older copy, to which only the difference must be copied, or else any
 // engine with capacity. It is called with the lock held.
 func (g *Server) destination(r *run, now time.Duration) *balance.Target {
-	if r.copy != nil && r.copy.expires > 0 && !g.balancer.Leaving(r.copy.holder, now) {
+	if r.copy != nil && r.copy.expires > 0 && g.mayHold(r.copy.holder, now) {
 		return r.copy.holder
 	}
 	return g.balancer.ChooseMigrationDestination(r.engine, r.tokens, r.avoid, now)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -90,6 +90,8 @@
 	// former holds the engines with former runs by address; formerCount is the number of those runs.
 	former      map[string]*formerEngine
 	formerCount int
+	// evacuated holds the orders in force that evacuated failure domains, by domain.
+	evacuated map[string]*wire.OrderStep
 }
 
 // Option configures a gateway.
@@ -125,6 +127,7 @@
 	b.Metrics.Gauge("vanillaward_gateway_buffered_bytes", func() float64 { return float64(g.buffers.Used()) })
 	b.Metrics.Gauge("vanillaward_gateway_parts_held_back", func() float64 { return float64(g.crashes.Parts()) })
 	b.Metrics.Gauge("vanillaward_gateway_services_out_of_reach", func() float64 { return float64(len(g.servicesOutOfReach())) })
+	b.Metrics.Gauge("vanillaward_gateway_evacuated_domains", func() float64 { return float64(g.evacuatedDomains()) })
 	b.Metrics.Gauge("vanillaward_gateway_configuration_number", func() float64 { return float64(g.Number()) })
 	return g
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -204,6 +204,12 @@
 	metrics.WriteProcessMetrics(w)
 }
 
+// EvacuationRefusal counts a request that was refused because the failure domains of all targets of its service
+// are evacuated.
+func (m *Metrics) EvacuationRefusal() {
+	m.set.GetOrCreateCounter("vanillaward_gateway_evacuation_refusals_total").Inc()
+}
+
 // Halt counts an engine that was asked to end a run before it goes on elsewhere, by the result.
 func (m *Metrics) Halt(result string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_run_halts_total{result=%q}", result)).Inc()
