Command line: domain out, in and list

Cause: orders for failure domains can be given over HTTP only, without a reason, and nothing shows them.

`--credentials` may be empty for deployments without credentials, whose replicas no command could reach before. Control.Follow answers describe orders only to instances that state what they hold.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -74,6 +74,7 @@
 	t.addChanges(app)
 	t.addStatus(app)
 	t.addReplica(app)
+	t.addDomain(app)
 	t.addCertificates(app)
 	t.addReplay(app)
 	t.addExplain(app)
@@ -104,7 +105,7 @@
 // addReplicaFlags adds the flags for connections to the replicas to a command.
 func (t *tool) addReplicaFlags(c *kingpin.CmdClause) {
 	c.Flag("replicas", "Control replicas as name@ip:port, separated by commas.").Envar("VANILLAWARD_REPLICAS").Required().StringVar(&t.flags.replicas)
-	c.Flag("credentials", "Folder with the operator's certificate, key and authority.").Envar("VANILLAWARD_CREDENTIALS").Required().StringVar(&t.flags.credentials)
+	c.Flag("credentials", "Folder with the operator's certificate, key and authority. Empty: the deployment has no credentials.").Envar("VANILLAWARD_CREDENTIALS").StringVar(&t.flags.credentials)
 	c.Flag("timeout", "How long to try until a replica answers.").Default("10s").DurationVar(&t.flags.timeout)
 }
 
@@ -113,9 +114,11 @@
 	if err != nil {
 		return nil, err
 	}
-	creds, err := peer.LoadCredentials(t.flags.credentials)
-	if err != nil {
-		return nil, err
+	creds := peer.PlainCredentials()
+	if t.flags.credentials != "" {
+		if creds, err = peer.LoadCredentials(t.flags.credentials); err != nil {
+			return nil, err
+		}
 	}
 	return newClient(peers, creds, t.flags.timeout), nil
 }
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -5,12 +5,13 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/vanillaward/vanillaward/internal/control"
 	"github.com/vanillaward/vanillaward/internal/declaration"
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
 func (t *tool) addStatus(app *kingpin.Application) {
-	status := app.Command("status", "Show the replicas, the version accepted and in force, instances that lag, and orders to targets.")
+	status := app.Command("status", "Show the replicas, the version accepted and in force, instances that lag, evacuated failure domains, and orders to targets.")
 	t.addReplicaFlags(status)
 	stale := status.Flag("stale", "Accept the view of any replica, for when there is no leader.").Bool()
 	status.Action(func(*kingpin.ParseContext) error {
@@ -79,6 +80,7 @@
 	Replicas  []replicaReport  `json:"replicas"`
 	Instances []instanceReport `json:"instances"`
 	Orders    []orderReport    `json:"orders"`
+	Evacuated []domainReport   `json:"evacuated-domains"`
 }
 
 type replicaReport struct {
@@ -108,7 +110,7 @@
 func newStatusReport(s *wire.StatusResponse) *statusReport {
 	out := &statusReport{
 		Leader: s.GetLeader(), Term: s.GetTerm(), Accepted: s.GetVersion(), InForce: s.GetInForce(), Current: s.GetCurrent(),
-		Replicas: []replicaReport{}, Instances: []instanceReport{}, Orders: []orderReport{},
+		Replicas: []replicaReport{}, Instances: []instanceReport{}, Orders: []orderReport{}, Evacuated: evacuatedDomains(s),
 	}
 	for _, r := range s.GetReplicas() {
 		role := "voter"
@@ -126,6 +128,9 @@
 		out.Instances = append(out.Instances, instanceReport{i.GetName(), i.GetFailureDomain(), i.GetVersion(), i.GetLagMs(), i.GetSeenMsAgo(), i.GetLacksTargets()})
 	}
 	for _, o := range s.GetOrders() {
+		if control.DomainOf(o) != "" {
+			continue // a replica of an earlier build lists orders for failure domains too
+		}
 		out.Orders = append(out.Orders, orderReport{o.GetTarget(), o.GetState(), o.GetFence(), o.GetIssuer()})
 	}
 	return out
@@ -147,6 +152,9 @@
 		}
 		writeLine(w, "instance %-14s %-14s version %d%s, seen %d ms ago%s", i.Name, i.Domain, i.Version, lag, i.SeenMs, lacks)
 	}
+	for _, d := range s.Evacuated {
+		d.text(w)
+	}
 	for _, o := range s.Orders {
 		writeLine(w, "order    %-14s %s, fence %d, by %s", o.Target, o.Order, o.Fence, o.Issuer)
 	}
--- a/internal/control/evacuation.go
+++ b/internal/control/evacuation.go
@@ -100,7 +100,8 @@
 
 func isDomainOrder(o *wire.OrderStep) bool { return strings.HasPrefix(o.GetTarget(), domainPrefix) }
 
-func evacuates(o *wire.OrderStep) bool { return o.GetState() == stateOutOfUse }
+// Evacuates reports whether an order for a failure domain evacuates it.
+func Evacuates(o *wire.OrderStep) bool { return o.GetState() == stateOutOfUse }
 
 // Evacuation returns which failure domains are evacuated. The result is not changed later.
 func (s *State) Evacuation() Evacuation { return s.evacuation }
@@ -109,7 +110,7 @@
 // that do not know such orders record these repetitions too; they then have a higher index for the same
 // evacuated domains, which does no harm.
 func (s *State) repeatsDomainOrder(o *wire.OrderStep) bool {
-	return isDomainOrder(o) && evacuates(o) == s.evacuation.evacuates(DomainOf(o))
+	return isDomainOrder(o) && Evacuates(o) == s.evacuation.evacuates(DomainOf(o))
 }
 
 // dropOldRestorations bounds the number of records of failure domains that are in use. The newest record
@@ -117,7 +118,7 @@
 func (s *State) dropOldRestorations() {
 	var restored []*wire.OrderStep
 	for _, o := range s.orders {
-		if isDomainOrder(o) && !evacuates(o) {
+		if isDomainOrder(o) && !Evacuates(o) {
 			restored = append(restored, o)
 		}
 	}
@@ -138,7 +139,7 @@
 			continue
 		}
 		next.index = max(next.index, o.GetFence())
-		if evacuates(o) {
+		if Evacuates(o) {
 			next.orders = append(next.orders, o)
 		}
 	}
@@ -197,9 +198,9 @@
 		return ErrNotCurrent
 	case n.applied < n.core.LastIndex():
 		return errRecordsPending
-	case evacuates(step) == evacuation.evacuates(DomainOf(step)):
+	case Evacuates(step) == evacuation.evacuates(DomainOf(step)):
 		return errDomainSettled
-	case evacuates(step) && len(evacuation.orders) >= maxEvacuated:
+	case Evacuates(step) && len(evacuation.orders) >= maxEvacuated:
 		return errTooManyEvacuated
 	}
 	return nil
@@ -230,6 +231,17 @@
 	return wire.EvacuationView_EVACUATION_VIEW_BEHIND
 }
 
+// EvacuationView returns how well the replica knows the orders for failure domains.
+func (s LogStatus) EvacuationView() wire.EvacuationView { return s.evacuationView }
+
+// describeEvacuation adds the evacuated failure domains to the answer to an instance that holds those of an index.
+func (s LogStatus) describeEvacuation(held uint64, answer *wire.FollowResponse) {
+	answer.EvacuationIndex, answer.EvacuationView = s.evacuation.Index(), s.evacuationView
+	if s.evacuation.Index() > held {
+		answer.Evacuated = s.evacuation.Orders()
+	}
+}
+
 // OrderDomain commits an order for a failure domain at this replica if it leads, or forwards it to the
 // leader. It returns ErrDomainName for a name that no failure domain may have, and an error if the order
 // is not known to be committed. A leader of a build that does not know such orders refuses them: it has no
