Gateway: copies in an evacuated domain are forgotten, and connections there show nothing of reach

Cause: by reading. A stalled engine is made to stop a run whose copy another engine holds; with the holder's domain evacuated the resumption is refused, so the run was cut although its engine might have gone on. A failed connection to an evacuated target counted towards the loss of all targets, of which evacuated ones are no part.

Change: an order drops the copies that the domain holds from their runs, and frees those made on demand; a stall without a copy stops nothing. NoteUnreachable leaves evacuated targets out.

Measured: TestCopyInEvacuatedDomain and the other tests of evacuation in internal/gateway and internal/balance pass with -race, 10 s and 1 s.

--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -101,6 +101,8 @@
 		}}, 1, r.now)
 	case "wait":
 		r.now += time.Duration(r.number("ms")) * time.Millisecond
+	case "evacuate":
+		r.balancer.SetEvacuated(strings.Split(r.words[1], ","))
 	case "suspect":
 		r.balancer.SuspectLeaving(r.commandTarget(), r.now)
 	case "uncopied":
@@ -146,6 +148,10 @@
 		r.expect(r.balancer.ChooseMigrationDestination(r.commandTarget(), tokens, avoided(r.values["avoid"]), r.now))
 	case "resumable":
 		require.Equal(r.t, r.values["is"], strconv.FormatBool(r.balancer.Resumable(r.commandTarget(), r.now)), r.position)
+	case "leaves":
+		require.Equal(r.t, r.values["is"], strconv.FormatBool(r.balancer.Leaving(r.commandTarget(), r.now)), r.position)
+	case "deserted":
+		require.Equal(r.t, r.values["is"], strconv.FormatBool(r.balancer.ServiceEvacuated("s", r.now)), r.position)
 	case "returns":
 		require.EqualValues(r.t, r.number("ms"), r.balancer.EarliestReturn("s", r.now).Milliseconds(), r.position)
 	default:
--- a/internal/balance/reach.go
+++ b/internal/balance/reach.go
@@ -64,6 +64,9 @@
 
 // NoteUnreachable records that no connection to a target could be made. End does so itself.
 func (b *Balancer) NoteUnreachable(t *Target, now time.Duration) {
+	if b.Evacuated(t) { // it is not among those counted
+		return
+	}
 	b.reachOf(t.service).fail(t, b.groups[t.service], now)
 	b.reachAll.fail(t, b.groupAll, now)
 }
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -21,6 +21,7 @@
 	before := g.evacuated
 	g.evacuated = next
 	g.balancer.SetEvacuated(domains)
+	g.forgetEvacuatedCopies()
 	g.startMoves()
 	g.mu.Unlock()
 	for domain, o := range next {
@@ -35,6 +36,22 @@
 	}
 }
 
+// forgetEvacuatedCopies drops the copies at targets that may not be asked to resume a run: an engine that stalls
+// would be made to stop a run that could not go on. It is called with the lock held.
+func (g *Server) forgetEvacuatedCopies() {
+	for r := range g.runs {
+		c := r.copy
+		if c == nil || !g.balancer.Evacuated(c.holder) {
+			continue
+		}
+		g.removeCopy(r)
+		g.countUncopied(r, true)
+		if !c.growing() {
+			g.free(unusedCopy{request: r.request, address: c.address, handle: c.handle})
+		}
+	}
+}
+
 // logEvacuation logs that an order takes effect, with the order that evacuated the failure domain.
 func (g *Server) logEvacuation(message, domain string, index uint64, o *wire.OrderStep) {
 	g.mu.Lock()
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -112,7 +112,7 @@
 var errNoAnswer = errors.New("no answer")
 
 // errEngineGone is logged for a copy whose holder can no longer be sent requests.
-var errEngineGone = errors.New("holder of the copy is no longer listed or is leaving")
+var errEngineGone = errors.New("holder of the copy is no longer listed, is leaving or is in an evacuated failure domain")
 
 func isCallerError(err error) bool {
 	var caller callerError
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -284,11 +284,11 @@
 }
 
 // recordMove records the copy that a move has made, or queues it to be freed if the run has
-// ended.
+// ended, or the failure domain of the holder is evacuated.
 func (g *Server) recordMove(r *run, holder, source *balance.Target, handle string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if _, open := g.runs[r]; !open {
+	if _, open := g.runs[r]; !open || g.balancer.Evacuated(holder) {
 		g.free(unusedCopy{request: r.request, address: source.Address(), handle: handle})
 		return
 	}
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -74,11 +74,11 @@
 }
 
 // tryResume has the run resumed by the holder of its copy, once its engine does not work on it any
-// more. It cancels the resumption if the engine has sent another event, or the watch was stopped,
+// more, unless the copy is gone since. It cancels the resumption if the engine has sent another event, or the watch was stopped,
 // before the holder accepted.
 func (s *stallWatch) tryResume() {
 	s.mu.Lock()
-	if s.requesting || s.stopped {
+	if s.requesting || s.stopped || !s.req.server.hasCopy(s.req.stream.run) {
 		s.mu.Unlock()
 		return
 	}
