--- a/internal/control/documents.go
+++ b/internal/control/documents.go
@@ -144,10 +144,9 @@
 	if request.GetAsksForHelpers() {
 		answer.Helpers = s.helpersOf(request)
 	}
-	if answer.EvacuationIndex = status.evacuation.Index(); answer.GetEvacuationIndex() > request.GetEvacuationIndex() {
-		answer.Evacuated = status.evacuation.Orders()
+	if request.EvacuationIndex != nil {
+		status.describeEvacuation(request.GetEvacuationIndex(), answer)
 	}
-	answer.EvacuationView = status.evacuationView
 	s.evidence.answer(request, answer, s.timers.Now())
 	return nil
 }
--- a/internal/follow/spread_test.go
+++ b/internal/follow/spread_test.go
@@ -152,6 +152,16 @@
 	// installed is what came into force, in order
 	installed []installation
 	leaving   time.Duration // when a leaving target was first seen
+	// exchanges is the number of polls of the leader, and evacuation what was last heard of orders.
+	exchanges  int
+	evacuation evacuationState
+}
+
+// evacuationState is the state of the orders for failure domains at an instance.
+type evacuationState struct {
+	index     uint64
+	domains   []string
+	exchanges int // polls of the leader until then
 }
 
 func (s *recordingSink) Number() uint64 {
@@ -180,12 +190,27 @@
 	}
 }
 
-func (s *recordingSink) UpdateEvacuation(uint64, []*wire.OrderStep) {}
-func (s *recordingSink) UpdateLoads([]*wire.Load)                   {}
-func (s *recordingSink) LocalUses() []*wire.Use                     { return nil }
-func (s *recordingSink) UpdatePeerUses([]*wire.Use, int)            {}
-func (s *recordingSink) Evidence(uint64) (*wire.Evidence, uint64)   { return nil, 0 }
-func (s *recordingSink) MergeEvidence(*wire.Evidence)               {}
+// LocalUses is called once for each poll of the leader.
+func (s *recordingSink) LocalUses() []*wire.Use {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.exchanges++
+	return nil
+}
+
+func (s *recordingSink) UpdateEvacuation(index uint64, orders []*wire.OrderStep) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuation = evacuationState{index: index, exchanges: s.exchanges}
+	for _, o := range orders {
+		s.evacuation.domains = append(s.evacuation.domains, control.DomainOf(o))
+	}
+}
+
+func (s *recordingSink) UpdateLoads([]*wire.Load)                 {}
+func (s *recordingSink) UpdatePeerUses([]*wire.Use, int)          {}
+func (s *recordingSink) Evidence(uint64) (*wire.Evidence, uint64) { return nil, 0 }
+func (s *recordingSink) MergeEvidence(*wire.Evidence)             {}
 
 // awaitNumber returns when the document with a number came into force, 0 if it did not within a minute.
 func (s *recordingSink) awaitNumber(number uint64) time.Duration {
@@ -321,3 +346,57 @@
 	}
 	return math.MaxInt64
 }
+
+// order has an order for a failure domain committed at whichever replica leads, and returns its index.
+func (d *deployment) order(t *testing.T, domain string, evacuate bool) uint64 {
+	t.Helper()
+	for range 100 {
+		for _, r := range d.replicas {
+			ctx, cancel := context.WithTimeout(d.ctx, time.Second)
+			result, err := r.node.OrderDomain(ctx, control.NewDomainOrder(domain, evacuate, "operator", ""))
+			cancel()
+			if err == nil {
+				return result.GetIndex()
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	require.Fail(t, "the order was not committed")
+	return 0
+}
+
+// TestOrderIsInForceAfterTwoPolls guards against an order that an instance hears of later than with the poll of the
+// leader after the one that was under way when the order was acknowledged.
+func TestOrderIsInForceAfterTwoPolls(t *testing.T) {
+	const maxPolls, orders = 2, 20
+	dirs := []string{t.TempDir(), t.TempDir(), t.TempDir()}
+	synctest.Test(t, func(t *testing.T) {
+		d := startDeployment(t, dirs, nil)
+		d.offer(t, 1, []byte("body"))
+		require.NotZero(t, d.sink.awaitNumber(1))
+		for i := range orders {
+			index := d.order(t, fmt.Sprint("zone-", i/2), i%2 == 0)
+			d.sink.mu.Lock()
+			before := d.sink.exchanges
+			d.sink.mu.Unlock()
+			var got evacuationState
+			for range 1000 {
+				d.sink.mu.Lock()
+				got = d.sink.evacuation
+				d.sink.mu.Unlock()
+				if got.index >= index {
+					break
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			require.Equal(t, index, got.index)
+			require.LessOrEqual(t, got.exchanges-before, maxPolls, "order %d", i)
+			if i%2 == 0 {
+				require.Equal(t, []string{fmt.Sprint("zone-", i/2)}, got.domains)
+			} else {
+				require.Empty(t, got.domains)
+			}
+		}
+		d.end(t)
+	})
+}
