--- a/internal/replog/cluster_test.go
+++ b/internal/replog/cluster_test.go
@@ -88,16 +88,20 @@
 // cluster runs replicas in virtual time over a network that loses, delays,
 // duplicates and reorders messages.
 type cluster struct {
-	draw            func(n int) int
-	defect          defect
-	now             time.Duration
-	step            int64
-	members         []*member
-	network         []*wire.Message
-	leaders         map[uint64]string
-	applied         map[uint64]string // content by index
-	committedTerms  map[uint64]uint64 // term by index
-	firstKnownTerm  map[uint64]uint64 // term in which an index was first known to be committed
+	draw           func(n int) int
+	defect         defect
+	now            time.Duration
+	step           int64
+	members        []*member
+	network        []*wire.Message
+	leaders        map[uint64]string
+	applied        map[uint64]string // content by index
+	committedTerms map[uint64]uint64 // term by index
+	firstKnownTerm map[uint64]uint64 // term in which an index was first known to be committed
+	lastKnown      uint64            // highest index that is known to be committed
+	// knownWhenSent is the highest index that was known to be committed in the message's term or earlier when
+	// it was sent.
+	knownWhenSent   map[*wire.Message]uint64
 	history         []*operation
 	nextID          int
 	faults          bool
@@ -120,7 +124,7 @@
 	c := &cluster{
 		draw: draw, defect: d, leaders: map[uint64]string{}, applied: map[uint64]string{},
 		committedTerms: map[uint64]uint64{}, firstKnownTerm: map[uint64]uint64{}, effects: map[uint64]effect{},
-		versions: map[uint64]uint64{}, faults: true,
+		versions: map[uint64]uint64{}, faults: true, knownWhenSent: map[*wire.Message]uint64{},
 	}
 	membership := &wire.Membership{}
 	for i := range voters {
@@ -191,6 +195,7 @@
 		m.disk.save(a)
 	case replog.Send:
 		c.network = append(c.network, a.Message)
+		c.knownWhenSent[a.Message] = c.knownIn(a.Message.GetTerm())
 	case replog.Apply:
 		return c.apply(m, a.Entries)
 	case replog.Restore:
@@ -223,6 +228,7 @@
 		c.committedTerms[e.GetIndex()] = e.GetTerm()
 		if _, ok := c.firstKnownTerm[e.GetIndex()]; !ok {
 			c.firstKnownTerm[e.GetIndex()] = m.core.Term()
+			c.lastKnown = max(c.lastKnown, e.GetIndex())
 		}
 		outcome := control.Outcome{}
 		if len(e.GetData()) > 0 {
@@ -389,7 +395,34 @@
 	if !ok {
 		return nil
 	}
-	return c.perform(to, to.core.Receive(c.clock(to), copied))
+	if err := c.perform(to, to.core.Receive(c.clock(to), copied)); err != nil || !to.up {
+		return err
+	}
+	fromLeader := message.GetKind() == wire.Kind_KIND_APPEND || message.GetKind() == wire.Kind_KIND_SNAPSHOT
+	if known := c.knownWhenSent[message]; fromLeader && message.GetTerm() == to.core.Term() && to.applied < known && to.core.Current(c.clock(to), time.Hour) {
+		return fmt.Errorf("currency: %s has applied record %d, and record %d was committed when its leader sent a message", to.id, to.applied, known)
+	}
+	return c.checkLeases()
+}
+
+// knownIn returns the highest index that is known to be committed in a term or an earlier one.
+func (c *cluster) knownIn(term uint64) uint64 {
+	for index := c.lastKnown; index > 0; index-- {
+		if known, ok := c.firstKnownTerm[index]; ok && known <= term {
+			return index
+		}
+	}
+	return 0
+}
+
+// checkLeases checks that a leader with a valid lease has applied what is known to be committed.
+func (c *cluster) checkLeases() error {
+	for _, m := range c.members {
+		if m.up && !m.frozen && m.core.Role() == replog.Leader && m.applied < c.lastKnown && m.core.Current(c.clock(m), 0) {
+			return fmt.Errorf("currency: leader %s has applied record %d of %d", m.id, m.applied, c.lastKnown)
+		}
+	}
+	return nil
 }
 
 func (c *cluster) member(id string) *member {
