Control, follow: a replica that has just lost its leader lets an instance start

While the replicas have no leader (5.5 to 7 s in the partitions of the deployments) no replica is current, and an instance that starts waited up to 8 s for one before it was ready.

Change: a replica that was current within the last 10 s and since its store was opened states so. An instance that has waited 1 s for a current replica then starts with what that one knows, which is what running instances cut off with it know. A replica that was restarted and has heard from no leader still does not let it start before 8 s.

Measured: TestListWithoutCurrentReplica and TestOrderWithoutMajority (leader that loses its lease, cut off, a minute later, restarted) pass with -race.

--- a/internal/control/evacuation.go
+++ b/internal/control/evacuation.go
@@ -29,6 +29,9 @@
 	// maxDomainName and maxOrderNote bound what an order holds, in bytes.
 	maxDomainName = 128
 	maxOrderNote  = 1024
+	// maxCutOff is how long after it was current a replica without a leader states so. The replicas are
+	// expected to be without a leader for up to 7 s.
+	maxCutOff = 10 * time.Second
 	// pendingPoll is the interval at which an order checks whether all earlier records are applied.
 	pendingPoll = 10 * time.Millisecond
 	// methodOrderDomain is the RPC method that commits an order for a failure domain.
@@ -222,11 +225,16 @@
 		"note", step.GetNote(), "listed-targets", listed)
 }
 
-// evacuationView returns how well this replica knows the orders for failure domains. It is called in the
-// goroutine that owns the replica.
+// evacuationView returns how well this replica knows the orders for failure domains. It is called at each
+// tick, and in the goroutine that owns the replica.
 func (n *Node) evacuationView() wire.EvacuationView {
-	if n.applied >= n.core.Commit() && n.core.Current(n.timers.Now(), 2*n.timing.Election) {
+	now := n.timers.Now()
+	switch {
+	case n.applied >= n.core.Commit() && n.core.Current(now, 2*n.timing.Election):
+		n.wasCurrent, n.currentAt = true, now
 		return wire.EvacuationView_EVACUATION_VIEW_CURRENT
+	case n.wasCurrent && now-n.currentAt <= maxCutOff:
+		return wire.EvacuationView_EVACUATION_VIEW_CUT_OFF
 	}
 	return wire.EvacuationView_EVACUATION_VIEW_BEHIND
 }
--- a/internal/control/evacuation_test.go
+++ b/internal/control/evacuation_test.go
@@ -233,19 +233,37 @@
 			require.Len(t, status.Evacuation().Orders(), 1)
 		}
 		link.cut.Store(true)
+		time.Sleep(replog.DefaultTiming().Election) // its lease is over, and it does not know yet that it no longer leads
+		require.False(t, order(leader, "zone"), "another one may lead")
 		require.False(t, order(leader, "other"), "it is not committed")
 		time.Sleep(2 * replog.DefaultTiming().Election)
 		for _, node := range link.nodes {
 			require.False(t, order(node, "zone"), "it changes nothing, as far as this replica knows")
 			status, err := node.LogStatus(ctx)
 			require.NoError(t, err)
-			require.Equal(t, wire.EvacuationView_EVACUATION_VIEW_BEHIND, status.EvacuationView())
+			require.Equal(t, wire.EvacuationView_EVACUATION_VIEW_CUT_OFF, status.EvacuationView())
 			require.Len(t, status.Evacuation().Orders(), 1, "what is not committed is not in force")
 		}
+		time.Sleep(time.Minute)
+		for _, node := range link.nodes {
+			status, err := node.LogStatus(ctx)
+			require.NoError(t, err)
+			require.Equal(t, wire.EvacuationView_EVACUATION_VIEW_BEHIND, status.EvacuationView())
+		}
 		cancel()
 		for _, end := range ends {
 			require.NoError(t, <-end)
 		}
+
+		ctx, cancel = context.WithCancel(context.Background())
+		restarted := control.NewNode(logr.Discard(), dirs[second], timertest.New(), link, config.NewStore(), second, 1)
+		end := restarted.Run(ctx)
+		time.Sleep(time.Second)
+		status, err := restarted.LogStatus(ctx)
+		require.NoError(t, err)
+		require.Equal(t, wire.EvacuationView_EVACUATION_VIEW_BEHIND, status.EvacuationView(), "it has not heard from a leader since")
+		cancel()
+		require.NoError(t, <-end)
 	})
 }
 
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -67,6 +67,8 @@
 	store        *storage.Store
 	state        *State
 	applied      uint64
+	wasCurrent   bool // since the store was opened, at currentAt the last time
+	currentAt    time.Duration
 	waiters      map[uint64]waiter
 	pending      []replog.Action // actions of the calls being handled
 	// addresses of replicas that sent messages, by ID, for replies to replicas that
@@ -219,7 +221,7 @@
 		n.log.Info("log rewritten after a failed sync")
 	}
 	n.state = NewState()
-	n.applied = 0
+	n.applied, n.wasCurrent = 0, false
 	durable := store.Durable()
 	if durable.Snapshot != nil {
 		if err := n.restore(durable.Snapshot); err != nil {
@@ -250,6 +252,7 @@
 }
 
 func (n *Node) tick() error {
+	n.evacuationView()
 	actions := n.core.Tick(n.timers.Now())
 	actions = append(actions, n.reconcileMembership()...)
 	actions = append(actions, n.core.PersistCommit()...)
--- a/internal/follow/evacuation.go
+++ b/internal/follow/evacuation.go
@@ -15,9 +15,10 @@
 	// although no replica is current. It is longer than the replicas are expected to be without a leader
 	// (7 s), and bounds how long the loss of their majority keeps an instance from starting.
 	settleTimeout = 8 * time.Second
-	// settleEarlierBuild is that time while all replicas that have responded are of a build that does not know
-	// such orders. Another replica may know them.
-	settleEarlierBuild = time.Second
+	// settleEarly is that time if a replica has responded that has lost its leader a few seconds ago: what it
+	// knows is what the running instances that are cut off with it know. It also holds while all replicas that
+	// have responded are of a build that does not know such orders. Another replica may know more.
+	settleEarly = time.Second
 )
 
 // evacuation is what an instance knows of the orders for failure domains.
@@ -29,6 +30,7 @@
 	heard   bool          // a replica has responded
 	firstAt time.Duration // when the first one did
 	known   bool          // a replica that knows such orders has responded
+	cutOff  bool          // one that was current a few seconds ago has
 }
 
 // updateEvacuation passes the orders of a response to the sink if they are newer than those held, of
@@ -57,8 +59,9 @@
 	}
 	view := resp.GetEvacuationView()
 	e.known = e.known || view != wire.EvacuationView_EVACUATION_VIEW_UNSPECIFIED
+	e.cutOff = e.cutOff || view == wire.EvacuationView_EVACUATION_VIEW_CUT_OFF
 	waited := now - e.firstAt
-	return view == wire.EvacuationView_EVACUATION_VIEW_CURRENT || waited >= settleTimeout || !e.known && waited >= settleEarlierBuild
+	return view == wire.EvacuationView_EVACUATION_VIEW_CURRENT || waited >= settleTimeout || (e.cutOff || !e.known) && waited >= settleEarly
 }
 
 // domainOrders returns the orders that are for failure domains.
