--- a/internal/control/documents.go
+++ b/internal/control/documents.go
@@ -144,6 +144,9 @@
 	if request.GetAsksForHelpers() {
 		answer.Helpers = s.helpersOf(request)
 	}
+	if request.EvacuationIndex != nil {
+		status.describeEvacuation(request.GetEvacuationIndex(), answer)
+	}
 	s.evidence.answer(request, answer, s.timers.Now())
 	return nil
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -252,14 +252,14 @@
 
 // usable reports whether a run can rely on a copy. It is called with the lock held.
 func (g *Server) usable(c *heldCopy, now time.Duration) bool {
-	return c != nil && !g.balancer.Leaving(c.holder, now) && (c.expires == 0 || now < c.expires)
+	return c != nil && g.mayHold(c.holder, now) && (c.expires == 0 || now < c.expires)
 }
 
 // destination returns the engine that a run's KV cache should be copied to, or nil. It is
 // the holder of an older copy, to which only the difference must be copied, or else any
 // engine with capacity. It is called with the lock held.
 func (g *Server) destination(r *run, now time.Duration) *balance.Target {
-	if r.copy != nil && r.copy.expires > 0 && !g.balancer.Leaving(r.copy.holder, now) {
+	if r.copy != nil && r.copy.expires > 0 && g.mayHold(r.copy.holder, now) {
 		return r.copy.holder
 	}
 	return g.balancer.ChooseMigrationDestination(r.engine, r.tokens, r.avoid, now)
@@ -284,11 +284,11 @@
 }
 
 // recordMove records the copy that a move has made, or queues it to be freed if the run has
-// ended.
+// ended, or the failure domain of the holder is evacuated.
 func (g *Server) recordMove(r *run, holder, source *balance.Target, handle string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if _, open := g.runs[r]; !open {
+	if _, open := g.runs[r]; !open || g.balancer.Evacuated(holder) {
 		g.free(unusedCopy{request: r.request, address: source.Address(), handle: handle})
 		return
 	}
