Balance: cold targets get at most what they tolerate, from all instances together

Cause: a target that has just started crashes well above cold_per_s requests a second; only a penalty in its score kept requests from it. The shares that serve the limits of targets hold over 4 seconds, and leave more than the bound of one second allows.

Change: ratelimit.NewShare takes options; WithinSecond divides 0.6 of the limit, keeps fewer unused tokens, lends none, and gives an instance more than an equal part only as far as its lowest demand of the last 4 s justifies it. A target is cold for as long as the list says, and for cold_s when it appears after the first list, comes back, or reports a later start. 421 answers, and connections that failed, do not count. An instance that does not know how many share the limit assumes 1,024.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -78,7 +78,10 @@
 	stated         statements
 	room           room
 	readySince     time.Duration // since when the list shows it as ready again, after it was leaving or not listed; 0 for all along
-	warmupUntil    time.Duration // until when it is warming up
+	warmupUntil    time.Duration // until when it is warming up, by the list
+	fresh          bool          // it has started, or come back, at freshAt
+	freshAt        time.Duration
+	cold           *ratelimit.Share // in the limit of its service for cold targets; nil for one that is not cold
 
 	open         int     // requests of this instance
 	copies       int     // copies of the KV caches of this instance's runs
@@ -129,6 +132,8 @@
 	notices map[string]float64
 	// departed holds the targets that were listed shortly before.
 	departed map[target.Key]departedTarget
+	// cold holds the limits for cold targets, by service.
+	cold map[string]ColdLimit
 	// brittle holds the services whose targets state that they are brittle.
 	brittle map[string]*brittleness
 	// reach is whether connections to the targets of a service can be opened, and reachAll whether
@@ -156,6 +161,7 @@
 // service is another one, also if both are listed. One that is listed twice is leaving if
 // either entry says so.
 func (b *Balancer) Update(list []*wire.Target, now time.Duration) {
+	first := !b.hasList
 	b.hasList = true
 	leaving := map[target.Key]bool{}
 	for _, l := range list {
@@ -171,6 +177,9 @@
 			continue
 		}
 		t := b.listed(l, now)
+		if !first && b.targets[key] == nil || t.leaving && !leaving[key] {
+			t.appear(l.GetColdMs() > 0, now)
+		}
 		t.domain = l.GetFailureDomain()
 		t.slots = int(l.GetSlots())
 		t.setListedLeaving(leaving[key], now)
@@ -182,10 +191,11 @@
 	b.rememberDeparted(next, now)
 	b.targets = next
 	b.countGroups()
+	b.updateCold(now)
 	maps.DeleteFunc(b.brittle, func(service string, _ *brittleness) bool { return len(b.byService[service]) == 0 })
 	maps.DeleteFunc(b.reach, func(service string, _ *reach) bool { return len(b.byService[service]) == 0 })
 	maps.DeleteFunc(b.demand, func(service string, _ *ratelimit.Demand) bool {
-		return b.brittle[service] == nil && !slices.ContainsFunc(b.byService[service], func(t *Target) bool { return t.stated.share.Limited() })
+		return b.brittle[service] == nil && b.cold[service].PerSecond == 0 && !slices.ContainsFunc(b.byService[service], func(t *Target) bool { return t.stated.share.Limited() })
 	})
 }
 
@@ -285,6 +295,7 @@
 func (b *Balancer) Begin(t *Target, tokens int, now time.Duration) {
 	t.open++
 	t.stated.begin(now)
+	t.cold.Take()
 	if tokens > 0 {
 		t.tokens += tokens
 		t.load.record(now, tokens, 1)
@@ -296,6 +307,9 @@
 	t.open--
 	t.tokens -= tokens
 	t.stated.end()
+	if result == Misdirected || result == Unreachable { // the target has not got it
+		t.cold.Return()
+	}
 	switch result {
 	case Served:
 		t.failures, t.misdirected = 0, 0
--- a/internal/balance/copies.go
+++ b/internal/balance/copies.go
@@ -32,6 +32,8 @@
 	noticeUse = 0.5
 	// noticeWeight is the weight of the newest notice in the mean time of notice.
 	noticeWeight = 0.2
+	// coldHolderCost is added for a holder that is cold: its limit may not permit the request that resumes the run.
+	coldHolderCost = 0.5
 )
 
 // pair is the engine of a run and the engine that holds a copy of it.
@@ -90,7 +92,7 @@
 	var best *Target
 	bestScore := 0.0
 	for _, t := range b.byService[source.service] {
-		if t.isLeaving(now) || !t.accepts(now) || !b.withinLimit(t, now) || t == source || now < t.ejectedUntil || t.load.waiting > 0 || slices.Contains(avoid, t.id) {
+		if t.isLeaving(now) || !t.accepts(now) || !b.withinStatedLimit(t, now) || t == source || now < t.ejectedUntil || t.load.waiting > 0 || slices.Contains(avoid, t.id) {
 			continue
 		}
 		score, known := t.memory(tokens, now)
@@ -103,6 +105,9 @@
 		if t.domain != source.domain {
 			score += crossDomain
 		}
+		if b.isColdLimited(t, now) {
+			score += coldHolderCost
+		}
 		score += pairCost*float64(b.pairs[pair{source.id, t.id}]) + b.jitterWidth()*b.random.Float64()
 		if best == nil || score < bestScore {
 			best, bestScore = t, score
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -59,7 +59,7 @@
 		if t.load.known && at < t.load.at {
 			continue
 		}
-		t.noteStart(l.GetStartedMs(), t.load.at)
+		t.noteStart(l.GetStartedMs(), t.load.at, now)
 		t.load.known, t.load.at = true, at
 		t.load.running, t.load.waiting = int(l.GetRunning()), int(l.GetWaiting())
 		t.load.used, t.load.capacity = int(l.GetUsedTokens()), int(l.GetCapacityTokens())
@@ -72,6 +72,7 @@
 		}
 		t.reportsLeaving = l.GetLeaving()
 	}
+	b.updateCold(now)
 }
 
 // record adds a placement.
@@ -187,7 +188,7 @@
 	for _, t := range b.targets {
 		suspected := max(0, t.suspectedUntil-now)
 		demand := uint32(0)
-		if t.stated.share.Limited() {
+		if t.stated.share.Limited() || b.isColdLimited(t, now) {
 			demand = uint32(b.demandFor(t.service).Rate(now) * demandUnit)
 		}
 		if t.open > 0 || t.tokens > 0 || t.prefilling > 0 || suspected > 0 || demand > 0 {
--- a/internal/balance/statements.go
+++ b/internal/balance/statements.go
@@ -151,14 +151,23 @@
 	return b.instances
 }
 
-// withinLimit reports whether the limit that a target states permits another request.
+// withinLimit reports whether the limit that a target states, and that of a cold target, permit another request.
 func (b *Balancer) withinLimit(t *Target, now time.Duration) bool {
+	return b.withinStatedLimit(t, now) && b.withinColdLimit(t, now)
+}
+
+// withinStatedLimit reports whether the limit that a target states permits another request.
+func (b *Balancer) withinStatedLimit(t *Target, now time.Duration) bool {
 	return !t.stated.share.Limited() || t.stated.share.Ready(b.demandFor(t.service), b.peersOf(t, now), now)
 }
 
-// resumableWithinLimit reports whether the limit that a target states permits a request that cannot
-// wait.
+// resumableWithinLimit reports whether the limit that a target states, and that of a cold target, permit a
+// request that cannot wait.
 func (b *Balancer) resumableWithinLimit(t *Target, now time.Duration) bool {
+	return b.withinColdLimit(t, now) && b.resumableWithinStatedLimit(t, now)
+}
+
+func (b *Balancer) resumableWithinStatedLimit(t *Target, now time.Duration) bool {
 	return !t.stated.share.Limited() || t.stated.share.ReadyAhead(b.demandFor(t.service), b.peersOf(t, now), now)
 }
 
@@ -190,7 +199,7 @@
 		if t.isLeaving(now) {
 			continue
 		}
-		wait := max(t.stated.waitUntil-now, b.limitWait(t, now), b.waitForRoom(t, now))
+		wait := max(t.stated.waitUntil-now, b.limitWait(t, now), b.coldWait(t, now), b.waitForRoom(t, now))
 		if wait <= 0 {
 			return 0
 		}
@@ -255,9 +264,10 @@
 // noteStart records when the target started, as a report states it. A later start than before
 // ends the statements made until the time that the last report described; later ones may be of
 // the new generation. A report without a start changes nothing.
-func (t *Target) noteStart(startedMs uint64, lastReport time.Duration) {
+func (t *Target) noteStart(startedMs uint64, lastReport, now time.Duration) {
 	if t.startedMs != 0 && startedMs > t.startedMs {
 		t.endStatements(lastReport)
+		t.restart(now)
 	}
 	t.startedMs = max(t.startedMs, startedMs)
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -90,6 +90,7 @@
 	// former holds the engines with former runs by address; formerCount is the number of those runs.
 	former      map[string]*formerEngine
 	formerCount int
+	cold        int // targets that were cold at the last list or report
 }
 
 // Option configures a gateway.
@@ -125,6 +126,7 @@
 	b.Metrics.Gauge("vanillaward_gateway_buffered_bytes", func() float64 { return float64(g.buffers.Used()) })
 	b.Metrics.Gauge("vanillaward_gateway_parts_held_back", func() float64 { return float64(g.crashes.Parts()) })
 	b.Metrics.Gauge("vanillaward_gateway_services_out_of_reach", func() float64 { return float64(len(g.servicesOutOfReach())) })
+	b.Metrics.Gauge("vanillaward_gateway_cold_targets", func() float64 { return float64(g.coldTargets()) })
 	b.Metrics.Gauge("vanillaward_gateway_configuration_number", func() float64 { return float64(g.Number()) })
 	return g
 }
@@ -160,6 +162,7 @@
 		return errors.Errorf("document %d holds configuration %d", d.GetNumber(), table.Number())
 	}
 	g.table.Store(table)
+	g.setColdLimits(table)
 	g.forgetBudgets(table)
 	g.base.Log.Info("configuration in force", "number", table.Number(), "bytes", len(d.GetBody()))
 	return nil
@@ -171,6 +174,7 @@
 	defer g.mu.Unlock()
 	g.balancer.Update(list, g.base.Timers.Now())
 	g.startMoves()
+	g.noteCold()
 }
 
 // UpdateLoads updates the load reports of the listed engines.
@@ -179,6 +183,7 @@
 	defer g.mu.Unlock()
 	g.balancer.UpdateLoads(loads, g.base.Timers.Now())
 	g.startMoves()
+	g.noteCold()
 }
 
 // LocalUses returns this instance's use of targets.
--- a/internal/ratelimit/share.go
+++ b/internal/ratelimit/share.go
@@ -12,16 +12,6 @@
 	// minLimit is the lowest limit that is kept, in requests a second from all instances. At a
 	// lower one, no answer would show that the limit has ended.
 	minLimit = 0.1
-	// All instances together may keep as many unused tokens as the limit allows in keptTime, and
-	// keptTokens more. It bounds how many requests can come at once after a time with little
-	// demand.
-	keptTime   = 1500 * time.Millisecond
-	keptTokens = 4
-	// introductionTime is how long after an instance has learnt of a limit it takes an equal part:
-	// others that learn of it at the same time have not told their demand yet.
-	introductionTime = 2 * time.Second
-	// maxDebt is how many requests may be sent ahead of their tokens.
-	maxDebt = 1
 	// maxSeconds bounds times that follow from a low rate, in seconds.
 	maxSeconds = 1e6
 )
@@ -44,9 +34,21 @@
 	return own / (own + p.Demand)
 }
 
+// cautiousFraction is fraction for an instance that takes more than an equal part only as far as its demand of
+// some time ago justifies it. In a sudden rise each instance knows of its own demand before it knows of the others',
+// so that all would take a large part. Whatever they know of each other, all together take at most twice the limit.
+func (p Peers) cautiousFraction(own, lowest float64) float64 {
+	equal := 1 / float64(max(1, p.Instances))
+	if !p.Known || lowest <= 0 {
+		return min(equal, p.fraction(own))
+	}
+	return min(max(equal, p.fraction(lowest)), p.fraction(own))
+}
+
 // Share is one instance's part of a limit. A token lets one request pass. It fills at the
 // instance's fraction of the limit, and is lost if it is not used for long.
 type Share struct {
+	policy  *policy       // nil for the default
 	limit   float64       // requests a second of all instances together; 0 without a limit
 	since   time.Duration // when the limit was set
 	tokens  float64       // at most 1; below 0 after requests ahead of their tokens
@@ -55,6 +57,23 @@
 	full    time.Duration // since when the token is full, if it is
 }
 
+// NewShare returns a share without a limit.
+func NewShare(options ...Option) *Share {
+	p := defaultPolicy
+	for _, option := range options {
+		option(&p)
+	}
+	return &Share{policy: &p}
+}
+
+// rules returns how the share divides its limit.
+func (s *Share) rules() *policy {
+	if s.policy == nil {
+		return &defaultPolicy
+	}
+	return s.policy
+}
+
 // Set sets the limit, in requests a second. The first token of an instance is partly full, by phase
 // from 0 to 1, so that instances which learn of a limit together do not send together.
 func (s *Share) Set(limit, phase float64, own *Demand, now time.Duration) {
@@ -65,10 +84,10 @@
 }
 
 // Clear ends the limit.
-func (s *Share) Clear() { *s = Share{} }
+func (s *Share) Clear() { *s = Share{policy: s.policy} }
 
 // Limited reports whether there is a limit.
-func (s *Share) Limited() bool { return s.limit > 0 }
+func (s *Share) Limited() bool { return s != nil && s.limit > 0 }
 
 // Limit returns the limit, in requests a second.
 func (s *Share) Limit() float64 { return s.limit }
@@ -84,26 +103,41 @@
 
 // ReadyAhead reports whether a request that cannot wait may be sent ahead of its token.
 func (s *Share) ReadyAhead(own *Demand, peers Peers, now time.Duration) bool {
-	return s.Ready(own, peers, now) || s.tokens > -maxDebt
+	debt := s.rules().debt
+	return s.Ready(own, peers, now) || debt > 0 && s.tokens > -debt
 }
 
-// Take counts a request that is sent.
+// Take counts a request that is sent. A nil share has no limit.
 func (s *Share) Take() {
-	if s.limit > 0 {
+	if s != nil && s.limit > 0 {
 		s.tokens--
 	}
 }
 
+// Return reverts Take for a request that the target has not got.
+func (s *Share) Return() {
+	if s != nil && s.limit > 0 {
+		s.tokens = min(1, s.tokens+1)
+	}
+}
+
 // Wait returns how long it takes until a request may be sent, if the demand stays the same.
 func (s *Share) Wait(own *Demand, peers Peers, now time.Duration) time.Duration {
 	if s.Ready(own, peers, now) {
 		return 0
 	}
-	return seconds((1 - s.tokens) / s.rate(peers.fraction(own.Rate(now))))
+	return seconds((1 - s.tokens) / s.rate(own.Rate(now), own, peers, now))
 }
 
-// rate returns the tokens a second of this instance.
-func (s *Share) rate(fraction float64) float64 { return s.limit * max(fraction, 1/maxSeconds) }
+// rate returns the tokens a second of this instance with a rate of demand.
+func (s *Share) rate(demand float64, own *Demand, peers Peers, now time.Duration) float64 {
+	rules := s.rules()
+	fraction := peers.fraction(demand)
+	if rules.cautious {
+		fraction = peers.cautiousFraction(demand, own.Lowest(now))
+	}
+	return s.limit * rules.use * max(fraction, 1/maxSeconds)
+}
 
 // advance fills the token up to a time, by the instance's mean demand since the last time.
 func (s *Share) advance(own *Demand, peers Peers, now time.Duration) {
@@ -111,9 +145,9 @@
 	if elapsed <= 0 {
 		return
 	}
-	peers.Known = peers.Known && now-s.since >= introductionTime
+	peers.Known = peers.Known && now-s.since >= s.rules().introduction
 	total := own.Total(now)
-	rate := s.rate(peers.fraction((total - s.demands) / elapsed.Seconds()))
+	rate := s.rate((total-s.demands)/elapsed.Seconds(), own, peers, now)
 	if s.tokens < 1 {
 		s.full = s.at + seconds((1-s.tokens)/rate)
 	}
@@ -128,8 +162,9 @@
 
 // loseUnused replaces a token that was full for too long by one that has begun to fill since.
 func (s *Share) loseUnused(rate float64, instances int, now time.Duration) {
-	kept := s.limit*keptTime.Seconds() + keptTokens
-	if float64(instances) <= kept {
+	rules := s.rules()
+	kept := s.limit*rules.keptTime.Seconds() + rules.keptTokens
+	if float64(instances) <= max(kept, rules.keepAll) {
 		return
 	}
 	hold := seconds(kept / s.limit)
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"iter"
+	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -89,6 +91,9 @@
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Services returns the services by name, in no particular order.
+func (t *Table) Services() iter.Seq2[string, *Service] { return maps.All(t.services) }
+
 // Match returns the route of a host with the longest prefix of a path. It reports false if
 // there is none.
 func (t *Table) Match(host, path string) (*Route, bool) {
