Gateway: a stream that is continued gets past engines that take no connections

Cause: after a failed connection another engine was tried only within 700 ms of the request's arrival, so that a stream that broke off later ended if the next engine was gone as well, as when several are reclaimed at once.

Change: the time counts from when the last target was left. TestContinuedPastDeadEngines fails without it; TestContinuedElsewhereWithoutTargets shows the handover in the middle of a stream.

--- a/internal/gateway/continuation.go
+++ b/internal/gateway/continuation.go
@@ -105,6 +105,7 @@
 	if a.outcome != failed || !req.route.Resumable() {
 		return
 	}
+	req.leftAt = req.server.base.Timers.Now()
 	req.noteContinued(req.target, "")
 	if req.stream.run != nil && a.failureAnswer == nil { // otherwise the engine has ended the run itself
 		engine := req.stream.run.engine
@@ -114,7 +115,7 @@
 
 // leaveHelper is called before the request goes elsewhere after its stream has broken off at another instance.
 func (req *request) leaveHelper(helper string) {
-	req.helper = helper
+	req.helper, req.leftAt = helper, req.server.base.Timers.Now()
 	req.noteContinued(req.target, helper)
 	req.stream.beginAttempt()
 }
--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -164,7 +165,7 @@
 			}))
 		}
 		c := configuration(1, route.Stream, p.attempts, handoverTimeout)
-		c.Routes[0].Resumable, c.Services[0].ContinuousCopies = true, false
+		c.Routes[0].Resumable, c.Services[0].ContinuousCopies, c.Services[0].Moves = true, false, false
 		r := newRigWith(t, c, func(s *settings.Gateway) { s.RetryReserve = 100 }, targets...)
 		header := map[string]string{testBudget: "30000", testLongest: "10"}
 		if p.after >= 0 {
@@ -187,7 +188,7 @@
 func newContinued(t *testing.T, targets ...*standin) *rig {
 	t.Helper()
 	c := configuration(1, route.Stream, 2, handoverTimeout)
-	c.Routes[0].Resumable, c.Services[0].ContinuousCopies = true, false
+	c.Routes[0].Resumable, c.Services[0].ContinuousCopies, c.Services[0].Moves = true, false, false
 	return newRig(t, c, targets...)
 }
 
@@ -253,7 +254,7 @@
 func TestContinuedWithinBudget(t *testing.T) {
 	first, second := newStandin(t, "target-0", "stream:2"), newStandin(t, "target-1", "stream:")
 	c := configuration(1, route.Stream, 2, handoverTimeout)
-	c.Routes[0].Resumable, c.Services[0].ContinuousCopies = true, false
+	c.Routes[0].Resumable, c.Services[0].ContinuousCopies, c.Services[0].Moves = true, false, false
 	r := newRigWith(t, c, func(s *settings.Gateway) { s.RetryReserve, s.RetryRatio = 0, 0 }, first, second)
 	got := r.sendPatiently(t, "request-1")
 	require.Error(t, got.err)
@@ -272,11 +273,44 @@
 	require.Equal(t, fiveEvents, got.body)
 }
 
+// TestContinuedPastDeadEngines guards against a stream that ends because the next engine takes no connections, some
+// time after the request came.
+func TestContinuedPastDeadEngines(t *testing.T) {
+	first := newStandin(t, "target-0", "stream-held:2")
+	dead, last := newStandin(t, "target-1", "dead"), newStandin(t, "target-2", "stream:")
+	r := newContinued(t, first)
+	got := make(chan reply, 1)
+	go func() { got <- r.sendPatiently(t, "request-1") }()
+	require.Eventually(t, func() bool { return first.runCount() == 1 }, handoverTimeout, time.Millisecond)
+	time.Sleep(800 * time.Millisecond) // longer than dialWindow
+	r.updateTargets(dead, last)        // the dead one is in the gateway's domain
+	close(first.held)
+	requireWholeStream(t, got)
+	require.Equal(t, "2", last.lastHeader().Get(testAfter))
+}
+
+// TestContinuedElsewhereWithoutTargets guards against a stream that ends because its gateway has lost the paths to all
+// targets, though another gateway can continue it.
+func TestContinuedElsewhereWithoutTargets(t *testing.T) {
+	resumable := configuration(1, route.Stream, 2, handoverTimeout)
+	resumable.Routes[0].Resumable, resumable.Services[0].ContinuousCopies, resumable.Services[0].Moves = true, false, false
+	first, other := newStandin(t, "target-0", "stream-held:2"), newStandin(t, "target-0", "stream:")
+	r := newRig(t, resumable, first)
+	r.helpedBy(newRig(t, resumable, other))
+	got := make(chan reply, 1)
+	go func() { got <- r.sendPatiently(t, "request-1") }()
+	require.Eventually(t, func() bool { return first.runCount() == 1 }, handoverTimeout, time.Millisecond)
+	r.updateTargets(newStandin(t, "dead-0", "dead"), newStandin(t, "dead-1", "dead"))
+	close(first.held)
+	requireWholeStream(t, got)
+	require.Equal(t, "2", other.lastHeader().Get(testAfter))
+}
+
 // TestContinuedByHelper guards against events that come twice or are missing when a request goes to another gateway:
 // it must be told the number, whether its engine breaks off, or it does itself.
 func TestContinuedByHelper(t *testing.T) {
 	resumable := configuration(1, route.Stream, 2, handoverTimeout)
-	resumable.Routes[0].Resumable, resumable.Services[0].ContinuousCopies = true, false
+	resumable.Routes[0].Resumable, resumable.Services[0].ContinuousCopies, resumable.Services[0].Moves = true, false, false
 	t.Run("number of the caller", func(t *testing.T) {
 		target := newStandin(t, "target-0", "stream:")
 		cut := newCutRig(t, resumable, newRig(t, resumable, target))
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -36,8 +36,9 @@
 	answerBegan time.Duration
 	sentAt      time.Duration // when the request was sent to the last target
 	identity    quarantine.Request
-	sent        int  // number of targets that the request was sent to
-	maybeRun    bool // a target may have run the request
+	leftAt      time.Duration // when the last target of a stream that may be continued was left; 0 for none
+	sent        int           // number of targets that the request was sent to
+	maybeRun    bool          // a target may have run the request
 	stream      stream
 	hold        *membudget.Hold // the memory of the answers that are read whole
 	reason      reason
@@ -115,7 +116,8 @@
 
 const (
 	// maxDials bounds the targets that are tried for one request after failed connections,
-	// and dialWindow is the time from the request's arrival during which another one is tried.
+	// and dialWindow is the time from the request's arrival, or from when a stream that is continued has
+	// broken off, during which another one is tried.
 	maxDials   = 12
 	dialWindow = 700 * time.Millisecond
 )
@@ -126,7 +128,7 @@
 	case ctx.Err() != nil || req.left() <= 0:
 		return false
 	case a.outcome == notSent:
-		return a.tried < maxDials && req.server.base.Timers.Now() < req.arrived+dialWindow
+		return a.tried < maxDials && req.server.base.Timers.Now() < max(req.arrived, req.leftAt)+dialWindow
 	case req.sent >= req.route.Attempts():
 		return false
 	case a.outcome == notRun:
