Soak: a log is not torn twice without a write in between

Cause: on a slow disk a replica that was killed for a torn record can be killed again before it has opened its log. The soak then appended a second torn record behind the first. A process that is killed before it has opened its log writes nothing, so no real replica leaves such a file. readRecords was called on both files: the one with one torn record is read, the one with two is damaged.

Change: the fault is skipped while the log still ends with what it appended.

--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -393,6 +394,9 @@
 	if err != nil || len(data) < tornBytes {
 		return // the log has no records yet
 	}
+	if bytes.HasSuffix(data, data[:tornBytes]) {
+		return // the replica was killed before it could cut off the last torn record, and has not written another one
+	}
 	if err := os.WriteFile(name, slices.Concat(data, data[:tornBytes]), 0o600); err != nil {
 		c.addFinding("cannot write log of %s: %v", p.name, err)
 	}
