Soak: operators evacuate and restore failure domains

Cause: orders were played by hand only, never beside random faults.

Change: TestSoak has an operator that gives orders at random, with all faults.

--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -29,8 +29,7 @@
 // load runs the callers and the operator of a cluster and records what they observe.
 type load struct {
 	cluster *cluster
-	// slowCallers is how many callers of each instance send nothing but slow streams.
-	slowCallers int
+	loadOptions
 
 	mu      sync.Mutex // guards the rest
 	records []requestRecord
@@ -38,10 +37,19 @@
 	version uint64 // version of the configuration that was sent last
 	large   int    // number of reasons for configurations to be large
 	reads   int
+	orders  []domainOrder
 }
 
-func newLoad(c *cluster, slowCallers int) *load {
-	return &load{cluster: c, slowCallers: slowCallers, history: history{sent: map[uint64]string{}}}
+// loadOptions are callers and operators that not all seeds have.
+type loadOptions struct {
+	// slowCallers is how many callers of each instance send nothing but slow streams.
+	slowCallers int
+	// operators is how many operators give orders for failure domains.
+	operators int
+}
+
+func newLoad(c *cluster, options loadOptions) *load {
+	return &load{cluster: c, loadOptions: options, history: history{sent: map[uint64]string{}}}
 }
 
 // run sends requests and configurations until the context is done, and waits for the last
@@ -56,6 +64,9 @@
 		}
 	}
 	workers.Go(func() { l.sendConfigurations(ctx, rand.New(rand.NewPCG(seed, 1<<32))) })
+	for i := range l.operators {
+		workers.Go(func() { l.sendOrders(ctx, rand.New(rand.NewPCG(seed, 1<<36+uint64(i)))) })
+	}
 	workers.Go(func() { l.readConfigurations(ctx, rand.New(rand.NewPCG(seed, 1<<33))) })
 	workers.Wait()
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -70,7 +70,7 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, binary, seed, mergeSteps(makePlan(seed, *soakDuration), makeTroubles(seed, slices.Concat(troubles, repeatTroubles))), 0)
+			runSeed(t, binary, seed, mergeSteps(makePlan(seed, *soakDuration), makeTroubles(seed, slices.Concat(troubles, repeatTroubles))), loadOptions{operators: 1})
 		})
 	}
 }
@@ -87,22 +87,22 @@
 // noticed the end of a connection, works on; and against resumptions beyond the retry budget. Engines lose
 // their connections and fall silent; nothing else happens, so that the check of it binds all of the time.
 func TestSoakDeafEngines(t *testing.T) {
-	playSeeds(t, slowCallers, func(seed uint64) []step { return makeEngineFaults(seed, engineFaultFactor**soakDuration) })
+	playSeeds(t, loadOptions{slowCallers: slowCallers}, func(seed uint64) []step { return makeEngineFaults(seed, engineFaultFactor**soakDuration) })
 }
 
 func playTroubles(t *testing.T, kinds []fault) {
 	t.Helper()
-	playSeeds(t, 0, func(seed uint64) []step { return makeTroubles(seed, kinds) })
+	playSeeds(t, loadOptions{}, func(seed uint64) []step { return makeTroubles(seed, kinds) })
 }
 
-func playSeeds(t *testing.T, slowCallers int, plan func(seed uint64) []step) {
+func playSeeds(t *testing.T, options loadOptions, plan func(seed uint64) []step) {
 	t.Helper()
 	binary := buildProgram(t)
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, binary, seed, plan(seed), slowCallers)
+			runSeed(t, binary, seed, plan(seed), options)
 		})
 	}
 }
@@ -123,7 +123,7 @@
 	return binary
 }
 
-func runSeed(t *testing.T, binary string, seed uint64, steps []step, slowCallers int) {
+func runSeed(t *testing.T, binary string, seed uint64, steps []step, options loadOptions) {
 	t.Helper()
 	folder := t.TempDir()
 	logFolder := folder
@@ -136,17 +136,18 @@
 	require.NoError(t, err)
 	t.Cleanup(c.close) // also after a failed start
 	require.NoError(t, c.open())
-	l := newLoad(c, slowCallers)
+	l := newLoad(c, options)
 	random := rand.New(rand.NewPCG(seed, 1<<34))
 	l.start(t)
 	runSteps(c, l, seed, steps)
 	require.NoError(t, c.startAll(false))
+	l.restoreAll()
 	reason := waitUntilDone(func() string { return l.notRecoveredReason(random) }, recoveryTimeout)
 	if reason != "" {
 		c.addFinding("deployment not recovered after %s: %s", recoveryTimeout, reason)
 	}
 	c.close()
-	findings := slices.Concat(c.findings, l.findings(), l.troubleFindings(steps), l.engineFindings(steps))
+	findings := slices.Concat(c.findings, l.findings(), l.troubleFindings(steps), l.engineFindings(steps), l.evacuationFindings(steps))
 	t.Logf("seed %d: %d steps, %s, %d reads, version %d, requests by status %v, %d answers cut", seed, len(steps), summarise(c.fleet.Works()), l.reads, l.acked(), l.statusCounts(), l.cutCount())
 	if len(findings) > 0 {
 		for _, s := range steps {
