Gateway: an engine whose stream is continued elsewhere is told at once to stop the run

Cause: an engine that does not notice the end of its connection was asked first what it runs. Its report does not name a run that is younger than the report, so that the run went on beside the continued one.

Change: the run is stopped without that question; if the engine does not answer, or does not run it at the moment, it is followed as before. TestEngineThatWorksOnIsStopped has the case of a run that is not named; it fails when the engine is asked first.

--- a/internal/gateway/continuation.go
+++ b/internal/gateway/continuation.go
@@ -109,7 +109,7 @@
 	req.noteContinued(req.target, "")
 	if req.stream.run != nil && a.failureAnswer == nil { // otherwise the engine has ended the run itself
 		engine := req.stream.run.engine
-		req.follow(engine, engine)
+		req.followRun(engine, engine, true)
 	}
 }
 
--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -231,23 +231,25 @@
 }
 
 // TestEngineThatWorksOnIsStopped guards against a run that goes on at an engine that has not noticed that its stream
-// is continued elsewhere.
+// is continued elsewhere, also if the run is so young that the engine's report does not name it.
 func TestEngineThatWorksOnIsStopped(t *testing.T) {
-	first, second := newStandin(t, "target-0", "stream:2"), newStandin(t, "target-1", "stream:")
-	r := newContinued(t, first, second)
-	r.engines.runsOf = func(address string) (vanillaward.EngineRuns, error) {
-		if address == first.address() {
-			return named()
-		}
-		return vanillaward.EngineRuns{}, nil
-	}
-	r.engines.stop = func(vanillaward.Move) (vanillaward.MoveResult, error) {
-		return vanillaward.MoveResult{Handle: "handle"}, vanillaward.ErrNotCopied
+	for name, runs := range map[string]func() (vanillaward.EngineRuns, error){
+		"named":     named,
+		"not named": func() (vanillaward.EngineRuns, error) { return vanillaward.EngineRuns{}, nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, second := newStandin(t, "target-0", "stream:2"), newStandin(t, "target-1", "stream:")
+			r := newContinued(t, first, second)
+			r.engines.runs = runs
+			r.engines.stop = func(vanillaward.Move) (vanillaward.MoveResult, error) {
+				return vanillaward.MoveResult{Handle: "handle"}, vanillaward.ErrNotCopied
+			}
+			got := r.sendPatiently(t, "request-1")
+			require.NoError(t, got.err)
+			require.Equal(t, fiveEvents, got.body)
+			requireStopped(t, r, first, second)
+		})
 	}
-	got := r.sendPatiently(t, "request-1")
-	require.NoError(t, got.err)
-	require.Equal(t, fiveEvents, got.body)
-	requireStopped(t, r, first, second)
 }
 
 // TestContinuedWithinBudget guards against streams that are continued beyond the retry budget.
--- a/internal/gateway/former.go
+++ b/internal/gateway/former.go
@@ -32,6 +32,7 @@
 	destination string        // address of an engine that the run could be moved to
 	since       time.Duration // when the request left the run
 	deadline    time.Duration // of the request; the engine ends the run then by itself
+	stopFirst   bool          // it is to be stopped without asking first what the engine runs
 }
 
 // formerEngine is an engine with former runs.
@@ -43,11 +44,17 @@
 // follow has a run that its request has left ended at its engine, once that can be reached. Destination is
 // another engine of the service.
 func (req *request) follow(engine, destination *balance.Target) {
+	req.followRun(engine, destination, false)
+}
+
+// followRun is follow for a run that may have to be stopped at once: the engine's report does not name it if it is
+// younger than the report.
+func (req *request) followRun(engine, destination *balance.Target, stopFirst bool) {
 	g := req.server
 	if destination.Address() == engine.Address() { // it has kept the run
 		destination = g.otherEngine(req.stream.run, destination)
 	}
-	f := formerRun{request: req.caller.ID, destination: destination.Address(), since: g.base.Timers.Now(), deadline: req.deadline}
+	f := formerRun{request: req.caller.ID, destination: destination.Address(), since: g.base.Timers.Now(), deadline: req.deadline, stopFirst: stopFirst}
 	added := g.addFormer(engine, f)
 	g.base.Log.Info("engine may still work on a run that has left it", "request", f.request, "target", engine.ID(), "to", destination.ID(), "followed", added)
 }
@@ -91,6 +98,13 @@
 	if len(open) == 0 {
 		return
 	}
+	if slices.ContainsFunc(open, formerRun.isUrgent) {
+		g.stopUrgent(ctx, e, open)
+		open = g.openFormer(e)
+	}
+	if len(open) == 0 {
+		return
+	}
 	runs, err := g.engines.Runs(ctx, e.target.Address())
 	if err == nil {
 		g.endAt(ctx, e, open, runs)
@@ -107,6 +121,27 @@
 	})
 }
 
+func (f formerRun) isUrgent() bool { return f.stopFirst }
+
+// stopUrgent stops the former runs of an engine that are to be stopped at once. The engine is asked for the others,
+// and for those that it has not stopped, as for all.
+func (g *Server) stopUrgent(ctx context.Context, e *formerEngine, open []formerRun) {
+	var stopping sync.WaitGroup
+	for _, f := range open {
+		if f.stopFirst {
+			stopping.Go(func() { g.stopFormer(ctx, e, f) })
+		}
+	}
+	stopping.Wait()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i := range e.runs {
+		if slices.Contains(open, e.runs[i]) { // others have come meanwhile
+			e.runs[i].stopFirst = false
+		}
+	}
+}
+
 // openFormer returns the former runs of an engine that still have to be ended. It forgets those whose time is
 // over, and those whose request has come back to the engine; without any, it forgets the engine.
 func (g *Server) openFormer(e *formerEngine) []formerRun {
