Gateway: an engine that is only slow keeps its stream while no other attempt is allowed

Cause: the time limit of an attempt (half of what is left) took a stream from an engine on which it waits behind others, also when the retry budget then allowed no other attempt: a late answer became a failure.

Change: the limit of an attempt of a resumable stream asks the budget first, and gives more time if it allows no repeat. TestSilentEngineIsKeptWithoutBudget fails without that. Idempotent requests keep the limit that they had.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -131,14 +131,17 @@
 // boundAttempt limits the time of an attempt of a repeatable request if another attempt
 // may follow, so that time is left for it. In a stream, each event restarts the limit.
 func (req *request) boundAttempt(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	if !req.route.Repeatable() || req.sent >= req.route.Attempts() {
-		return ctx, cancel
+	switch {
+	case !req.route.Repeatable() || req.sent >= req.route.Attempts():
+		return context.WithCancel(ctx)
+	case !req.route.Resumable():
+		return context.WithTimeout(ctx, req.attemptTime())
 	}
-	limit := time.AfterFunc(req.attemptTime(), cancel)
+	ctx, cancel := context.WithCancel(ctx)
+	limit := req.limitAttempt(cancel)
 	req.stream.limit = limit
 	return ctx, func() {
-		limit.Stop()
+		limit.end()
 		cancel()
 	}
 }
--- a/internal/gateway/attempt_limit_test.go
+++ b/internal/gateway/attempt_limit_test.go
@@ -22,8 +22,8 @@
 func TestEventRestartsLimit(t *testing.T) {
 	w := deadlineRecorder{httptest.NewRecorder()}
 	req := &request{server: &Server{base: base.Base{Timers: timer.New()}}, w: w, deadline: time.Hour}
-	req.stream.limit = time.AfterFunc(time.Hour, func() {})
-	require.True(t, req.stream.limit.Stop())
+	req.stream.limit = req.limitAttempt(func() {})
+	require.True(t, req.stream.limit.timer.Stop())
 	require.NoError(t, req.passEvent(http.NewResponseController(w), []byte("id: 1\ndata: a\n\n"), true))
-	require.True(t, req.stream.limit.Stop(), "the limit runs again")
+	require.True(t, req.stream.limit.timer.Stop(), "the limit runs again")
 }
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -47,6 +47,19 @@
 	return allowed, b.Use(now)
 }
 
+// repeatAllowed reports whether the retry budget of a service would allow a repeat of an attempt.
+func (g *Server) repeatAllowed(service string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.base.Timers.Now()
+	b := g.budget(service)
+	if g.share != nil {
+		b.SetReserve(g.share.Reserve(now))
+	}
+	use := b.Use(now)
+	return float64(use.Repeats()+1) <= use.Limit()
+}
+
 // countRequest counts a request for the retry budget of its service.
 func (g *Server) countRequest(service string) {
 	g.mu.Lock()
--- a/internal/gateway/continuation.go
+++ b/internal/gateway/continuation.go
@@ -134,10 +134,3 @@
 func (s *stream) beginAttempt() {
 	s.broken, s.run, s.halted, s.accepted, s.unfinished, s.limit = false, nil, haltRefused, nil, 0, nil
 }
-
-// extendAttempt restarts the time limit of the attempt after an event.
-func (req *request) extendAttempt() {
-	if req.stream.limit != nil {
-		req.stream.limit.Reset(req.attemptTime())
-	}
-}
--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -275,6 +275,21 @@
 	require.Equal(t, fiveEvents, got.body)
 }
 
+// TestSilentEngineIsKeptWithoutBudget guards against a stream that is taken from an engine that is only slow, though
+// the retry budget allows no other engine.
+func TestSilentEngineIsKeptWithoutBudget(t *testing.T) {
+	first, second := newStandin(t, "target-0", "stream-paused:2"), newStandin(t, "target-1", "stream:")
+	c := configuration(1, route.Stream, 2, handoverTimeout)
+	c.Routes[0].Resumable, c.Services[0].ContinuousCopies, c.Services[0].Moves = true, false, false
+	r := newRigWith(t, c, func(s *settings.Gateway) { s.RetryReserve, s.RetryRatio = 0, 0 }, first, second)
+	got := make(chan reply, 1)
+	go func() { got <- r.send(t, http.MethodPost, "/r/x", "", map[string]string{testBudget: "8000"}) }()
+	require.Eventually(t, func() bool { return first.runCount() == 1 }, handoverTimeout, time.Millisecond)
+	time.Sleep(4500 * time.Millisecond) // more than half of the request's time
+	close(first.held)
+	requireWholeStream(t, got)
+}
+
 // TestContinuedPastDeadEngines guards against a stream that ends because the next engine takes no connections, some
 // time after the request came.
 func TestContinuedPastDeadEngines(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -35,7 +35,7 @@
 	unnumbered   bool          // events were passed on whose numbers do not tell where the stream can be continued
 	broken       bool          // the last engine's stream has broken off, and another one may continue it
 	continued    int           // how often another engine was asked to continue the stream without a copy of its run
-	limit        *time.Timer   // ends an attempt that another one may follow; nil for others
+	limit        *attemptLimit // ends an attempt that another one may follow; nil for others
 	unfinished   int           // bytes of an unfinished event at the end of the last answer
 	headSent     bool          // the head of the answer was sent to the caller
 	resumed      int           // how often the run was resumed from a copy
@@ -182,7 +182,7 @@
 		return callerError{err}
 	}
 	req.stream.passed++
-	req.extendAttempt()
+	req.stream.limit.restart()
 	req.stream.recordTimes(req.server.base.Timers.Now(), req.arrived)
 	if !flush {
 		return nil
