--- a/internal/gateway/continuation.go
+++ b/internal/gateway/continuation.go
@@ -109,7 +109,7 @@
 	req.noteContinued(req.target, "")
 	if req.stream.run != nil && a.failureAnswer == nil { // otherwise the engine has ended the run itself
 		engine := req.stream.run.engine
-		req.follow(engine, engine)
+		req.followRun(engine, engine, true)
 	}
 }
 
@@ -134,10 +134,3 @@
 func (s *stream) beginAttempt() {
 	s.broken, s.run, s.halted, s.accepted, s.unfinished, s.limit = false, nil, haltRefused, nil, 0, nil
 }
-
-// extendAttempt restarts the time limit of the attempt after an event.
-func (req *request) extendAttempt() {
-	if req.stream.limit != nil {
-		req.stream.limit.Reset(req.attemptTime())
-	}
-}
--- a/internal/gateway/continuation_test.go
+++ b/internal/gateway/continuation_test.go
@@ -231,23 +231,25 @@
 }
 
 // TestEngineThatWorksOnIsStopped guards against a run that goes on at an engine that has not noticed that its stream
-// is continued elsewhere.
+// is continued elsewhere, also if the run is so young that the engine's report does not name it.
 func TestEngineThatWorksOnIsStopped(t *testing.T) {
-	first, second := newStandin(t, "target-0", "stream:2"), newStandin(t, "target-1", "stream:")
-	r := newContinued(t, first, second)
-	r.engines.runsOf = func(address string) (vanillaward.EngineRuns, error) {
-		if address == first.address() {
-			return named()
-		}
-		return vanillaward.EngineRuns{}, nil
-	}
-	r.engines.stop = func(vanillaward.Move) (vanillaward.MoveResult, error) {
-		return vanillaward.MoveResult{Handle: "handle"}, vanillaward.ErrNotCopied
+	for name, runs := range map[string]func() (vanillaward.EngineRuns, error){
+		"named":     named,
+		"not named": func() (vanillaward.EngineRuns, error) { return vanillaward.EngineRuns{}, nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, second := newStandin(t, "target-0", "stream:2"), newStandin(t, "target-1", "stream:")
+			r := newContinued(t, first, second)
+			r.engines.runs = runs
+			r.engines.stop = func(vanillaward.Move) (vanillaward.MoveResult, error) {
+				return vanillaward.MoveResult{Handle: "handle"}, vanillaward.ErrNotCopied
+			}
+			got := r.sendPatiently(t, "request-1")
+			require.NoError(t, got.err)
+			require.Equal(t, fiveEvents, got.body)
+			requireStopped(t, r, first, second)
+		})
 	}
-	got := r.sendPatiently(t, "request-1")
-	require.NoError(t, got.err)
-	require.Equal(t, fiveEvents, got.body)
-	requireStopped(t, r, first, second)
 }
 
 // TestContinuedWithinBudget guards against streams that are continued beyond the retry budget.
@@ -273,6 +275,21 @@
 	require.Equal(t, fiveEvents, got.body)
 }
 
+// TestSilentEngineIsKeptWithoutBudget guards against a stream that is taken from an engine that is only slow, though
+// the retry budget allows no other engine.
+func TestSilentEngineIsKeptWithoutBudget(t *testing.T) {
+	first, second := newStandin(t, "target-0", "stream-paused:2"), newStandin(t, "target-1", "stream:")
+	c := configuration(1, route.Stream, 2, handoverTimeout)
+	c.Routes[0].Resumable, c.Services[0].ContinuousCopies, c.Services[0].Moves = true, false, false
+	r := newRigWith(t, c, func(s *settings.Gateway) { s.RetryReserve, s.RetryRatio = 0, 0 }, first, second)
+	got := make(chan reply, 1)
+	go func() { got <- r.send(t, http.MethodPost, "/r/x", "", map[string]string{testBudget: "8000"}) }()
+	require.Eventually(t, func() bool { return first.runCount() == 1 }, handoverTimeout, time.Millisecond)
+	time.Sleep(4500 * time.Millisecond) // more than half of the request's time
+	close(first.held)
+	requireWholeStream(t, got)
+}
+
 // TestContinuedPastDeadEngines guards against a stream that ends because the next engine takes no connections, some
 // time after the request came.
 func TestContinuedPastDeadEngines(t *testing.T) {
