Engine speeds: learned from reports, used by scores and holders of copies

Cause: a deployment has engines of 0.7, 0.7 and 1.7 of the nominal speed. Scores took them as equal, and the busiest engine received 1.46 times the mean number of arrivals.

Change: the reader of an engine compares the events of its runs in successive reports (no further queries) and sends the speed with the number of readings behind it in the load (fields 10 and 11). An instance compares it with the median of the service and divides the work in flight by it; memory is not affected. Among holders of copies faster ones are preferred. Prompts slow the steps of an engine and mostly begin and end between two readings, so the estimate is the second highest of 16 windows (the third from 15 on), and an engine counts as slow only from 8 readings (4 s) on, as fast from 3 on. Speeds of 0.85 to 1.18 of the median count as 1. A restart discards a speed; without runs it is held for 10 s, then decays to 1. vanillaward.Engines.Load returns the progress of the runs as well.

Not measured on a whole deployment yet.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -87,6 +87,7 @@
 	failureRate  float64 // moving average, 0 to 1
 	prefilling   int     // prompt tokens of this instance that were sent and not answered yet
 	load         load
+	speed        speed
 	peerUse      peerUse
 	tokens       int           // memory that this instance's requests and copies will need
 	copyTokens   int           // the part of tokens that copies need
--- a/internal/balance/copies.go
+++ b/internal/balance/copies.go
@@ -16,6 +16,9 @@
 	// pairCost is added for each other copy that the holder has of runs of the same engine:
 	// when that engine terminates, all of these runs resume at the holder at once.
 	pairCost = 0.1
+	// slowHolderCost is added for a holder of half the median speed, where a run that resumes is slower;
+	// it is proportional to the time that an engine takes for a token beyond that of the median.
+	slowHolderCost = 0.1
 	// A copy is placed on an engine only if the used memory of the engine, with the copy, does
 	// not exceed a fraction: lowUtilisationCopyLimit while runs need at most lowUtilisation of
 	// the memory of all engines, highUtilisationCopyLimit while they need at least
@@ -103,7 +106,7 @@
 		if t.domain != source.domain {
 			score += crossDomain
 		}
-		score += pairCost*float64(b.pairs[pair{source.id, t.id}]) + b.jitterWidth()*b.random.Float64()
+		score += slowHolderCost*(1/t.speedAt(now)-1) + pairCost*float64(b.pairs[pair{source.id, t.id}]) + b.jitterWidth()*b.random.Float64()
 		if best == nil || score < bestScore {
 			best, bestScore = t, score
 		}
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -50,6 +50,7 @@
 // UpdateLoads applies reports of engines. A report includes the placements from before the
 // time that it describes, so these are discarded. A report older than the last one is ignored.
 func (b *Balancer) UpdateLoads(loads []*wire.Load, now time.Duration) {
+	measured := map[string]bool{} // services of which a load states a speed
 	for _, l := range loads {
 		t := b.ByIdentity(l.GetTarget())
 		if t == nil { // not listed, or the report may be that of another one with this identity
@@ -64,6 +65,8 @@
 		t.load.running, t.load.waiting = int(l.GetRunning()), int(l.GetWaiting())
 		t.load.used, t.load.capacity = int(l.GetUsedTokens()), int(l.GetCapacityTokens())
 		t.load.discardBefore(at)
+		t.noteSpeed(l, at)
+		measured[t.service] = measured[t.service] || l.GetSpeedPermille() > 0
 		if l.GetLeaving() {
 			t.noteLeaving(now)
 			if left := time.Duration(l.GetLeavesMs())*time.Millisecond - (now - at); l.GetLeavesMs() > 0 && !t.reportsLeaving {
@@ -72,6 +75,9 @@
 		}
 		t.reportsLeaving = l.GetLeaving()
 	}
+	for service := range measured {
+		b.compareSpeeds(service, now)
+	}
 }
 
 // record adds a placement.
@@ -140,6 +146,8 @@
 	Waiting int
 	// Prefilling is the number of prompt tokens in flight to the engine.
 	Prefilling int
+	// Speed is the engine's speed relative to the median of its service; 1 if it is not known.
+	Speed float64
 }
 
 // LoadState returns the last known state of a target.
@@ -147,7 +155,7 @@
 	memory, known := t.memory(0, now)
 	return LoadState{
 		Domain: t.domain, Known: known, ReportAge: now - t.load.at, UsesAge: now - b.peersAt, Memory: memory, Waiting: t.load.waiting,
-		Prefilling: t.prefilling + t.peerUse.prefilling,
+		Prefilling: t.prefilling + t.peerUse.prefilling, Speed: t.speedAt(now),
 	}
 }
 
--- a/internal/balance/score.go
+++ b/internal/balance/score.go
@@ -80,14 +80,16 @@
 }
 
 // loadScore returns the load of a target with another request: the fraction of its slots
-// in use for a plain service, and a weighted sum of prompts in flight, batch, waiting
-// requests and memory for an engine.
+// in use for a plain service, and for an engine a weighted sum of prompts in flight, batch and waiting
+// requests, which its speed divides, and memory. The request itself counts as well, since a slow
+// engine without load serves it later than a fast one with some.
 func (t *Target) loadScore(tokens int, now time.Duration) float64 {
 	slots := t.likelySlots()
 	if tokens == 0 {
 		return float64(t.open) / float64(slots)
 	}
-	score := float64(t.prefilling+t.peerUse.prefilling)/prefillUnit + batchWeight*float64(t.batch())/float64(slots) + waitingCost*float64(t.load.waiting)
+	work := float64(t.prefilling+t.peerUse.prefilling+tokens)/prefillUnit + batchWeight*float64(t.batch()+1)/float64(slots) + waitingCost*float64(t.load.waiting)
+	score := work / t.speedAt(now)
 	if memory, known := t.memory(tokens, now); known && memory > memoryThreshold {
 		score += memoryCost * (memory - memoryThreshold)
 	}
--- a/internal/balance/statements.go
+++ b/internal/balance/statements.go
@@ -254,10 +254,11 @@
 
 // noteStart records when the target started, as a report states it. A later start than before
 // ends the statements made until the time that the last report described; later ones may be of
-// the new generation. A report without a start changes nothing.
+// the new generation. The speed of the earlier one is forgotten. A report without a start changes nothing.
 func (t *Target) noteStart(startedMs uint64, lastReport time.Duration) {
 	if t.startedMs != 0 && startedMs > t.startedMs {
 		t.endStatements(lastReport)
+		t.speed = speed{}
 	}
 	t.startedMs = max(t.startedMs, startedMs)
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -88,14 +88,14 @@
 
 type reports struct{ *platform }
 
-func (r reports) Load(_ context.Context, address string) (*wire.Load, error) {
+func (r reports) Load(_ context.Context, address string) (*vanillaward.EngineReport, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.reads[address]++
 	if address == "dark" {
 		return nil, errors.New("no answer")
 	}
-	return &wire.Load{Running: 2}, nil
+	return &vanillaward.EngineReport{Load: &wire.Load{Running: 2}}, nil
 }
 
 // TestProber checks that only engines that are assigned to this process are read, and
--- a/internal/fleet/prober.go
+++ b/internal/fleet/prober.go
@@ -39,13 +39,14 @@
 	assignment ReaderAssignment
 	interval   time.Duration
 	leaving    map[string]bool // whether the engine's last report said that it is leaving, by target
+	speeds     map[string]*speedometer
 }
 
 // NewProber returns a prober that publishes reports to publisher.
 func NewProber(log logr.Logger, timers vanillaward.Timers, engines vanillaward.Engines, publisher LoadPublisher, assignment ReaderAssignment, interval time.Duration) *Prober {
 	return &Prober{
 		log: log, timers: timers, engines: engines, publisher: publisher, assignment: assignment, interval: interval,
-		leaving: map[string]bool{},
+		leaving: map[string]bool{}, speeds: map[string]*speedometer{},
 	}
 }
 
@@ -73,9 +74,15 @@
 	}
 	startedAt := p.timers.Now()
 	read := make([]*wire.Load, len(assigned))
+	speeds := make(map[string]*speedometer, len(assigned))
 	var wg sync.WaitGroup
 	for i, t := range assigned {
-		wg.Go(func() { read[i] = p.read(ctx, t) })
+		s := p.speeds[t.GetId()]
+		if s == nil {
+			s = &speedometer{}
+		}
+		speeds[t.GetId()] = s
+		wg.Go(func() { read[i] = p.read(ctx, t, s) })
 	}
 	wg.Wait()
 	var loads []*wire.Load
@@ -87,18 +94,22 @@
 			leaving[l.GetTarget()] = l.GetLeaving()
 		}
 	}
-	p.leaving = leaving
+	p.leaving, p.speeds = leaving, speeds
 	p.publisher.PublishLoads(loads, startedAt)
 	p.assignment.ForwardLoads(ctx, loads)
 }
 
-func (p *Prober) read(ctx context.Context, t *wire.Target) *wire.Load {
-	load, err := p.engines.Load(ctx, t.GetAddress())
+// read reads the report of a target, which it also adds to the target's speedometer.
+func (p *Prober) read(ctx context.Context, t *wire.Target, s *speedometer) *wire.Load {
+	report, err := p.engines.Load(ctx, t.GetAddress())
 	if err != nil {
 		p.log.V(1).Info("cannot read load report of engine", "target", t.GetId(), "reason", err.Error())
 		return nil
 	}
+	load := report.Load
 	load.Target = t.GetId()
+	load.SpeedPermille = uint32(speedUnit * s.read(report.Progress, load.GetStartedMs(), p.timers.Now()))
+	load.SpeedReadings = uint32(len(s.windows))
 	return load
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -112,7 +112,7 @@
 func (req *request) logChoice(t *balance.Target, s balance.LoadState) {
 	req.server.base.Log.Info("engine chosen", "request", req.caller.ID, "target", t.ID(), "failure-domain", s.Domain, "tokens", req.tokens(),
 		"report", s.Known, "report-age-ms", s.ReportAge.Milliseconds(), "uses-age-ms", s.UsesAge.Milliseconds(), "memory-percent", int(100*s.Memory), "waiting", s.Waiting,
-		"prefilling", s.Prefilling)
+		"prefilling", s.Prefilling, "speed-percent", int(100*s.Speed))
 }
 
 // endUnreached ends an attempt for which no connection could be made. If the caller has
--- a/internal/gateway/standin_test.go
+++ b/internal/gateway/standin_test.go
@@ -105,7 +105,9 @@
 	drops  []string
 }
 
-func (*engines) Load(context.Context, string) (*wire.Load, error) { return &wire.Load{}, nil }
+func (*engines) Load(context.Context, string) (*vanillaward.EngineReport, error) {
+	return &vanillaward.EngineReport{Load: &wire.Load{}}, nil
+}
 
 func (e *engines) Runs(_ context.Context, address string) (vanillaward.EngineRuns, error) {
 	e.mu.Lock()
--- a/vanillaward.go
+++ b/vanillaward.go
@@ -133,7 +133,7 @@
 // migrations of runs.
 type Engines interface {
 	// Load reads the load report of the engine at an address.
-	Load(ctx context.Context, address string) (*wire.Load, error)
+	Load(ctx context.Context, address string) (*EngineReport, error)
 	// Runs returns the runs of the engine at an address. The error matches ErrUnreadable if the engine
 	// answers otherwise than with a report or ends the connection, and ErrUnreachable if nobody takes connections there.
 	Runs(ctx context.Context, address string) (EngineRuns, error)
@@ -148,6 +148,21 @@
 	Drop(ctx context.Context, address, handle string) error
 }
 
+// EngineReport is an engine's load report.
+type EngineReport struct {
+	*wire.Load
+	// Progress is that of the runs that the engine names.
+	Progress []RunProgress
+}
+
+// RunProgress is how far a run was at the time that a report describes.
+type RunProgress struct {
+	// Request is the ID of the run's request.
+	Request string
+	// Events is the number of events that the run has made.
+	Events int
+}
+
 // ErrNotRunning means that an engine does not run a request at present.
 var ErrNotRunning = errors.New("the engine does not run the request at present")
 
