Choice of an engine: by room, for the requests that others have sent unseen

Cause: a choice took the lowest score plus a random part whose width was fixed by the number of instances. With information of 0.5 s from 300 instances most generations went to few engines.

Change: balance.PickByRoom distributes the requests that the other instances are expected to have sent since they were heard of (own rate x other instances x age, at least 0.05 an instance, twice that) over the engines as evenly as the scores permit, and picks an engine with a probability in proportion to its part. With nothing unseen it is the best one. Prompts that others had in flight count less with the age of that news, and numbers of requests from before an engine's report no longer count beside it. `vanillaward experiment-stale` compares ways over the real balancers with the engines' model in virtual time.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -119,6 +119,11 @@
 	partitionedUntil map[string]time.Duration
 	// demand is what this instance wants to send to each service of which a target states a limit.
 	demand map[string]*ratelimit.Demand
+	// arrivals is what this instance wants to send to each service of engines.
+	arrivals map[string]*arrivals
+	// pick picks one of several engines; candidates is reused by its calls.
+	pick       Picker
+	candidates []Candidate
 	// instances is the number of instances that share targets, 0 if unknown, and peersAt when
 	// their uses were last heard of.
 	instances int
@@ -141,12 +146,17 @@
 }
 
 // New returns a balancer for an instance in a failure domain.
-func New(domain string, random *rand.Rand) *Balancer {
-	return &Balancer{
+func New(domain string, random *rand.Rand, options ...Option) *Balancer {
+	b := &Balancer{
 		domain: domain, random: random, targets: map[target.Key]*Target{}, byID: map[string][]*Target{}, byService: map[string][]*Target{},
 		pairs: map[pair]int{}, partitionedUntil: map[string]time.Duration{}, departed: map[target.Key]departedTarget{},
 		demand: map[string]*ratelimit.Demand{}, notices: map[string]float64{}, reach: map[string]*reach{}, brittle: map[string]*brittleness{},
+		arrivals: map[string]*arrivals{}, pick: PickByRoom,
 	}
+	for _, option := range options {
+		option(b)
+	}
+	return b
 }
 
 // HasList reports whether a list of targets has been received.
@@ -184,6 +194,7 @@
 	b.targets = next
 	b.countGroups()
 	maps.DeleteFunc(b.brittle, func(service string, _ *brittleness) bool { return len(b.byService[service]) == 0 })
+	maps.DeleteFunc(b.arrivals, func(service string, _ *arrivals) bool { return len(b.byService[service]) == 0 })
 	maps.DeleteFunc(b.reach, func(service string, _ *reach) bool { return len(b.byService[service]) == 0 })
 	maps.DeleteFunc(b.demand, func(service string, _ *ratelimit.Demand) bool {
 		return b.brittle[service] == nil && !slices.ContainsFunc(b.byService[service], func(t *Target) bool { return t.stated.share.Limited() })
@@ -200,6 +211,9 @@
 	if d := b.demand[service]; d != nil {
 		d.Add(now)
 	}
+	if tokens > 0 {
+		defer b.noteArrival(service, now) // this one is not among those that others send
+	}
 	if t := b.best(service, tokens, avoid, now, (*Target).accepts); t != nil {
 		return t
 	}
@@ -211,11 +225,16 @@
 func (b *Balancer) best(service string, tokens int, avoid []string, now time.Duration, allowed func(*Target, time.Duration) bool) *Target {
 	var best *Target
 	bestScore, ties := 0.0, 0
+	b.candidates = b.candidates[:0]
 	for _, t := range b.byService[service] {
 		if t.isLeaving(now) || !allowed(t, now) || !b.withinLimit(t, now) || tokens > 0 && !b.hasRoom(t, tokens, now) || slices.Contains(avoid, t.id) {
 			continue
 		}
 		score := b.score(t, tokens, now)
+		if tokens > 0 {
+			b.candidates = append(b.candidates, Candidate{target: t, Score: score, Step: t.step(tokens, now)})
+			continue
+		}
 		switch {
 		case best == nil || score < bestScore:
 			best, bestScore, ties = t, score, 1
@@ -225,7 +244,10 @@
 			}
 		}
 	}
-	return best
+	if len(b.candidates) == 0 {
+		return best
+	}
+	return b.candidates[b.pick(b.candidates, b.crowd(service, now), b.random)].target
 }
 
 // ByIdentity returns the listed target with an identity, or nil if there is none or more than one.
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -165,6 +165,9 @@
 	for _, p := range t.load.recent {
 		n += p.requests
 	}
+	if t.load.known && t.peerUse.at < t.load.at {
+		return max(n, t.open) // the report is newer than what is known of the other instances
+	}
 	return max(n, t.open+t.peerUse.requests)
 }
 
@@ -175,12 +178,12 @@
 	b.instances = max(instances, int(left*float64(b.instances)))
 	b.peersInterval, b.peersAt = now-b.peersAt, now
 	for _, t := range b.targets {
-		t.peerUse = peerUse{demand: left * t.peerUse.demand}
+		t.peerUse = peerUse{at: now, demand: left * t.peerUse.demand}
 	}
 	for _, u := range uses {
 		for _, t := range b.byID[u.GetTarget()] {
 			t.peerUse = peerUse{
-				requests: int(u.GetRequests()), tokens: int(u.GetTokens()), prefilling: int(u.GetPrefilling()), copyTokens: int(u.GetCopyTokens()),
+				at: now, requests: int(u.GetRequests()), tokens: int(u.GetTokens()), prefilling: int(u.GetPrefilling()), copyTokens: int(u.GetCopyTokens()),
 				uncopied:       int(u.GetUncopiedTokens()),
 				demand:         max(t.peerUse.demand, float64(u.GetLimitedDemand())/demandUnit),
 				suspectedUntil: now + time.Duration(u.GetSuspectedMs())*time.Millisecond,
@@ -211,6 +214,7 @@
 
 // peerUse is what the other instances have in flight at a target.
 type peerUse struct {
+	at             time.Duration // when that was heard of
 	requests       int
 	tokens         int
 	prefilling     int
--- /dev/null
+++ b/internal/balance/pick.go
@@ -0,0 +1,79 @@
+package balance
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Candidate is an engine that a request may be sent to.
+type Candidate struct {
+	target *Target
+	// Score ranks the engine by what is known of it; the lowest is the best.
+	Score float64
+	// Step is by how much another request like the one to be sent adds to the score: less for a faster
+	// engine.
+	Step float64
+}
+
+// ID returns the engine's identity.
+func (c Candidate) ID() string { return c.target.id }
+
+// Crowd is what is known of the instances that choose among the same engines.
+type Crowd struct {
+	// Instances is their number, 0 if unknown.
+	Instances int
+	// Age is that of what is known of what they have sent.
+	Age time.Duration
+	// Unseen is the number of requests that they are expected to have sent since then.
+	Unseen float64
+}
+
+// Picker picks one of several candidates and returns its index. It may reorder them.
+type Picker func(candidates []Candidate, crowd Crowd, random *rand.Rand) int
+
+// PickByRoom picks a candidate with a probability in proportion to its room, after the requests that others are
+// expected to have sent unseen have been distributed as evenly as the scores permit: filled up with these, the
+// candidates with room reach one level. With none expected it picks the best. If all instances choose alike, the
+// requests of a moment are expected to reach this level, however many they are.
+func PickByRoom(candidates []Candidate, crowd Crowd, random *rand.Rand) int {
+	if len(candidates) == 1 {
+		return 0
+	}
+	slices.SortFunc(candidates, func(a, b Candidate) int { return cmp.Compare(a.Score, b.Score) })
+	requests := max(crowd.Unseen, minUnseen)
+	level := levelOf(candidates, requests)
+	at := random.Float64() * requests
+	for i, c := range candidates {
+		if c.Score >= level {
+			return i - 1
+		}
+		if at -= (level - c.Score) / c.Step; at < 0 {
+			return i
+		}
+	}
+	return 0 // by rounding; the best
+}
+
+// levelOf returns the score that the best candidates reach with a number of requests, more than 0. The candidates are
+// in the order of their scores.
+func levelOf(candidates []Candidate, requests float64) float64 {
+	speeds, filled := 0.0, requests // the sums of 1/Step and Score/Step
+	level := 0.0
+	for i, c := range candidates {
+		if i > 0 && c.Score >= level {
+			break
+		}
+		speeds += 1 / c.Step
+		filled += c.Score / c.Step
+		level = filled / speeds
+	}
+	return level
+}
+
+// Option changes how a balancer chooses.
+type Option func(*Balancer)
+
+// WithPicker sets how one of several engines is picked.
+func WithPicker(p Picker) Option { return func(b *Balancer) { b.pick = p } }
--- a/internal/balance/score.go
+++ b/internal/balance/score.go
@@ -26,23 +26,16 @@
 	// partitionCost is added for the targets of another failure domain that is considered
 	// partitioned because one of its targets was unreachable.
 	partitionCost = 1.0
-	// jitterPerInstance is the width of the random part of an engine's score for each
-	// instance that chooses among the same engines, up to maxJitter: an instance does not
-	// know yet what other instances have just sent, and all would choose the same engine. It
-	// is less while what they have sent is known as of shorter ago than jitterAge.
+	// jitterPerInstance is the width of the random part of the score of a copy's holder for
+	// each instance that chooses among the same engines, up to maxJitter.
 	jitterPerInstance = 0.004
 	maxJitter         = 0.3
-	jitterAge         = 200 * time.Millisecond
-	minJitter         = 0.03
 )
 
 // score ranks a target. An ejected target ranks after all that are not ejected, so that it is
 // used only if there is none of these.
 func (b *Balancer) score(t *Target, tokens int, now time.Duration) float64 {
-	score := t.loadScore(tokens, now) + failureCost*t.failureRate
-	if tokens > 0 {
-		score += b.jitter(now) * b.random.Float64()
-	}
+	score := b.loadScore(t, tokens, now) + failureCost*t.failureRate
 	if t.domain != b.domain {
 		score += crossDomainCost
 		if now < b.partitionedUntil[t.domain] {
@@ -58,13 +51,6 @@
 	return score
 }
 
-// jitter returns the width of the random part of an engine's score.
-func (b *Balancer) jitter(now time.Duration) float64 {
-	width := b.jitterWidth()
-	age := min(1, float64(now-b.peersAt)/float64(jitterAge))
-	return min(width, max(minJitter, width*age))
-}
-
 // jitterWidth returns the width of the random part where other instances choose at the same moment: all
 // that have runs at an engine learn together that it is leaving.
 func (b *Balancer) jitterWidth() float64 {
@@ -83,15 +69,20 @@
 // in use for a plain service, and for an engine a weighted sum of prompts in flight, batch and waiting
 // requests, which its speed divides, and memory. The request itself counts as well, since a slow
 // engine without load serves it later than a fast one with some.
-func (t *Target) loadScore(tokens int, now time.Duration) float64 {
+func (b *Balancer) loadScore(t *Target, tokens int, now time.Duration) float64 {
 	slots := t.likelySlots()
 	if tokens == 0 {
 		return float64(t.open) / float64(slots)
 	}
-	work := float64(t.prefilling+t.peerUse.prefilling+tokens)/prefillUnit + batchWeight*float64(t.batch()+1)/float64(slots) + waitingCost*float64(t.load.waiting)
-	score := work / t.speedAt(now)
+	work := b.prompts(t, now)/prefillUnit + batchWeight*float64(t.batch())/float64(slots) + waitingCost*float64(t.load.waiting)
+	score := work/t.speedAt(now) + t.step(tokens, now)
 	if memory, known := t.memory(tokens, now); known && memory > memoryThreshold {
 		score += memoryCost * (memory - memoryThreshold)
 	}
 	return score
 }
+
+// step returns what another request like the one that needs a number of tokens adds to the score of an engine.
+func (t *Target) step(tokens int, now time.Duration) float64 {
+	return (float64(tokens)/prefillUnit + batchWeight/float64(t.likelySlots())) / t.speedAt(now)
+}
--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -11,7 +11,7 @@
 const (
 	// Speeds within slowSpeed and fastSpeed of the median count as 1: estimates of equal engines differ by
 	// that much.
-	slowSpeed = 0.85
+	slowSpeed = 0.8
 	fastSpeed = 1.18
 	// minSpeed and maxSpeed bound the effect of an estimate.
 	minSpeed = 0.25
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -78,6 +78,7 @@
 	t.addReplay(app)
 	t.addExplain(app)
 	t.addExperiment(app)
+	t.addExperimentStale(app)
 	_, err := app.Parse(args)
 	if code >= 0 {
 		return code // help was shown
