Metrics: evenness of engines and age of the information of a choice

Cause: whether choices are even, and on how old information they rest, could be seen only by reading the lines `engine chosen`.

Change: vanillaward_gateway_engines_evenness (most requests by reports, averaged over 10 s, over the mean) and vanillaward_choice_information_age_seconds.

--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -36,6 +36,7 @@
 	waiting  int
 	used     int // tokens
 	capacity int // tokens
+	presence float64 // mean number of requests over presenceTime
 	recent   []placement
 }
 
@@ -61,6 +62,7 @@
 			continue
 		}
 		t.noteStart(l.GetStartedMs(), t.load.at)
+		t.load.notePresence(int(l.GetRunning()+l.GetWaiting()), at)
 		t.load.known, t.load.at = true, at
 		t.load.running, t.load.waiting = int(l.GetRunning()), int(l.GetWaiting())
 		t.load.used, t.load.capacity = int(l.GetUsedTokens()), int(l.GetCapacityTokens())
@@ -140,6 +142,9 @@
 	ReportAge time.Duration
 	// UsesAge is the age of what is known of other instances' uses of the engines.
 	UsesAge time.Duration
+	// InformationAge is the age of what is known of what other instances have sent: from their uses or, if
+	// these are older, from reports.
+	InformationAge time.Duration
 	// Memory is the fraction of the memory that is used or reserved; 0 without a valid report.
 	Memory float64
 	// Waiting is the number of requests that the report shows as waiting.
@@ -155,7 +160,7 @@
 	memory, known := t.memory(0, now)
 	return LoadState{
 		Domain: t.domain, Known: known, ReportAge: now - t.load.at, UsesAge: now - b.peersAt, Memory: memory, Waiting: t.load.waiting,
-		Prefilling: t.prefilling + t.peerUse.prefilling, Speed: t.speedAt(now),
+		Prefilling: t.prefilling + t.peerUse.prefilling, Speed: t.speedAt(now), InformationAge: now - b.usesAt(t.service),
 	}
 }
 
--- a/internal/balance/pick_test.go
+++ b/internal/balance/pick_test.go
@@ -107,3 +107,20 @@
 		require.Equal(t, "e7", b.Choose("s", crowdPrompt, nil, time.Minute).ID())
 	}
 }
+
+// TestEvenness: one engine holds three times what each of three others does.
+func TestEvenness(t *testing.T) {
+	b, loads := fleetOfSpeeds(0, 0, 0, 0)
+	for i, l := range loads {
+		l.Running = 2
+		if i == 0 {
+			l.Running = 6
+		}
+	}
+	for n := range 120 {
+		b.UpdateLoads(loads, time.Duration(n)*time.Second/2)
+	}
+	got, engines := b.Evenness(time.Minute)
+	require.InDelta(t, 2, got, 0.05)
+	require.Equal(t, 4, engines)
+}
--- a/internal/experiment/stale.go
+++ b/internal/experiment/stale.go
@@ -32,6 +32,7 @@
 	decodeStep     = 7 * time.Millisecond
 	decodePerRun   = 120 * time.Microsecond
 	snapshotEvery  = 50 * time.Millisecond
+	snapshotFresh  = 5 * time.Millisecond   // for ages of less than snapshotEvery
 	oldestReport   = 500 * time.Millisecond // the state in a report is this old at least
 	retryInterval  = 100 * time.Millisecond
 	promptsBehind  = 3
@@ -182,7 +183,7 @@
 	scheduled int
 	engines   []*staleEngine
 	instances []*staleInstance
-	snapshots [][]staleState // every snapshotEvery
+	snapshots [][]staleState // at an interval
 	open      map[string]*staleRequest
 	arrived   int
 	counted   int
@@ -469,6 +470,14 @@
 	}
 }
 
+// every returns the interval of the snapshots.
+func (r *staleRun) every() time.Duration {
+	if r.setup.Age < snapshotEvery {
+		return snapshotFresh
+	}
+	return snapshotEvery
+}
+
 func (r *staleRun) snapshot() {
 	states := make([]staleState, len(r.engines))
 	for i, e := range r.engines {
@@ -478,16 +487,16 @@
 		states[i] = staleState{load: e.core.Load(), bornMs: e.bornMs, sum: e.sum}
 	}
 	r.snapshots = append(r.snapshots, states)
-	if n := int((max(r.setup.Age, oldestReport) * 2) / snapshotEvery); len(r.snapshots) > n+2 {
+	if n := int((max(r.setup.Age, oldestReport) * 2) / r.every()); len(r.snapshots) > n+2 {
 		r.snapshots[len(r.snapshots)-n-3] = nil
 	}
-	r.schedule(r.now+snapshotEvery, r.snapshot)
+	r.schedule(r.now+r.every(), r.snapshot)
 }
 
 // stateOf returns the state of the engines of some time ago, and when that was.
 func (r *staleRun) stateOf(age time.Duration) ([]staleState, time.Duration) {
-	n := max(0, int((r.now-age)/snapshotEvery))
-	return r.snapshots[n], time.Duration(n) * snapshotEvery
+	n := max(0, int((r.now-age)/r.every()))
+	return r.snapshots[n], time.Duration(n) * r.every()
 }
 
 // inform gives an instance the reports and the uses that it knows by now.
--- a/internal/experiment/stale_report.go
+++ b/internal/experiment/stale_report.go
@@ -34,7 +34,7 @@
 	}
 	for i, s := range setups {
 		r := results[i]
-		_, err := fmt.Fprintf(w, "| %d | %d | %.1f | %.1f | %s | %s | %.2f | %.2f | %.2f | %.2f | %.2f | %d | %d | %.2f | %d |\n",
+		_, err := fmt.Fprintf(w, "| %d | %d | %.2f | %.1f | %s | %s | %.2f | %.2f | %.2f | %.2f | %.2f | %d | %d | %.2f | %d |\n",
 			s.Instances, s.Engines, s.Age.Seconds(), s.Load, s.caseName(), s.Way.Name, r.Evenness, r.Least, r.Busiest, 100*r.Behind, 100*r.BehindIdle,
 			r.First.Round(time.Millisecond).Milliseconds(), r.First95.Milliseconds(), 100*r.Preempted, r.Bytes)
 		if err != nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -110,6 +110,7 @@
 // logChoice logs the load state on which the choice of an engine was based. For plain
 // services the request's own log line is sufficient.
 func (req *request) logChoice(t *balance.Target, s balance.LoadState) {
+	req.server.base.Metrics.InformationAge(s.InformationAge)
 	req.server.base.Log.Info("engine chosen", "request", req.caller.ID, "target", t.ID(), "failure-domain", s.Domain, "tokens", req.tokens(),
 		"report", s.Known, "report-age-ms", s.ReportAge.Milliseconds(), "uses-age-ms", s.UsesAge.Milliseconds(), "memory-percent", int(100*s.Memory), "waiting", s.Waiting,
 		"prefilling", s.Prefilling, "speed-percent", int(100*s.Speed))
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -125,6 +125,7 @@
 	b.Metrics.Gauge("vanillaward_gateway_buffered_bytes", func() float64 { return float64(g.buffers.Used()) })
 	b.Metrics.Gauge("vanillaward_gateway_parts_held_back", func() float64 { return float64(g.crashes.Parts()) })
 	b.Metrics.Gauge("vanillaward_gateway_services_out_of_reach", func() float64 { return float64(len(g.servicesOutOfReach())) })
+	b.Metrics.Gauge("vanillaward_gateway_engines_evenness", g.evenness)
 	b.Metrics.Gauge("vanillaward_gateway_configuration_number", func() float64 { return float64(g.Number()) })
 	return g
 }
@@ -326,6 +327,14 @@
 	return g.balancer.AtCapacity(service, tokens, g.base.Timers.Now())
 }
 
+// evenness returns how many requests the engine with the most has, divided by the mean.
+func (g *Server) evenness() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	evenness, _ := g.balancer.Evenness(g.base.Timers.Now())
+	return evenness
+}
+
 // openAt returns the number of this instance's requests at a target.
 func (g *Server) openAt(t *balance.Target) int {
 	g.mu.Lock()
