vanillaward where: where a gateway would send a request now, and why

Cause: an operator could read why an engine was chosen only from the lines of requests that had been served.

Change: GET /where at the health address of a gateway and the command `vanillaward where` (text, JSON). The answer names route and service, each target with its probability or what excludes it, the parts of its score, what is known of it and how old that is, and whether the request would be refused or handed over. balance.Assess reads the same scores as the choice and changes no state: no token of a limit, no random number, no count of arrivals.

Conclusion: whole, but for queueing at the gateway, cold targets with a limit and evacuated domains, which are not in this tree; they belong in Balancer.exclusion and Server.whereRefused.

--- /dev/null
+++ b/internal/balance/assess.go
@@ -0,0 +1,134 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/vanillaward/vanillaward/internal/ratelimit"
+)
+
+// Exclusion is why a target may not be sent a request at present; empty if it may.
+type Exclusion string
+
+// Exclusions, in the order in which they are looked at.
+const (
+	ExcludedLeaving   Exclusion = "leaving"
+	ExcludedSuspected Exclusion = "suspected-leaving" // it closes connections
+	ExcludedWait      Exclusion = "asked-to-wait"
+	ExcludedLimit     Exclusion = "limit"
+	ExcludedNoRoom    Exclusion = "no-room"
+	ExcludedEjected   Exclusion = "ejected" // while others are not
+)
+
+// Assessment is what is known of a target and what a choice would conclude for a request.
+type Assessment struct {
+	// Target and Domain are the target's identity and failure domain.
+	Target string
+	Domain string
+	// Excluded is why the target would not be chosen.
+	Excluded Exclusion
+	// Parts are the parts of its score.
+	Parts ScoreParts
+	// Probability is that of being chosen now.
+	Probability float64
+	// State is what is known of it. That of plain services has no report.
+	State LoadState
+	// Open is the number of this instance's requests there, Others that of the others', and Running that of its report.
+	Open    int
+	Others  int
+	Running int
+	// Cold is how long the target is still warming up.
+	Cold time.Duration
+}
+
+// Assess returns the assessment of each target of a service for a request, in the order in which they would be
+// chosen, and what is known of the other instances. It changes nothing that a choice depends on.
+func (b *Balancer) Assess(service string, tokens int, now time.Duration) ([]Assessment, Crowd) {
+	listed := b.byService[service]
+	out := make([]Assessment, 0, len(listed))
+	ejected := 0
+	for _, t := range listed {
+		a := b.assess(t, tokens, now)
+		if a.Excluded == "" && a.Parts.Ejected > 0 {
+			ejected++
+		}
+		out = append(out, a)
+	}
+	slices.SortStableFunc(out, func(x, y Assessment) int {
+		return cmp.Or(cmp.Compare(min(1, len(x.Excluded)), min(1, len(y.Excluded))), cmp.Compare(x.Parts.Total(), y.Parts.Total()))
+	})
+	usable := 0
+	for usable < len(out) && out[usable].Excluded == "" {
+		usable++
+	}
+	crowd := b.crowd(service, now)
+	b.setProbabilities(out[:usable], tokens, crowd)
+	if ejected < usable { // an ejected target is chosen only if all others are
+		for i := usable - ejected; i < usable; i++ {
+			out[i].Excluded = ExcludedEjected
+		}
+	}
+	return out, crowd
+}
+
+func (b *Balancer) assess(t *Target, tokens int, now time.Duration) Assessment {
+	return Assessment{
+		Target: t.id, Domain: t.domain, Excluded: b.exclusion(t, tokens, now), Parts: b.score(t, tokens, now), State: b.LoadState(t, now),
+		Open: t.open, Others: t.peerUse.requests, Running: t.load.running, Cold: max(0, t.warmupUntil-now),
+	}
+}
+
+// exclusion returns why a target would not be chosen, without taking a token of its limit. Of brittle engines with
+// little room it says none; they are chosen by chance.
+func (b *Balancer) exclusion(t *Target, tokens int, now time.Duration) Exclusion {
+	switch {
+	case t.knownLeaving():
+		return ExcludedLeaving
+	case t.isLeaving(now):
+		return ExcludedSuspected
+	case !t.accepts(now):
+		return ExcludedWait
+	case !b.limitPermits(t, now):
+		return ExcludedLimit
+	case tokens > 0 && !b.mayHaveRoom(t, tokens, now):
+		return ExcludedNoRoom
+	}
+	return ""
+}
+
+// limitPermits is withinLimit without any effect on the share of the limit.
+func (b *Balancer) limitPermits(t *Target, now time.Duration) bool {
+	demand := b.demand[t.service]
+	if demand == nil {
+		demand = &ratelimit.Demand{}
+	}
+	share := t.stated.share // a copy
+	return share.Ready(demand, b.peersOf(t, now), now)
+}
+
+// setProbabilities sets the probabilities with which the targets are chosen, which are in the order of their scores.
+func (b *Balancer) setProbabilities(targets []Assessment, tokens int, crowd Crowd) {
+	if len(targets) == 0 {
+		return
+	}
+	if tokens == 0 {
+		best := 1
+		for best < len(targets) && targets[best].Parts.Total() == targets[0].Parts.Total() {
+			best++
+		}
+		for i := range targets[:best] {
+			targets[i].Probability = 1 / float64(best)
+		}
+		return
+	}
+	candidates := make([]Candidate, len(targets))
+	for i, a := range targets {
+		candidates[i] = Candidate{Score: a.Parts.Total(), Step: a.Parts.Request}
+	}
+	requests := max(crowd.Unseen, minUnseen)
+	level := levelOf(candidates, requests)
+	for i, c := range candidates {
+		targets[i].Probability = c.room(level) / requests
+	}
+}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -230,7 +230,8 @@
 		if t.isLeaving(now) || !allowed(t, now) || !b.withinLimit(t, now) || tokens > 0 && !b.hasRoom(t, tokens, now) || slices.Contains(avoid, t.id) {
 			continue
 		}
-		score := b.score(t, tokens, now)
+		parts := b.score(t, tokens, now)
+		score := parts.Total()
 		if tokens > 0 {
 			b.candidates = append(b.candidates, Candidate{target: t, Score: score, Step: t.step(tokens, now)})
 			continue
--- a/internal/balance/brittle.go
+++ b/internal/balance/brittle.go
@@ -63,15 +63,25 @@
 	if s == nil {
 		return true
 	}
-	free := t.roomLimit(now) - float64(t.batch())
-	if memory, known := t.memory(tokens, now); free < 1 || known && memory > fullMemory {
-		return false // what finds no memory waits, and the engine may let none wait
+	if !b.mayHaveRoom(t, tokens, now) {
+		return false
 	}
+	free := t.roomLimit(now) - float64(t.batch())
 	taken := min(maxCrossing, crossingShare*max(1, s.bears)) * free
 	unseen := b.unseen(t.service, now)
 	return unseen <= taken || b.random.Float64() < taken/unseen
 }
 
+// mayHaveRoom reports whether an engine has room by what is known of it. Only brittle ones may have none.
+func (b *Balancer) mayHaveRoom(t *Target, tokens int, now time.Duration) bool {
+	if b.brittle[t.service] == nil {
+		return true
+	}
+	memory, known := t.memory(tokens, now)
+	// What finds no memory waits, and the engine may let none wait.
+	return t.roomLimit(now)-float64(t.batch()) >= 1 && (!known || memory <= fullMemory)
+}
+
 // unseen returns how many requests of other instances may have come to each target of a service that has
 // room since these were heard of: no more than there are, if requests end faster than they are heard of.
 func (b *Balancer) unseen(service string, now time.Duration) float64 {
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -34,8 +34,8 @@
 	at       time.Duration // the time that the report describes
 	running  int
 	waiting  int
-	used     int // tokens
-	capacity int // tokens
+	used     int     // tokens
+	capacity int     // tokens
 	presence float64 // mean number of requests over presenceTime
 	recent   []placement
 }
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -46,16 +46,16 @@
 	level := levelOf(candidates, requests)
 	at := random.Float64() * requests
 	for i, c := range candidates {
-		if c.Score >= level {
-			return i - 1
-		}
-		if at -= (level - c.Score) / c.Step; at < 0 {
+		if at -= c.room(level); at < 0 {
 			return i
 		}
 	}
 	return 0 // by rounding; the best
 }
 
+// room returns how many requests fill the candidate up to a score.
+func (c Candidate) room(level float64) float64 { return max(0, level-c.Score) / c.Step }
+
 // levelOf returns the score that the best candidates reach with a number of requests, more than 0. The candidates are
 // in the order of their scores.
 func levelOf(candidates []Candidate, requests float64) float64 {
--- a/internal/balance/score.go
+++ b/internal/balance/score.go
@@ -32,23 +32,50 @@
 	maxJitter         = 0.3
 )
 
+// ScoreParts are the parts of a target's score; the score is their sum.
+type ScoreParts struct {
+	// Load is the fraction of the slots in use, of a plain service's target.
+	Load float64 `json:"load,omitempty"`
+	// Prompts, Batch and Waiting are for the prompts, the batch and the requests that wait at an engine, and
+	// Request for the request itself, by the engine's speed.
+	Prompts float64 `json:"prompts,omitempty"`
+	Batch   float64 `json:"batch,omitempty"`
+	Waiting float64 `json:"waiting,omitempty"`
+	Request float64 `json:"request,omitempty"`
+	// Memory is for little free memory of an engine.
+	Memory float64 `json:"memory,omitempty"`
+	// Failures is for requests that failed lately, Domain for another failure domain, Partition for one that is
+	// considered partitioned, Warmup for a target that is warming up and Ejected for one that is ejected.
+	Failures  float64 `json:"failures,omitempty"`
+	Domain    float64 `json:"other-domain,omitempty"`
+	Partition float64 `json:"partitioned,omitempty"`
+	Warmup    float64 `json:"warm-up,omitempty"`
+	Ejected   float64 `json:"ejected,omitempty"`
+}
+
+// Total returns the score.
+func (p *ScoreParts) Total() float64 {
+	return p.Load + p.Prompts + p.Batch + p.Waiting + p.Request + p.Memory + p.Failures + p.Domain + p.Partition + p.Warmup + p.Ejected
+}
+
 // score ranks a target. An ejected target ranks after all that are not ejected, so that it is
 // used only if there is none of these.
-func (b *Balancer) score(t *Target, tokens int, now time.Duration) float64 {
-	score := b.loadScore(t, tokens, now) + failureCost*t.failureRate
+func (b *Balancer) score(t *Target, tokens int, now time.Duration) ScoreParts {
+	p := b.loadScore(t, tokens, now)
+	p.Failures = failureCost * t.failureRate
 	if t.domain != b.domain {
-		score += crossDomainCost
+		p.Domain = crossDomainCost
 		if now < b.partitionedUntil[t.domain] {
-			score += partitionCost
+			p.Partition = partitionCost
 		}
 	}
 	if now < t.warmupUntil {
-		score += warmupCost
+		p.Warmup = warmupCost
 	}
 	if now < t.ejectedUntil {
-		score += 100 * failureCost
+		p.Ejected = 100 * failureCost
 	}
-	return score
+	return p
 }
 
 // jitterWidth returns the width of the random part where other instances choose at the same moment: all
@@ -69,17 +96,20 @@
 // in use for a plain service, and for an engine a weighted sum of prompts in flight, batch and waiting
 // requests, which its speed divides, and memory. The request itself counts as well, since a slow
 // engine without load serves it later than a fast one with some.
-func (b *Balancer) loadScore(t *Target, tokens int, now time.Duration) float64 {
-	slots := t.likelySlots()
+func (b *Balancer) loadScore(t *Target, tokens int, now time.Duration) ScoreParts {
+	slots := float64(t.likelySlots())
 	if tokens == 0 {
-		return float64(t.open) / float64(slots)
+		return ScoreParts{Load: float64(t.open) / slots}
+	}
+	speed := t.speedAt(now)
+	p := ScoreParts{
+		Prompts: b.prompts(t, now) / prefillUnit / speed, Batch: batchWeight * float64(t.batch()) / slots / speed,
+		Waiting: waitingCost * float64(t.load.waiting) / speed, Request: t.step(tokens, now),
 	}
-	work := b.prompts(t, now)/prefillUnit + batchWeight*float64(t.batch())/float64(slots) + waitingCost*float64(t.load.waiting)
-	score := work/t.speedAt(now) + t.step(tokens, now)
 	if memory, known := t.memory(tokens, now); known && memory > memoryThreshold {
-		score += memoryCost * (memory - memoryThreshold)
+		p.Memory = memoryCost * (memory - memoryThreshold)
 	}
-	return score
+	return p
 }
 
 // step returns what another request like the one that needs a number of tokens adds to the score of an engine.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -77,6 +77,7 @@
 	t.addCertificates(app)
 	t.addReplay(app)
 	t.addExplain(app)
+	t.addWhere(app)
 	t.addExperiment(app)
 	t.addExperimentStale(app)
 	_, err := app.Parse(args)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -9,6 +9,7 @@
 	"net/http/pprof"
 	"os"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -52,6 +53,8 @@
 	recorder  *trace.Recorder
 	traceFile *os.File
 	gateway   []gateway.Option
+	// serving is the gateway with that role, once it is started.
+	serving atomic.Pointer[gateway.Server]
 }
 
 // Option configures an instance.
@@ -305,18 +308,29 @@
 	return append(out, others...)
 }
 
-// serveHealth serves /healthz, /readyz, /metrics and profiles.
+// serveHealth serves /healthz, /readyz, /metrics, /where and profiles.
 func (i *Instance) serveHealth(ctx context.Context, listener net.Listener) <-chan error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", i.readiness)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { i.base.Metrics.Write(w) })
+	mux.HandleFunc("GET "+gateway.PathWhere, i.where)
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: healthHeaderTimeout}
 	return serveHTTP(ctx, listener, server)
 }
 
+// where says where the gateway would send a request.
+func (i *Instance) where(w http.ResponseWriter, r *http.Request) {
+	g := i.serving.Load()
+	if g == nil {
+		http.Error(w, "this instance is no gateway, or is starting", http.StatusNotFound)
+		return
+	}
+	g.ServeWhere(w, r)
+}
+
 // readiness responds with status 503 while the instance should not receive
 // requests. With ?keepers=1 it also does so while the instance's keeper does not
 // vote.
--- a/internal/instance/seeded.go
+++ b/internal/instance/seeded.go
@@ -219,6 +219,7 @@
 		return nil, err
 	}
 	g := gateway.New(s.base, platform.Dialect{}, platform.NewEngines(), platform.DecodeConfig, randomSeed(), s.gateway...)
+	s.serving.Store(g)
 	follower := follow.New(s.base.Log, s.base.Timers, s.peers, cfg.Instance.Name, cfg.Instance.FailureDomain, s.seeds.Peers, g)
 	g.UseExchange(follower)
 	follower.UseHelping(g)
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -86,6 +86,16 @@
 	return o, ok && key != ""
 }
 
+// OrganisationByName returns an organisation by name. It reports false if none that has a key has this name.
+func (t *Table) OrganisationByName(name string) (*Organisation, bool) {
+	for _, o := range t.organisations {
+		if o.name == name {
+			return o, true
+		}
+	}
+	return nil, false
+}
+
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
@@ -138,6 +148,9 @@
 // route does not say.
 func (r *Route) LongestPause() time.Duration { return r.spec.LongestPause }
 
+// Shares returns the services of the route's requests with their weights.
+func (r *Route) Shares() []Share { return slices.Clone(r.spec.Shares) }
+
 // Pick returns the service for a request. Random is uniform in [0, 1).
 func (r *Route) Pick(random float64) string {
 	remaining := random * r.totalWeight
