--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -121,6 +121,8 @@
 	demand map[string]*ratelimit.Demand
 	// arrivals is what this instance wants to send to each service of engines.
 	arrivals map[string]*arrivals
+	// parts is the part of a service's engines that this instance chooses among, where that is not all.
+	parts map[string]float64
 	// pick picks one of several engines; candidates is reused by its calls.
 	pick       Picker
 	candidates []Candidate
@@ -151,7 +153,7 @@
 		domain: domain, random: random, targets: map[target.Key]*Target{}, byID: map[string][]*Target{}, byService: map[string][]*Target{},
 		pairs: map[pair]int{}, partitionedUntil: map[string]time.Duration{}, departed: map[target.Key]departedTarget{},
 		demand: map[string]*ratelimit.Demand{}, notices: map[string]float64{}, reach: map[string]*reach{}, brittle: map[string]*brittleness{},
-		arrivals: map[string]*arrivals{}, pick: PickByRoom,
+		arrivals: map[string]*arrivals{}, parts: map[string]float64{}, pick: PickByRoom,
 	}
 	for _, option := range options {
 		option(b)
@@ -194,6 +196,7 @@
 	b.targets = next
 	b.countGroups()
 	maps.DeleteFunc(b.brittle, func(service string, _ *brittleness) bool { return len(b.byService[service]) == 0 })
+	maps.DeleteFunc(b.parts, func(service string, _ float64) bool { return len(b.byService[service]) == 0 })
 	maps.DeleteFunc(b.arrivals, func(service string, _ *arrivals) bool { return len(b.byService[service]) == 0 })
 	maps.DeleteFunc(b.reach, func(service string, _ *reach) bool { return len(b.byService[service]) == 0 })
 	maps.DeleteFunc(b.demand, func(service string, _ *ratelimit.Demand) bool {
--- a/internal/balance/crowd.go
+++ b/internal/balance/crowd.go
@@ -35,9 +35,17 @@
 		rate = a.rate(now)
 	}
 	least := unseenPerInstance * min(1, age.Seconds()/unseenAge.Seconds())
-	return Crowd{Instances: b.instances, Age: age, Unseen: unseenSpread * others * max(rate*age.Seconds(), least)}
+	part := 1.0
+	if p, ok := b.parts[service]; ok {
+		part = p
+	}
+	return Crowd{Instances: b.instances, Age: age, Unseen: unseenSpread * part * others * max(rate*age.Seconds(), least)}
 }
 
+// SetPart sets which part of a service's engines this instance chooses among, 1 for all. Where each instance has a subset,
+// only as large a part of the others' requests comes to the engines of this one.
+func (b *Balancer) SetPart(service string, part float64) { b.parts[service] = part }
+
 // usesAt returns as of when the other instances' requests to the engines of a service are known: from their uses, or
 // if these are older from the engines' reports.
 func (b *Balancer) usesAt(service string) time.Duration {
--- a/internal/balance/pick_test.go
+++ b/internal/balance/pick_test.go
@@ -124,3 +124,13 @@
 	require.InDelta(t, 2, got, 0.05)
 	require.Equal(t, 4, engines)
 }
+
+// TestPartOfTheEngines: instances that choose among a tenth of the engines get a tenth of each other's requests there.
+// Provided for all of them, the choice would be no better than by chance.
+func TestPartOfTheEngines(t *testing.T) {
+	b := newCrowd(func(int) (uint32, uint32) { return 2, 6000 })[0]
+	_, whole := b.Assess("s", crowdPrompt, crowdStart)
+	b.SetPart("s", 0.1)
+	_, part := b.Assess("s", crowdPrompt, crowdStart)
+	require.InDelta(t, whole.Unseen/10, part.Unseen, 0.001)
+}
--- a/internal/experiment/stale.go
+++ b/internal/experiment/stale.go
@@ -284,6 +284,7 @@
 			})
 		}
 		in.balancer.Update(list, 0)
+		in.balancer.SetPart(staleService, float64(len(in.known))/float64(len(r.engines)))
 		in.balancer.UpdatePeerUses(nil, r.setup.Instances, 0)
 		r.instances = append(r.instances, in)
 	}
