Engine speeds: up to 1.25 of the median counts as equal

Cause: engines that record what they report at intervals that do not divide the readings' look faster in some windows than they are.

Change: the range that counts as 1 is 0.8 to 1.25.

--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -10,9 +10,9 @@
 
 const (
 	// Speeds within slowSpeed and fastSpeed of the median count as 1: estimates of equal engines differ by
-	// that much.
+	// that much, by up to a quarter where engines record what they report every 150 ms.
 	slowSpeed = 0.8
-	fastSpeed = 1.18
+	fastSpeed = 1.25
 	// minSpeed and maxSpeed bound the effect of an estimate.
 	minSpeed = 0.25
 	maxSpeed = 4
