--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -34,8 +34,9 @@
 	at       time.Duration // the time that the report describes
 	running  int
 	waiting  int
-	used     int // tokens
-	capacity int // tokens
+	used     int     // tokens
+	capacity int     // tokens
+	presence float64 // mean number of requests over presenceTime
 	recent   []placement
 }
 
@@ -50,6 +51,7 @@
 // UpdateLoads applies reports of engines. A report includes the placements from before the
 // time that it describes, so these are discarded. A report older than the last one is ignored.
 func (b *Balancer) UpdateLoads(loads []*wire.Load, now time.Duration) {
+	measured := map[string]bool{} // services of which a load states a speed
 	for _, l := range loads {
 		t := b.ByIdentity(l.GetTarget())
 		if t == nil { // not listed, or the report may be that of another one with this identity
@@ -60,10 +62,13 @@
 			continue
 		}
 		t.noteStart(l.GetStartedMs(), t.load.at)
+		t.load.notePresence(int(l.GetRunning()+l.GetWaiting()), at)
 		t.load.known, t.load.at = true, at
 		t.load.running, t.load.waiting = int(l.GetRunning()), int(l.GetWaiting())
 		t.load.used, t.load.capacity = int(l.GetUsedTokens()), int(l.GetCapacityTokens())
 		t.load.discardBefore(at)
+		t.noteSpeed(l, at)
+		measured[t.service] = measured[t.service] || l.GetSpeedPermille() > 0
 		if l.GetLeaving() {
 			t.noteLeaving(now)
 			if left := time.Duration(l.GetLeavesMs())*time.Millisecond - (now - at); l.GetLeavesMs() > 0 && !t.reportsLeaving {
@@ -72,6 +77,9 @@
 		}
 		t.reportsLeaving = l.GetLeaving()
 	}
+	for service := range measured {
+		b.compareSpeeds(service, now)
+	}
 }
 
 // record adds a placement.
@@ -134,12 +142,17 @@
 	ReportAge time.Duration
 	// UsesAge is the age of what is known of other instances' uses of the engines.
 	UsesAge time.Duration
+	// InformationAge is the age of what is known of what other instances have sent: from their uses or, if
+	// these are older, from reports.
+	InformationAge time.Duration
 	// Memory is the fraction of the memory that is used or reserved; 0 without a valid report.
 	Memory float64
 	// Waiting is the number of requests that the report shows as waiting.
 	Waiting int
 	// Prefilling is the number of prompt tokens in flight to the engine.
 	Prefilling int
+	// Speed is the engine's speed relative to the median of its service; 1 if it is not known.
+	Speed float64
 }
 
 // LoadState returns the last known state of a target.
@@ -147,7 +160,7 @@
 	memory, known := t.memory(0, now)
 	return LoadState{
 		Domain: t.domain, Known: known, ReportAge: now - t.load.at, UsesAge: now - b.peersAt, Memory: memory, Waiting: t.load.waiting,
-		Prefilling: t.prefilling + t.peerUse.prefilling,
+		Prefilling: t.prefilling + t.peerUse.prefilling, Speed: t.speedAt(now), InformationAge: now - b.usesAt(t.service),
 	}
 }
 
@@ -157,6 +170,9 @@
 	for _, p := range t.load.recent {
 		n += p.requests
 	}
+	if t.load.known && t.peerUse.at < t.load.at {
+		return max(n, t.open) // the report is newer than what is known of the other instances
+	}
 	return max(n, t.open+t.peerUse.requests)
 }
 
@@ -167,12 +183,12 @@
 	b.instances = max(instances, int(left*float64(b.instances)))
 	b.peersInterval, b.peersAt = now-b.peersAt, now
 	for _, t := range b.targets {
-		t.peerUse = peerUse{demand: left * t.peerUse.demand}
+		t.peerUse = peerUse{at: now, demand: left * t.peerUse.demand}
 	}
 	for _, u := range uses {
 		for _, t := range b.byID[u.GetTarget()] {
 			t.peerUse = peerUse{
-				requests: int(u.GetRequests()), tokens: int(u.GetTokens()), prefilling: int(u.GetPrefilling()), copyTokens: int(u.GetCopyTokens()),
+				at: now, requests: int(u.GetRequests()), tokens: int(u.GetTokens()), prefilling: int(u.GetPrefilling()), copyTokens: int(u.GetCopyTokens()),
 				uncopied:       int(u.GetUncopiedTokens()),
 				demand:         max(t.peerUse.demand, float64(u.GetLimitedDemand())/demandUnit),
 				suspectedUntil: now + time.Duration(u.GetSuspectedMs())*time.Millisecond,
@@ -203,6 +219,7 @@
 
 // peerUse is what the other instances have in flight at a target.
 type peerUse struct {
+	at             time.Duration // when that was heard of
 	requests       int
 	tokens         int
 	prefilling     int
--- a/internal/balance/score.go
+++ b/internal/balance/score.go
@@ -26,43 +26,56 @@
 	// partitionCost is added for the targets of another failure domain that is considered
 	// partitioned because one of its targets was unreachable.
 	partitionCost = 1.0
-	// jitterPerInstance is the width of the random part of an engine's score for each
-	// instance that chooses among the same engines, up to maxJitter: an instance does not
-	// know yet what other instances have just sent, and all would choose the same engine. It
-	// is less while what they have sent is known as of shorter ago than jitterAge.
+	// jitterPerInstance is the width of the random part of the score of a copy's holder for
+	// each instance that chooses among the same engines, up to maxJitter.
 	jitterPerInstance = 0.004
 	maxJitter         = 0.3
-	jitterAge         = 200 * time.Millisecond
-	minJitter         = 0.03
 )
 
+// ScoreParts are the parts of a target's score; the score is their sum.
+type ScoreParts struct {
+	// Load is the fraction of the slots in use, of a plain service's target.
+	Load float64 `json:"load,omitempty"`
+	// Prompts, Batch and Waiting are for the prompts, the batch and the requests that wait at an engine, and
+	// Request for the request itself, by the engine's speed.
+	Prompts float64 `json:"prompts,omitempty"`
+	Batch   float64 `json:"batch,omitempty"`
+	Waiting float64 `json:"waiting,omitempty"`
+	Request float64 `json:"request,omitempty"`
+	// Memory is for little free memory of an engine.
+	Memory float64 `json:"memory,omitempty"`
+	// Failures is for requests that failed lately, Domain for another failure domain, Partition for one that is
+	// considered partitioned, Warmup for a target that is warming up and Ejected for one that is ejected.
+	Failures  float64 `json:"failures,omitempty"`
+	Domain    float64 `json:"other-domain,omitempty"`
+	Partition float64 `json:"partitioned,omitempty"`
+	Warmup    float64 `json:"warm-up,omitempty"`
+	Ejected   float64 `json:"ejected,omitempty"`
+}
+
+// Total returns the score.
+func (p *ScoreParts) Total() float64 {
+	return p.Load + p.Prompts + p.Batch + p.Waiting + p.Request + p.Memory + p.Failures + p.Domain + p.Partition + p.Warmup + p.Ejected
+}
+
 // score ranks a target. An ejected target ranks after all that are not ejected, so that it is
 // used only if there is none of these.
-func (b *Balancer) score(t *Target, tokens int, now time.Duration) float64 {
-	score := t.loadScore(tokens, now) + failureCost*t.failureRate
-	if tokens > 0 {
-		score += b.jitter(now) * b.random.Float64()
-	}
+func (b *Balancer) score(t *Target, tokens int, now time.Duration) ScoreParts {
+	p := b.loadScore(t, tokens, now)
+	p.Failures = failureCost * t.failureRate
 	if t.domain != b.domain {
-		score += crossDomainCost
+		p.Domain = crossDomainCost
 		if now < b.partitionedUntil[t.domain] {
-			score += partitionCost
+			p.Partition = partitionCost
 		}
 	}
 	if now < t.warmupUntil {
-		score += warmupCost
+		p.Warmup = warmupCost
 	}
 	if now < t.ejectedUntil {
-		score += 100 * failureCost
+		p.Ejected = 100 * failureCost
 	}
-	return score
-}
-
-// jitter returns the width of the random part of an engine's score.
-func (b *Balancer) jitter(now time.Duration) float64 {
-	width := b.jitterWidth()
-	age := min(1, float64(now-b.peersAt)/float64(jitterAge))
-	return min(width, max(minJitter, width*age))
+	return p
 }
 
 // jitterWidth returns the width of the random part where other instances choose at the same moment: all
@@ -80,16 +93,26 @@
 }
 
 // loadScore returns the load of a target with another request: the fraction of its slots
-// in use for a plain service, and a weighted sum of prompts in flight, batch, waiting
-// requests and memory for an engine.
-func (t *Target) loadScore(tokens int, now time.Duration) float64 {
-	slots := t.likelySlots()
+// in use for a plain service, and for an engine a weighted sum of prompts in flight, batch and waiting
+// requests, which its speed divides, and memory. The request itself counts as well, since a slow
+// engine without load serves it later than a fast one with some.
+func (b *Balancer) loadScore(t *Target, tokens int, now time.Duration) ScoreParts {
+	slots := float64(t.likelySlots())
 	if tokens == 0 {
-		return float64(t.open) / float64(slots)
+		return ScoreParts{Load: float64(t.open) / slots}
+	}
+	speed := t.speedAt(now)
+	p := ScoreParts{
+		Prompts: b.prompts(t, now) / prefillUnit / speed, Batch: batchWeight * float64(t.batch()) / slots / speed,
+		Waiting: waitingCost * float64(t.load.waiting) / speed, Request: t.step(tokens, now),
 	}
-	score := float64(t.prefilling+t.peerUse.prefilling)/prefillUnit + batchWeight*float64(t.batch())/float64(slots) + waitingCost*float64(t.load.waiting)
 	if memory, known := t.memory(tokens, now); known && memory > memoryThreshold {
-		score += memoryCost * (memory - memoryThreshold)
+		p.Memory = memoryCost * (memory - memoryThreshold)
 	}
-	return score
+	return p
+}
+
+// step returns what another request like the one that needs a number of tokens adds to the score of an engine.
+func (t *Target) step(tokens int, now time.Duration) float64 {
+	return (float64(tokens)/prefillUnit + batchWeight/float64(t.likelySlots())) / t.speedAt(now)
 }
