--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -92,7 +92,7 @@
 	formerCount int
 	// evacuated holds the orders in force that evacuated failure domains, by domain.
 	evacuated map[string]*wire.OrderStep
-	cold        int // targets that were cold at the last list or report
+	cold      int // targets that were cold at the last list or report
 }
 
 // Option configures a gateway.
