--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -159,7 +159,7 @@
 		domain: domain, random: random, targets: map[target.Key]*Target{}, byID: map[string][]*Target{}, byService: map[string][]*Target{},
 		pairs: map[pair]int{}, partitionedUntil: map[string]time.Duration{}, departed: map[target.Key]departedTarget{},
 		demand: map[string]*ratelimit.Demand{}, notices: map[string]float64{}, reach: map[string]*reach{}, brittle: map[string]*brittleness{},
-		arrivals: map[string]*arrivals{}, parts: map[string]float64{}, pick: PickByRoom,
+		arrivals: map[string]*arrivals{}, parts: map[string]float64{}, pick: PickByAge,
 	}
 	for _, option := range options {
 		option(b)
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -53,6 +53,37 @@
 	return 0 // by rounding; the best
 }
 
+const (
+	// freshAge is the age up to which the uses of other instances tell where requests go next: all of them have been told of
+	// a choice by then.
+	freshAge = 200 * time.Millisecond
+	// largeCrowd is the number of instances from which on a choice by old information is made by room. Fewer instances
+	// overrun no engine between two reports, and to spread their requests over engines that are known to be fuller
+	// makes these preempt.
+	largeCrowd = 100
+	// leastJitter is the width of the random part of a score while uses are known as of a moment ago: instances that
+	// choose within the time of an exchange would all take the same engine.
+	leastJitter = 0.03
+)
+
+// PickByAge picks the lowest score with a random part, which is the wider the more instances choose and the older the
+// information is. Many instances with old information pick by room.
+func PickByAge(candidates []Candidate, crowd Crowd, random *rand.Rand) int {
+	stale := min(1, float64(crowd.Age)/float64(freshAge))
+	if crowd.Instances > largeCrowd && stale == 1 {
+		return PickByRoom(candidates, crowd, random)
+	}
+	width := min(maxJitter, jitterPerInstance*float64(crowd.Instances))
+	width = min(width, max(leastJitter, width*stale))
+	best, lowest := 0, 0.0
+	for i, c := range candidates {
+		if score := c.Score + width*random.Float64(); i == 0 || score < lowest {
+			best, lowest = i, score
+		}
+	}
+	return best
+}
+
 // room returns how many requests fill the candidate up to a score.
 func (c Candidate) room(level float64) float64 { return max(0, level-c.Score) / c.Step }
 
