--- a/internal/balance/assess.go
+++ b/internal/balance/assess.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -13,10 +14,12 @@
 
 // Exclusions, in the order in which they are looked at.
 const (
+	ExcludedEvacuated Exclusion = "evacuated" // its failure domain is
 	ExcludedLeaving   Exclusion = "leaving"
 	ExcludedSuspected Exclusion = "suspected-leaving" // it closes connections
 	ExcludedWait      Exclusion = "asked-to-wait"
 	ExcludedLimit     Exclusion = "limit"
+	ExcludedCold      Exclusion = "cold"
 	ExcludedNoRoom    Exclusion = "no-room"
 	ExcludedEjected   Exclusion = "ejected" // while others are not
 )
@@ -83,6 +86,8 @@
 // little room it says none; they are chosen by chance.
 func (b *Balancer) exclusion(t *Target, tokens int, now time.Duration) Exclusion {
 	switch {
+	case b.Evacuated(t):
+		return ExcludedEvacuated
 	case t.knownLeaving():
 		return ExcludedLeaving
 	case t.isLeaving(now):
@@ -91,6 +96,8 @@
 		return ExcludedWait
 	case !b.limitPermits(t, now):
 		return ExcludedLimit
+	case !b.coldLimitPermits(t, now):
+		return ExcludedCold
 	case tokens > 0 && !b.mayHaveRoom(t, tokens, now):
 		return ExcludedNoRoom
 	}
@@ -107,6 +114,19 @@
 	return share.Ready(demand, b.peersOf(t, now), now)
 }
 
+// coldLimitPermits is withinColdLimit without any effect on the share of the limit.
+func (b *Balancer) coldLimitPermits(t *Target, now time.Duration) bool {
+	if !b.isColdLimited(t, now) {
+		return true
+	}
+	demand := b.demand[t.service]
+	if demand == nil {
+		demand = &ratelimit.Demand{}
+	}
+	share := *t.cold // a copy
+	return share.Ready(demand, b.coldPeersOf(t, now), now)
+}
+
 // setProbabilities sets the probabilities with which the targets are chosen, which are in the order of their scores.
 func (b *Balancer) setProbabilities(targets []Assessment, tokens int, crowd Crowd) {
 	if len(targets) == 0 {
@@ -123,12 +143,18 @@
 		return
 	}
 	candidates := make([]Candidate, len(targets))
+	chosen := make(map[*Target]int, len(targets)) // by the target's place among the targets
 	for i, a := range targets {
-		candidates[i] = Candidate{Score: a.Parts.Total(), Step: a.Parts.Request}
+		t := &Target{id: a.Target}
+		chosen[t] = i
+		candidates[i] = Candidate{target: t, Score: a.Parts.Total(), Step: a.Parts.Request}
 	}
-	requests := max(crowd.Unseen, minUnseen)
-	level := levelOf(candidates, requests)
-	for i, c := range candidates {
-		targets[i].Probability = c.room(level) / requests
+	random := rand.New(rand.NewPCG(1, 1)) // a random source of its own, so that the next choices stay the same
+	for range sampledChoices {
+		i := chosen[candidates[b.pick(candidates, crowd, random)].target]
+		targets[i].Probability += 1.0 / sampledChoices
 	}
 }
+
+// sampledChoices is the number of choices from which the probabilities of an assessment are estimated.
+const sampledChoices = 4000
