Balance: requests and copies go to a subset of each large service

An instance that learns loads and uses of all targets costs instances times targets. The whole list is used when the subset has no candidate. Nothing enables subsets yet.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -70,6 +70,7 @@
 	address        string
 	domain         string
 	slots          int
+	outside        bool          // not in the subset of its service that this instance keeps
 	leaving        bool          // according to the platform's list, which lags
 	reportsLeaving bool          // according to the target's own report
 	suspectedUntil time.Duration // until when it is considered to be leaving
@@ -112,6 +113,7 @@
 	byID      map[string][]*Target // more than one only if the list has an identity twice
 	byService map[string][]*Target
 	hasList   bool
+	subsets   subsets
 	// pairs counts this instance's copies by the run's engine and the holder.
 	pairs map[pair]int
 	// partitionedUntil is the time until which a failure domain is considered partitioned.
@@ -181,6 +183,7 @@
 	}
 	b.rememberDeparted(next, now)
 	b.targets = next
+	b.chooseSubsets()
 	b.countGroups()
 	maps.DeleteFunc(b.brittle, func(service string, _ *brittleness) bool { return len(b.byService[service]) == 0 })
 	maps.DeleteFunc(b.reach, func(service string, _ *reach) bool { return len(b.byService[service]) == 0 })
@@ -206,11 +209,18 @@
 }
 
 // best returns the best of the targets for which allowed returns true and whose limits permit a
-// request.
+// request: one of the subset of the service if there is one.
 func (b *Balancer) best(service string, tokens int, avoid []string, now time.Duration, allowed func(*Target, time.Duration) bool) *Target {
+	if t := b.bestOf(b.candidates(service), tokens, avoid, now, allowed); t != nil {
+		return t
+	}
+	return b.bestOf(b.others(service), tokens, avoid, now, allowed)
+}
+
+func (b *Balancer) bestOf(candidates []*Target, tokens int, avoid []string, now time.Duration, allowed func(*Target, time.Duration) bool) *Target {
 	var best *Target
 	bestScore, ties := 0.0, 0
-	for _, t := range b.byService[service] {
+	for _, t := range candidates {
 		if t.isLeaving(now) || !allowed(t, now) || !b.withinLimit(t, now) || tokens > 0 && !b.hasRoom(t, tokens, now) || slices.Contains(avoid, t.id) {
 			continue
 		}
--- a/internal/balance/copies.go
+++ b/internal/balance/copies.go
@@ -89,7 +89,7 @@
 func (b *Balancer) chooseHolder(source *Target, tokens int, avoid []string, limit, crossDomain float64, now time.Duration) *Target {
 	var best *Target
 	bestScore := 0.0
-	for _, t := range b.byService[source.service] {
+	for _, t := range b.candidates(source.service) {
 		if t.isLeaving(now) || !t.accepts(now) || !b.withinLimit(t, now) || t == source || now < t.ejectedUntil || t.load.waiting > 0 || slices.Contains(avoid, t.id) {
 			continue
 		}
@@ -136,7 +136,7 @@
 // need, excluding copies.
 func (b *Balancer) utilisation(service string, now time.Duration) float64 {
 	needed, capacity := 0, 0
-	for _, t := range b.byService[service] {
+	for _, t := range b.candidates(service) {
 		needed += t.tokens - t.copyTokens + t.peerUse.tokens - t.peerUse.copyTokens
 		if !t.isLeaving(now) {
 			capacity += t.load.capacity
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -111,7 +111,7 @@
 // other requests again.
 func (b *Balancer) AtCapacity(service string, tokens int, now time.Duration) bool {
 	known := false
-	for _, t := range b.byService[service] {
+	for _, t := range b.candidates(service) {
 		if t.isLeaving(now) || t.asksToWait(now) {
 			continue
 		}
@@ -169,12 +169,19 @@
 	for _, t := range b.targets {
 		t.peerUse = peerUse{demand: left * t.peerUse.demand}
 	}
+	b.applyPeerUses(uses, now)
+}
+
+// applyPeerUses applies sums of what other instances have in flight at targets.
+func (b *Balancer) applyPeerUses(uses []*wire.Use, now time.Duration) {
 	for _, u := range uses {
+		demand := float64(u.GetLimitedDemand()) / demandUnit
 		for _, t := range b.byID[u.GetTarget()] {
 			t.peerUse = peerUse{
 				requests: int(u.GetRequests()), tokens: int(u.GetTokens()), prefilling: int(u.GetPrefilling()), copyTokens: int(u.GetCopyTokens()),
 				uncopied:       int(u.GetUncopiedTokens()),
-				demand:         max(t.peerUse.demand, float64(u.GetLimitedDemand())/demandUnit),
+				demand:         max(t.peerUse.demand, demand),
+				toldDemand:     demand,
 				suspectedUntil: now + time.Duration(u.GetSuspectedMs())*time.Millisecond,
 			}
 		}
@@ -209,5 +216,6 @@
 	copyTokens     int
 	uncopied       int
 	demand         float64       // requests a second for a target that states a limit
+	toldDemand     float64       // demand as it was told last
 	suspectedUntil time.Duration // until when one of these instances considers the target to be leaving
 }
--- a/internal/balance/statements.go
+++ b/internal/balance/statements.go
@@ -139,7 +139,7 @@
 // peersOf returns what is known of the other instances that keep a target's limit.
 func (b *Balancer) peersOf(t *Target, now time.Duration) ratelimit.Peers {
 	return ratelimit.Peers{
-		Known: b.instances > 0 && now-b.peersAt <= peersValid, Demand: t.peerUse.demand, Instances: b.likelyInstances(),
+		Known: b.instances > 0 && now-b.peersAt <= peersValid && !t.outside, Demand: t.peerUse.demand, Instances: b.likelyInstances(),
 	}
 }
 
