Control: lists as changes, uses and loads of subsets

Cause: each answer to a follower held the sums of uses and the loads of all targets, and the whole list after each change; its size and its cost grew with instances times targets.

Change: a follower that has a version of the list gets what changed since, and otherwise the list compressed. It states the number of instances from which the size of its subsets follows, and gets those sums and loads of its subsets that changed since the version that it has. Non-leaders send no loads to instances that get the leader's, beyond 100 instances. Followers and replicas of earlier builds are served as before.

--- a/internal/control/documents.go
+++ b/internal/control/documents.go
@@ -120,7 +120,11 @@
 	if err := c.instanceOnly(); err != nil {
 		return err
 	}
-	s := c.service
+	return c.service.follow(request, answer)
+}
+
+// follow answers a request for the updates that an instance lacks.
+func (s *Service) follow(request *wire.FollowRequest, answer *wire.FollowResponse) error {
 	s.recordFollower(request)
 	s.uses.update(request.GetInstance(), request.GetUses(), s.timers.Now())
 	s.evidence.merge(request.GetEvidence(), s.timers.Now())
@@ -133,13 +137,14 @@
 		return err
 	}
 	answer.Leader, answer.LeaderAddress = status.Leader() == s.self, status.Leader()
-	answer.Others = s.uses.sumsExcluding(request.GetInstance(), s.timers.Now())
 	answer.Fresh, answer.Replicas = status.LeaderReachable(), status.Addresses()
 	answer.Document, answer.Targets = got.GetDocument(), got.GetTargets()
 	answer.DocumentNumber = got.GetDocumentNumber()
 	answer.ListEpoch, answer.ListVersion = got.GetListEpoch(), got.GetListVersion()
 	answer.ListChanged, answer.ListAgeMs = got.GetListChanged(), got.GetListAgeMs()
+	answer.ChangesSince, answer.Removed, answer.CompressedList = got.GetChangesSince(), got.GetRemoved(), got.GetCompressedList()
 	answer.Loads, answer.LoadsVersion = got.GetLoads(), got.GetLoadsVersion()
+	s.addUsesAndLoads(request, answer)
 	answer.Followers = uint32(s.followers())
 	if request.GetAsksForHelpers() {
 		answer.Helpers = s.helpersOf(request)
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -20,6 +20,7 @@
 	mu           sync.Mutex // guards the rest; taken before the archive's lock
 	document     *wire.Document
 	targets      []*wire.Target
+	changes      listChanges
 	version      uint64                // version of the list of targets, incremented when the list changes
 	readAt       time.Duration         // when the complete list of targets was last read
 	loads        map[string]loadReport // by engine ID
@@ -56,11 +57,11 @@
 func (p *Publisher) PublishTargets(targets []*wire.Target, changed bool, now time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.readAt = now
-	if !changed && p.version > 0 {
+	count, _ := p.changes.update(targets, p.version+1, (now - p.readAt).Milliseconds())
+	p.targets, p.readAt = targets, now
+	if !changed && count == 0 && p.version > 0 {
 		return
 	}
-	p.targets = targets
 	p.version++
 	p.notifyFollowers()
 }
@@ -69,6 +70,14 @@
 type loadReport struct {
 	load *wire.Load
 	at   time.Duration
+	// told is the last report that differed from the one told before, or that came toldAgain later,
+	// with its time and its version.
+	told    *wire.Load
+	toldAt  time.Duration
+	version uint64
+	// copied is a copy of the report with its age at the time copiedAt.
+	copied   *wire.Load
+	copiedAt time.Duration
 }
 
 // loadTTL is the age beyond which PublishLoads discards a report.
@@ -82,7 +91,7 @@
 	for _, l := range loads {
 		at := now - time.Duration(l.GetAgeMs())*time.Millisecond
 		if old, ok := p.loads[l.GetTarget()]; !ok || at > old.at {
-			p.loads[l.GetTarget()] = loadReport{load: l, at: at}
+			p.loads[l.GetTarget()] = old.next(l, at, p.loadsVersion+1)
 		}
 	}
 	for id, r := range p.loads {
@@ -141,16 +150,37 @@
 	if p.version > 0 {
 		answer.ListAgeMs = uint64((now - p.readAt).Milliseconds())
 		if r.GetListEpoch() != p.epoch || r.GetListVersion() != p.version {
-			answer.ListChanged, answer.Targets = true, p.targets
+			p.addList(r, answer)
 		}
 	}
 	answer.LoadsVersion = p.loadsVersion
-	if r.GetListEpoch() != p.epoch || r.GetLoadsVersion() != p.loadsVersion {
+	if !choosesLoads(r) && (r.GetListEpoch() != p.epoch || r.GetLoadsVersion() != p.loadsVersion) {
 		answer.Loads = p.currentLoads(now)
 	}
 	return answer, p.changed
 }
 
+// addList adds the list that a follower lacks: what changed since the one that it has, the whole list
+// compressed, or as it is for a follower of an earlier build. It is called with the lock held.
+func (p *Publisher) addList(r *wire.FollowRequest, answer *wire.FollowResponse) {
+	answer.ListChanged = true
+	if !r.GetTakesChanges() {
+		answer.Targets = p.targets
+		return
+	}
+	if r.GetListEpoch() == p.epoch && r.GetListVersion() > 0 {
+		if a := p.changes.since(r.GetListVersion(), p.version); a != nil {
+			answer.ChangesSince, answer.Targets, answer.Removed = r.GetListVersion(), a.changed, a.removed
+			return
+		}
+	}
+	if base, a := p.changes.compressed(p.targets, p.version); base != nil {
+		answer.CompressedList, answer.Targets, answer.Removed = base.data, a.changed, a.removed
+		return
+	}
+	answer.Targets = p.targets
+}
+
 // currentLoads returns the loads with their present age. It is called with the lock held.
 func (p *Publisher) currentLoads(now time.Duration) []*wire.Load {
 	out := make([]*wire.Load, 0, len(p.loads))
--- /dev/null
+++ b/internal/control/subsets.go
@@ -0,0 +1,134 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	"github.com/vanillaward/vanillaward/internal/subset"
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+const (
+	// subsetInterval is the shortest time between two choices of a follower's subsets: a new target that
+	// is in one may remain without loads and uses for that long.
+	subsetInterval = 2 * time.Second
+	// subsetTTL is how long the subsets of a follower are kept after its last request.
+	subsetTTL = 30 * time.Second
+)
+
+// member is a target in the subset of a follower.
+type member struct {
+	id string
+	// usesSince and loadsSince are the versions of the uses and loads when the target joined the
+	// subset. A follower that has not received later ones lacks those of the target.
+	usesSince  uint64
+	loadsSince uint64
+}
+
+// subsets holds the targets of which each follower gets uses and loads. It is safe for concurrent use.
+type subsets struct {
+	mu         sync.Mutex // guards the rest; held while the locks of uses and publisher are taken
+	list       listIndex
+	byInstance map[string]*members
+	lastPrune  time.Duration
+}
+
+// members is the subset of a follower, over all services.
+type members struct {
+	domain    string
+	instances int
+	version   uint64 // of the list
+	chosenAt  time.Duration
+	usedAt    time.Duration
+	targets   []member
+	whole     bool // all targets
+}
+
+// listIndex is a version of the list, by service.
+type listIndex struct {
+	version  uint64
+	services map[string][]subset.Target
+	largest  int // number of targets of the largest service
+}
+
+// versions returns new versions of uses and loads.
+type versions func() (uses, loads uint64)
+
+func newSubsets() *subsets { return &subsets{byInstance: map[string]*members{}} }
+
+// of returns the targets of which a follower gets uses and loads, or nil for all.
+func (s *subsets) of(r *wire.FollowRequest, list []*wire.Target, version uint64, next versions, now time.Duration) []member {
+	if r.GetSubsetInstances() == 0 || version == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list.update(list, version)
+	s.prune(now)
+	m := s.byInstance[r.GetInstance()]
+	same := m != nil && m.domain == r.GetFailureDomain() && m.instances == int(r.GetSubsetInstances())
+	if !same || m.version != s.list.version && now-m.chosenAt >= subsetInterval {
+		m = s.choose(r, m, next, now)
+		s.byInstance[r.GetInstance()] = m
+	}
+	m.usedAt = now
+	if m.whole {
+		return nil
+	}
+	return m.targets
+}
+
+// update indexes a version of the list, unless it has it.
+func (l *listIndex) update(list []*wire.Target, version uint64) {
+	if l.version >= version {
+		return
+	}
+	l.version, l.services, l.largest = version, map[string][]subset.Target{}, 0
+	for _, t := range list {
+		l.services[t.GetService()] = append(l.services[t.GetService()], subset.NewTarget(t.GetId(), t.GetFailureDomain()))
+	}
+	for _, targets := range l.services {
+		l.largest = max(l.largest, len(targets))
+	}
+}
+
+// choose chooses a follower's subsets, of which it had others before; nil for none. It is called with the lock
+// held.
+func (s *subsets) choose(r *wire.FollowRequest, before *members, next versions, now time.Duration) *members {
+	instances := int(r.GetSubsetInstances())
+	m := &members{domain: r.GetFailureDomain(), instances: instances, version: s.list.version, chosenAt: now}
+	if m.whole = subset.Size(s.list.largest, instances) == s.list.largest; m.whole {
+		return m
+	}
+	uses, loads := next()
+	known := map[string]member{}
+	if before != nil {
+		for _, t := range before.targets {
+			known[t.id] = t
+		}
+	}
+	for _, targets := range s.list.services {
+		for _, i := range subset.Choose(r.GetInstance(), r.GetFailureDomain(), subset.Size(len(targets), instances), targets) {
+			id := targets[i].ID()
+			t, ok := known[id]
+			if !ok {
+				t = member{id: id, usesSince: uses, loadsSince: loads}
+			}
+			m.targets = append(m.targets, t)
+		}
+	}
+	return m
+}
+
+// prune removes the subsets of followers that have not asked for long. It is called with the lock held.
+func (s *subsets) prune(now time.Duration) {
+	if now-s.lastPrune < pruneInterval {
+		return
+	}
+	s.lastPrune = now
+	for instance, m := range s.byInstance {
+		if now-m.usedAt > subsetTTL {
+			delete(s.byInstance, instance)
+		}
+	}
+}
--- a/internal/control/uses.go
+++ b/internal/control/uses.go
@@ -13,6 +13,9 @@
 	// expiryInterval is the minimum time between removals of instances that have not
 	// reported within useTTL.
 	expiryInterval = 500 * time.Millisecond
+	// unusedTTL is how long the total of a target that is not used any more is kept. It is longer than
+	// the time between two exchanges of an instance.
+	unusedTTL = 10 * time.Second
 )
 
 // uses holds the requests that each instance has open at targets, so that an instance
@@ -23,6 +26,8 @@
 	mu         sync.Mutex // guards the rest; never held while another lock is taken
 	byInstance map[string]instanceUses
 	totals     map[string]*total // by target
+	version    uint64            // incremented when a total changes
+	forgotten  uint64            // newest version of the totals without uses that were removed
 	lastExpiry time.Duration     // when expired instances were last removed
 }
 
@@ -34,6 +39,8 @@
 
 // total is the sum of all instances' uses of a target.
 type total struct {
+	version    uint64        // when it changed last
+	changedAt  time.Duration // when it changed last
 	instances  int
 	requests   uint32
 	tokens     uint32
@@ -52,7 +59,12 @@
 func (u *uses) update(instance string, reported []*wire.Use, at time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.subtract(instance)
+	before := u.byInstance[instance]
+	old := make(map[string]*wire.Use, len(before.uses))
+	for _, use := range before.uses {
+		old[use.GetTarget()] = use
+	}
+	u.remove(instance)
 	u.byInstance[instance] = instanceUses{at: at, uses: reported}
 	for _, use := range reported {
 		t := u.totals[use.GetTarget()]
@@ -61,24 +73,50 @@
 			u.totals[use.GetTarget()] = t
 		}
 		t.add(instance, use, at)
+		if !sameUse(old[use.GetTarget()], use) {
+			u.changed(t, at)
+		}
+		delete(old, use.GetTarget())
+	}
+	for target := range old {
+		u.changed(u.totals[target], at)
 	}
 }
 
-// subtract removes an instance and its uses from the sums. It is called with the lock
-// held.
-func (u *uses) subtract(instance string) {
+// sameUse reports whether an instance's use of a target makes the same difference as its use before. A
+// suspicion that gets older by itself does not change it.
+func sameUse(before, after *wire.Use) bool {
+	return before.GetRequests() == after.GetRequests() && before.GetTokens() == after.GetTokens() && before.GetPrefilling() == after.GetPrefilling() &&
+		before.GetCopyTokens() == after.GetCopyTokens() && before.GetUncopiedTokens() == after.GetUncopiedTokens() &&
+		before.GetLimitedDemand() == after.GetLimitedDemand() && after.GetSuspectedMs() <= before.GetSuspectedMs() &&
+		(after.GetSuspectedMs() > 0) == (before.GetSuspectedMs() > 0)
+}
+
+// changed gives a total a new version. It is called with the lock held.
+func (u *uses) changed(t *total, at time.Duration) {
+	u.version++
+	t.version, t.changedAt = u.version, at
+}
+
+// nextVersion returns a version that is newer than those of all totals.
+func (u *uses) nextVersion() uint64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.version++
+	return u.version
+}
+
+// remove removes an instance and its uses from the sums. Totals without uses are kept for a while, for
+// those who have not heard that they are. It is called with the lock held.
+func (u *uses) remove(instance string) {
 	for _, use := range u.byInstance[instance].uses {
-		t := u.totals[use.GetTarget()]
-		t.remove(instance, use)
-		if t.instances == 0 {
-			delete(u.totals, use.GetTarget())
-		}
+		u.totals[use.GetTarget()].remove(instance, use)
 	}
 	delete(u.byInstance, instance)
 }
 
-// expire removes instances that have not reported within useTTL. It is called with the
-// lock held.
+// expire removes instances that have not reported within useTTL, and totals that have been without uses for
+// unusedTTL. It is called with the lock held.
 func (u *uses) expire(now time.Duration) {
 	if now-u.lastExpiry < expiryInterval {
 		return
@@ -86,28 +124,68 @@
 	u.lastExpiry = now
 	for instance, report := range u.byInstance {
 		if now-report.at > useTTL {
-			u.subtract(instance)
+			u.remove(instance)
+			for _, use := range report.uses {
+				u.changed(u.totals[use.GetTarget()], now)
+			}
+		}
+	}
+	for target, t := range u.totals {
+		if t.instances == 0 && now-t.changedAt > unusedTTL {
+			u.forgotten = max(u.forgotten, t.version)
+			delete(u.totals, target)
 		}
 	}
 }
 
-// sumsExcluding returns, by target, the summed uses of all instances except one.
-func (u *uses) sumsExcluding(except string, now time.Duration) []*wire.Use {
+// changesFor returns the sums, over all instances except one, of the members of its subset that changed after
+// a version, or all of them that are not empty if the changes since then are not known, and the version that
+// the instance then has.
+func (u *uses) changesFor(except string, members []member, since uint64, now time.Duration) (sums []*wire.Use, version uint64, partial bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.expire(now)
-	own := map[string]*wire.Use{}
-	for _, use := range u.byInstance[except].uses {
+	partial = since > 0 && since >= u.forgotten && since <= u.version
+	own := u.ownUses(except)
+	for _, m := range members {
+		t := u.totals[m.id]
+		switch {
+		case partial && m.usesSince <= since && (t == nil || t.version <= since):
+			continue
+		case t != nil && t.usedByOthers(own[m.id]):
+			sums = append(sums, t.without(own[m.id], m.id, except, now))
+		case partial:
+			sums = append(sums, &wire.Use{Target: m.id})
+		}
+	}
+	return sums, u.version, partial
+}
+
+// ownUses returns an instance's uses by target. It is called with the lock held.
+func (u *uses) ownUses(instance string) map[string]*wire.Use {
+	reported := u.byInstance[instance].uses
+	own := make(map[string]*wire.Use, len(reported))
+	for _, use := range reported {
 		own[use.GetTarget()] = use
 	}
+	return own
+}
+
+// usedByOthers reports whether instances other than the one with the given use, nil for none, use the target.
+func (t *total) usedByOthers(own *wire.Use) bool {
+	return t.instances > 1 || t.instances == 1 && own == nil
+}
+
+// sumsExcluding returns, by target, the summed uses of all instances except one.
+func (u *uses) sumsExcluding(except string, now time.Duration) []*wire.Use {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.expire(now)
+	own := u.ownUses(except)
 	out := make([]*wire.Use, 0, len(u.totals))
 	for target, t := range u.totals {
-		ownUse, users := own[target], t.instances
-		if ownUse != nil {
-			users--
-		}
-		if users > 0 {
-			out = append(out, t.without(ownUse, target, except, now))
+		if t.usedByOthers(own[target]) {
+			out = append(out, t.without(own[target], target, except, now))
 		}
 	}
 	return out
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -85,6 +85,7 @@
 
 	documents documents
 	refresher *refresher
+	subsets   Subsets // nil if the instance keeps no subsets
 
 	mu             sync.Mutex // guards the fields below; held while the sink is called, except for Install
 	replicas       []string
@@ -96,6 +97,8 @@
 	usesInterval   time.Duration     // interval at which the leader receives the uses
 	heard          map[string]uint64 // number of the document that each replica has
 	lists          map[string]*targetList
+	merged         mergedList
+	uses           usesState
 	exchanges      map[string]*exchange
 	statuses       map[string]string // last logged status by replica: current, behind or lost
 	currentAt      time.Duration     // when a current replica last responded
@@ -225,14 +228,12 @@
 		FetchesDocuments: true, LacksTargets: f.helping.LacksTargets(),
 	}
 	f.mu.Lock()
+	f.addVersions(address, request)
 	request.DocumentHeard = f.heard[address]
 	isLeader := address == f.leader
 	if first || isLeader {
 		request.WaitMs = 0
 	}
-	if l := f.lists[address]; l != nil {
-		request.ListEpoch, request.ListVersion, request.LoadsVersion = l.epoch, l.version, l.loadsVersion
-	}
 	interval := f.usesInterval
 	f.mu.Unlock()
 	if isLeader {
@@ -306,7 +307,7 @@
 	f.updateLeader(address, resp)
 	if resp.GetLeader() {
 		f.usesInterval = max(minUsesInterval, time.Duration(resp.GetFollowers())*usesIntervalPerFollower)
-		f.sink.UpdatePeerUses(resp.GetOthers(), int(resp.GetFollowers()))
+		f.updateUses(address, resp)
 	}
 	f.noteDocument(address, resp.GetDocumentNumber())
 	f.updateList(address, resp)
--- /dev/null
+++ b/internal/follow/subsets.go
@@ -0,0 +1,72 @@
+package follow
+
+import (
+	"github.com/vanillaward/vanillaward/internal/subset"
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+// Subsets is how an instance keeps loads and uses for a subset of the targets of each large service.
+type Subsets interface {
+	// UpdateSubsets sets the number of instances from which the size of the subsets follows; 0 for whole
+	// services.
+	UpdateSubsets(instances int)
+	// ChangePeerUses updates those sums of other instances' uses that changed, and the number of instances.
+	ChangePeerUses(changed []*wire.Use, instances int)
+}
+
+// UseSubsets sets how the instance keeps subsets. It must be called before Run.
+func (f *Follower) UseSubsets(s Subsets) { f.subsets = s }
+
+// usesState is what the instance has of the other instances' uses.
+type usesState struct {
+	address string // of the leader that told
+	epoch   uint64
+	version uint64
+	// instances is the number of instances from which the size of subsets follows.
+	instances int
+}
+
+// addVersions states in a request what the instance has from a replica and what it needs. It is called
+// with the lock held.
+func (f *Follower) addVersions(address string, request *wire.FollowRequest) {
+	request.TakesChanges = true
+	if l := f.lists[address]; l != nil {
+		request.ListEpoch, request.ListVersion, request.LoadsVersion = l.epoch, l.version, l.loadsVersion
+	}
+	if f.subsets == nil {
+		return
+	}
+	request.SubsetInstances = uint32(f.uses.instances)
+	if f.uses.address == address {
+		request.UsesEpoch, request.UsesVersion = f.uses.epoch, f.uses.version
+	}
+	if f.uses.instances > wholeInstances && address != f.leader && f.leader != "" && f.followed[f.leader] {
+		// The leader has the loads that all replicas read.
+		request.WithoutLoads, request.LoadsVersion = true, 0
+	}
+}
+
+// wholeInstances is the number of instances up to which each one keeps the loads of all targets that
+// each of its replicas reads.
+const wholeInstances = 100
+
+// updateUses passes the uses in a response of the leader to the sink. It is called with the lock held.
+func (f *Follower) updateUses(address string, resp *wire.FollowResponse) {
+	instances := int(resp.GetFollowers())
+	if f.subsets != nil {
+		if size := subset.Round(instances); size != f.uses.instances {
+			f.uses.instances = size
+			f.subsets.UpdateSubsets(size)
+		}
+	}
+	switch {
+	case !resp.GetUsesChanges():
+		f.sink.UpdatePeerUses(resp.GetOthers(), instances)
+	case f.subsets != nil && f.uses.address == address && f.uses.epoch == resp.GetUsesEpoch():
+		f.subsets.ChangePeerUses(resp.GetOthers(), instances)
+	default: // another leader has told all uses meanwhile
+		f.uses.address = ""
+		return
+	}
+	f.uses.address, f.uses.epoch, f.uses.version = address, resp.GetUsesEpoch(), resp.GetUsesVersion()
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -181,6 +181,24 @@
 	g.startMoves()
 }
 
+// UpdateSubsets implements follow.Subsets.
+func (g *Server) UpdateSubsets(instances int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.KeepSubsets(g.base.Settings.Instance.Name, instances)
+}
+
+// ChangePeerUses implements follow.Subsets.
+func (g *Server) ChangePeerUses(changed []*wire.Use, instances int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.base.Timers.Now()
+	g.balancer.ChangePeerUses(changed, instances, now)
+	if g.share != nil {
+		g.share.UpdateInstances(instances, now)
+	}
+}
+
 // LocalUses returns this instance's use of targets.
 func (g *Server) LocalUses() []*wire.Use {
 	g.mu.Lock()
--- a/internal/target/key.go
+++ b/internal/target/key.go
@@ -11,3 +11,12 @@
 
 // KeyOf returns the key of a listed target.
 func KeyOf(t *wire.Target) Key { return NewKey(t.GetId(), t.GetAddress(), t.GetService()) }
+
+// ID returns the target's identity.
+func (k Key) ID() string { return k.id }
+
+// Address returns the target's address as ip:port.
+func (k Key) Address() string { return k.address }
+
+// Service returns the service that the target belongs to.
+func (k Key) Service() string { return k.service }
