Control: an interval, a bound in bytes and shedding for many followers

Cause: at 300 instances the replicas were saturated; polls ran into their time limit, connections were broken and made anew (1,114 a second).

Change, beyond 100 followers: a replica states an interval (1 ms a follower, longer while its own timers are late) and the bytes a second that a follower may receive as uses and loads (2 MB/s by the number of followers). The leader tells a follower of the targets of its subset in turn, those that changed since it was told of them. A replica whose timers are 100 ms late leaves out uses and loads and says so. Exchanges that an instance asks for are spent from the interval. Followers keep some time between polls, wait longer for a replica that is slow instead of breaking its connection, and try one that fails again after a delay that doubles and varies. The state of the log and the replicas' addresses are not worked out and sent anew for each answer.

TestLargeConfigurationOverNarrowLink failed in 2 of 40 runs on: the configuration may be in force before the next exchange with the leader.

--- a/internal/control/documents.go
+++ b/internal/control/documents.go
@@ -132,20 +132,27 @@
 	got := s.publisher.Await(s.ctx, request, wait, s.timers.Now)
 	ctx, cancel := context.WithTimeout(s.ctx, documentTimeout)
 	defer cancel()
-	status, err := s.node.LogStatus(ctx)
+	status, hash, err := s.recentStatus(ctx)
 	if err != nil {
 		return err
 	}
 	answer.Leader, answer.LeaderAddress = status.Leader() == s.self, status.Leader()
-	answer.Fresh, answer.Replicas = status.LeaderReachable(), status.Addresses()
+	answer.Fresh = status.LeaderReachable()
+	if request.GetReplicasHash() != hash {
+		answer.Replicas, answer.ReplicasHash = status.Addresses(), hash
+	}
 	answer.Document, answer.Targets = got.GetDocument(), got.GetTargets()
 	answer.DocumentNumber = got.GetDocumentNumber()
 	answer.ListEpoch, answer.ListVersion = got.GetListEpoch(), got.GetListVersion()
 	answer.ListChanged, answer.ListAgeMs = got.GetListChanged(), got.GetListAgeMs()
 	answer.ChangesSince, answer.Removed, answer.CompressedList = got.GetChangesSince(), got.GetRemoved(), got.GetCompressedList()
 	answer.Loads, answer.LoadsVersion = got.GetLoads(), got.GetLoadsVersion()
-	s.addUsesAndLoads(request, answer)
 	answer.Followers = uint32(s.followers())
+	if s.addTerms(request, answer) {
+		s.addUsesAndLoads(request, answer)
+	} else {
+		answer.Loads, answer.LoadsVersion = nil, heldLoads(request, answer)
+	}
 	if request.GetAsksForHelpers() {
 		answer.Helpers = s.helpersOf(request)
 	}
--- /dev/null
+++ b/internal/control/pace.go
@@ -0,0 +1,150 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+// Bounds of what followers of a large deployment may ask of a replica.
+const (
+	// pacedFrom is the number of followers beyond which a replica states an interval. Up to it, followers keep
+	// intervals of their own.
+	pacedFrom = 100
+	// intervalPerFollower is the interval for each follower: a replica that is not behind answers 1,000 exchanges
+	// a second.
+	intervalPerFollower = time.Millisecond
+	// maxInterval bounds the interval: uses that are not reported again expire.
+	maxInterval = 2500 * time.Millisecond
+	// answerBytesPerSecond is what all followers together may receive in a second as uses and loads.
+	answerBytesPerSecond = 2 << 20
+)
+
+// A replica is behind by the time that its own timers are late: its processor is in use.
+const (
+	// lateInterval is the interval at which it is measured, and lateWeight the weight of the newest measurement.
+	lateInterval = 50 * time.Millisecond
+	lateWeight   = 0.1
+	// slowDownFrom is the lateness from which intervals grow, and speedUpTo the one up to which they shrink, by
+	// factors for each measurement: they double in a second and halve in four.
+	slowDownFrom   = 20 * time.Millisecond
+	speedUpTo      = 8 * time.Millisecond
+	slowDownFactor = 1.035
+	speedUpFactor  = 0.991
+	maxSlowDown    = 8
+	// shedFrom is the lateness from which uses and loads are left out of answers.
+	shedFrom = 100 * time.Millisecond
+)
+
+// pace decides at which interval followers may ask, from how late the replica's own timers are. It is safe for
+// concurrent use.
+type pace struct {
+	mu       sync.Mutex // guards the rest; never held while another lock is taken
+	late     time.Duration
+	slowDown float64
+}
+
+func newPace() *pace { return &pace{slowDown: 1} }
+
+// observe records by how much a timer was late.
+func (p *pace) observe(late time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.late += time.Duration(lateWeight * float64(late-p.late))
+	switch {
+	case p.late > slowDownFrom:
+		p.slowDown = min(maxSlowDown, p.slowDown*slowDownFactor)
+	case p.late < speedUpTo:
+		p.slowDown = max(1, p.slowDown*speedUpFactor)
+	}
+}
+
+// terms is what a follower is told.
+type terms struct {
+	interval       time.Duration // 0 for an interval of its own
+	bytesPerSecond uint32        // 0 for no bound
+	shed           bool          // it gets no uses and loads
+}
+
+// termsFor returns the terms of each of a number of followers.
+func (p *pace) termsFor(followers int) terms {
+	if followers <= pacedFrom {
+		return terms{}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return terms{
+		interval:       min(maxInterval, time.Duration(p.slowDown*float64(followers)*float64(intervalPerFollower))),
+		bytesPerSecond: uint32(answerBytesPerSecond / p.slowDown / float64(followers)),
+		shed:           p.late > shedFrom,
+	}
+}
+
+// state returns the mean lateness and the factor by which intervals are longer.
+func (p *pace) state() (time.Duration, float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.late, p.slowDown
+}
+
+// Lateness returns by how much the replica's timers are late.
+func (s *Service) Lateness() time.Duration {
+	late, _ := s.pace.state()
+	return late
+}
+
+// SlowDown returns the factor by which the intervals of followers are longer because the replica is behind.
+func (s *Service) SlowDown() float64 {
+	_, factor := s.pace.state()
+	return factor
+}
+
+// Shed returns the number of answers without uses and loads because the replica was behind.
+func (s *Service) Shed() uint64 { return s.shed.Load() }
+
+// MeasureLateness measures how late the replica's timers are until the context ends. It then sends nil on the
+// returned channel.
+func (s *Service) MeasureLateness(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		timer := time.NewTimer(lateInterval)
+		defer timer.Stop()
+		due := s.timers.Now() + lateInterval
+		for {
+			select {
+			case <-ctx.Done():
+				done <- nil
+				return
+			case <-timer.C:
+			}
+			now := s.timers.Now()
+			s.pace.observe(max(0, now-due))
+			due = now + lateInterval
+			timer.Reset(lateInterval)
+		}
+	}()
+	return done
+}
+
+// addTerms states the terms of a follower that keeps them, and reports whether the answer is to hold uses and loads.
+func (s *Service) addTerms(r *wire.FollowRequest, answer *wire.FollowResponse) bool {
+	if !r.GetPaced() {
+		return true
+	}
+	t := s.pace.termsFor(int(answer.GetFollowers()))
+	answer.IntervalMs, answer.BytesPerSecond, answer.Shed = uint32(t.interval.Milliseconds()), t.bytesPerSecond, t.shed
+	if t.shed {
+		s.shed.Add(1)
+	}
+	return !t.shed
+}
+
+// heldLoads returns the version of the loads that a follower has from this process.
+func heldLoads(r *wire.FollowRequest, answer *wire.FollowResponse) uint64 {
+	if r.GetListEpoch() != answer.GetListEpoch() {
+		return 0
+	}
+	return r.GetLoadsVersion()
+}
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -21,17 +21,17 @@
 	document     *wire.Document
 	targets      []*wire.Target
 	changes      listChanges
-	version      uint64                // version of the list of targets, incremented when the list changes
-	readAt       time.Duration         // when the complete list of targets was last read
-	loads        map[string]loadReport // by engine ID
-	loadsVersion uint64                // incremented by each call of PublishLoads
-	changed      chan struct{}         // closed and replaced at the next change
+	version      uint64                 // version of the list of targets, incremented when the list changes
+	readAt       time.Duration          // when the complete list of targets was last read
+	loads        map[string]*loadReport // by engine ID
+	loadsVersion uint64                 // incremented by each call of PublishLoads
+	changed      chan struct{}          // closed and replaced at the next change
 }
 
 // NewPublisher returns a publisher without any contents. The epoch distinguishes its
 // versions of the list of targets from those of an earlier process.
 func NewPublisher(epoch uint64) *Publisher {
-	return &Publisher{epoch: epoch, loads: map[string]loadReport{}, changed: make(chan struct{})}
+	return &Publisher{epoch: epoch, loads: map[string]*loadReport{}, changed: make(chan struct{})}
 }
 
 // PublishDocument publishes a document unless one with the same or a higher number
@@ -90,7 +90,7 @@
 	defer p.mu.Unlock()
 	for _, l := range loads {
 		at := now - time.Duration(l.GetAgeMs())*time.Millisecond
-		if old, ok := p.loads[l.GetTarget()]; !ok || at > old.at {
+		if old := p.loads[l.GetTarget()]; old == nil || at > old.at {
 			p.loads[l.GetTarget()] = old.next(l, at, p.loadsVersion+1)
 		}
 	}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -44,12 +44,16 @@
 	publisher *Publisher
 	uses      *uses
 	subsets   *subsets
-	evidence  *evidence
-	log       logr.Logger
-	name      string
-	self      string      // peer address of this replica
-	domain    string      // failure domain of this replica, or empty if unknown
-	leaving   atomic.Bool // this replica stops, and does not join again
+	pace      *pace
+	shed      atomic.Uint64 // answers without uses and loads
+	// statusCache is the state of the log for followers
+	statusCache statusCache
+	evidence    *evidence
+	log         logr.Logger
+	name        string
+	self        string      // peer address of this replica
+	domain      string      // failure domain of this replica, or empty if unknown
+	leaving     atomic.Bool // this replica stops, and does not join again
 
 	mu        sync.Mutex // guards the rest; never held while another lock is taken
 	watchers  map[string]watcher
@@ -73,7 +77,7 @@
 // address of the node's replica; store holds the versions that the node publishes.
 func NewService(ctx context.Context, node *Node, store *config.Store, timers vanillaward.Timers, peers *peer.Pool, self inifile.Peer) *Service {
 	return &Service{
-		ctx: ctx, node: node, store: store, timers: timers, peers: peers, publisher: node.publisher, uses: newUses(), subsets: newSubsets(), evidence: newEvidence(node.publisher.epoch), log: node.log,
+		ctx: ctx, node: node, store: store, timers: timers, peers: peers, publisher: node.publisher, uses: newUses(), subsets: newSubsets(), pace: newPace(), evidence: newEvidence(node.publisher.epoch), log: node.log,
 		name: self.Name, self: self.Address.String(), watchers: map[string]watcher{},
 	}
 }
--- a/internal/control/subsetloads.go
+++ b/internal/control/subsetloads.go
@@ -24,10 +24,13 @@
 	return r.GetWithoutLoads() || r.GetSubsetInstances() > 0
 }
 
-// next returns the report after r; a zero r stands for none.
-func (r loadReport) next(l *wire.Load, at time.Duration, version uint64) loadReport {
-	out := loadReport{load: l, at: at, told: r.told, toldAt: r.toldAt, version: r.version}
-	if r.told == nil || at-r.toldAt >= toldAgain || differs(r.told, l) {
+// next returns the report after r; nil stands for none.
+func (r *loadReport) next(l *wire.Load, at time.Duration, version uint64) *loadReport {
+	if r == nil {
+		return &loadReport{load: l, at: at, told: l, toldAt: at, version: version}
+	}
+	out := &loadReport{load: l, at: at, told: r.told, toldAt: r.toldAt, version: r.version}
+	if at-r.toldAt >= toldAgain || differs(r.told, l) {
 		out.told, out.toldAt, out.version = l, at, version
 	}
 	return out
@@ -50,35 +53,25 @@
 	return r.copied
 }
 
-// loadsOf returns the loads of the members of a follower's subset that changed after a version, and the
-// version that the follower then has. Members nil stands for all targets.
-func (p *Publisher) loadsOf(members []member, since uint64, now time.Duration) ([]*wire.Load, uint64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if members == nil {
-		if since == p.loadsVersion {
-			return nil, since
-		}
-		return p.currentLoads(now), p.loadsVersion
+// untold returns the load of a member of a follower's subset, if it changed since the follower was told of it, or nil. It
+// is called with the lock held.
+func (p *Publisher) untold(t *member, now time.Duration) *wire.Load {
+	r := p.loads[t.id]
+	if r == nil || r.version == t.load {
+		return nil
 	}
-	var out []*wire.Load
-	for _, m := range members {
-		r, ok := p.loads[m.id]
-		if !ok || r.version <= since && m.loadsSince <= since {
-			continue
-		}
-		out = append(out, r.withAge(now))
-		p.loads[m.id] = r
-	}
-	return out, p.loadsVersion
+	t.load = r.version
+	return r.withAge(now)
 }
 
-// nextLoadsVersion returns a version that is newer than those of all loads.
-func (p *Publisher) nextLoadsVersion() uint64 {
+// newLoads returns the loads of all targets with their version, or none if a follower has that version.
+func (p *Publisher) newLoads(since uint64, now time.Duration) ([]*wire.Load, uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.loadsVersion++
-	return p.loadsVersion
+	if since == p.loadsVersion {
+		return nil, since
+	}
+	return p.currentLoads(now), p.loadsVersion
 }
 
 // listVersion returns the list of targets and its version.
@@ -87,28 +80,3 @@
 	defer p.mu.Unlock()
 	return p.targets, p.version
 }
-
-// addUsesAndLoads adds the other instances' uses, and the loads if the follower gets those of its subset.
-func (s *Service) addUsesAndLoads(r *wire.FollowRequest, answer *wire.FollowResponse) {
-	now, epoch := s.timers.Now(), s.publisher.epoch
-	list, version := s.publisher.listVersion()
-	next := func() (uint64, uint64) { return s.uses.nextVersion(), s.publisher.nextLoadsVersion() }
-	members := s.subsets.of(r, list, version, next, now)
-	if members == nil {
-		answer.Others = s.uses.sumsExcluding(r.GetInstance(), now)
-	} else if answer.GetLeader() {
-		since := r.GetUsesVersion()
-		if r.GetUsesEpoch() != epoch {
-			since = 0
-		}
-		answer.UsesEpoch = epoch
-		answer.Others, answer.UsesVersion, answer.UsesChanges = s.uses.changesFor(r.GetInstance(), members, since, now)
-	}
-	if r.GetSubsetInstances() > 0 && !r.GetWithoutLoads() {
-		since := r.GetLoadsVersion()
-		if r.GetListEpoch() != epoch {
-			since = 0
-		}
-		answer.Loads, answer.LoadsVersion = s.publisher.loadsOf(members, since, now)
-	}
-}
--- a/internal/control/subsets.go
+++ b/internal/control/subsets.go
@@ -16,13 +16,12 @@
 	subsetTTL = 30 * time.Second
 )
 
-// member is a target in the subset of a follower.
+// member is a target in the subset of a follower, with the versions of the uses and the load that the follower was
+// told of last; 0 for none.
 type member struct {
-	id string
-	// usesSince and loadsSince are the versions of the uses and loads when the target joined the
-	// subset. A follower that has not received later ones lacks those of the target.
-	usesSince  uint64
-	loadsSince uint64
+	id   string
+	uses uint64
+	load uint64
 }
 
 // subsets holds the targets of which each follower gets uses and loads. It is safe for concurrent use.
@@ -33,7 +32,7 @@
 	lastPrune  time.Duration
 }
 
-// members is the subset of a follower, over all services.
+// members is the subset of a follower, over all services, and what the follower has been told.
 type members struct {
 	domain    string
 	instances int
@@ -41,7 +40,21 @@
 	chosenAt  time.Duration
 	usedAt    time.Duration
 	targets   []member
-	whole     bool // all targets
+	whole     bool   // all targets
+	answers   uint64 // number of the last answer
+	next      int    // index of the target of which the follower is told next
+	allowance allowance
+}
+
+// forgetTold has all of the follower's subset told again: it has not received the last answer, or has nothing yet.
+func (m *members) forgetTold(hasNothing bool) {
+	uses := uint64(0)
+	if hasNothing {
+		uses = unusedVersion
+	}
+	for i := range m.targets {
+		m.targets[i].uses, m.targets[i].load = uses, 0
+	}
 }
 
 // listIndex is a version of the list, by service.
@@ -51,31 +64,26 @@
 	largest  int // number of targets of the largest service
 }
 
-// versions returns new versions of uses and loads.
-type versions func() (uses, loads uint64)
-
 func newSubsets() *subsets { return &subsets{byInstance: map[string]*members{}} }
 
-// of returns the targets of which a follower gets uses and loads, or nil for all.
-func (s *subsets) of(r *wire.FollowRequest, list []*wire.Target, version uint64, next versions, now time.Duration) []member {
+// of returns the targets of which a follower gets uses and loads, or nil for all. It is called with the lock held.
+func (s *subsets) of(r *wire.FollowRequest, list []*wire.Target, version uint64, now time.Duration) *members {
 	if r.GetSubsetInstances() == 0 || version == 0 {
 		return nil
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.list.update(list, version)
 	s.prune(now)
 	m := s.byInstance[r.GetInstance()]
 	same := m != nil && m.domain == r.GetFailureDomain() && m.instances == int(r.GetSubsetInstances())
 	if !same || m.version != s.list.version && now-m.chosenAt >= subsetInterval {
-		m = s.choose(r, m, next, now)
+		m = s.choose(r, m, now)
 		s.byInstance[r.GetInstance()] = m
 	}
 	m.usedAt = now
 	if m.whole {
 		return nil
 	}
-	return m.targets
+	return m
 }
 
 // update indexes a version of the list, unless it has it.
@@ -94,26 +102,24 @@
 
 // choose chooses a follower's subsets, of which it had others before; nil for none. It is called with the lock
 // held.
-func (s *subsets) choose(r *wire.FollowRequest, before *members, next versions, now time.Duration) *members {
+func (s *subsets) choose(r *wire.FollowRequest, before *members, now time.Duration) *members {
 	instances := int(r.GetSubsetInstances())
 	m := &members{domain: r.GetFailureDomain(), instances: instances, version: s.list.version, chosenAt: now}
 	if m.whole = subset.Size(s.list.largest, instances) == s.list.largest; m.whole {
 		return m
 	}
-	uses, loads := next()
 	known := map[string]member{}
 	if before != nil {
+		m.answers, m.allowance = before.answers, before.allowance
 		for _, t := range before.targets {
 			known[t.id] = t
 		}
 	}
-	for _, targets := range s.list.services {
+	for _, targets := range s.list.services { // in any order: each is told of in turn
 		for _, i := range subset.Choose(r.GetInstance(), r.GetFailureDomain(), subset.Size(len(targets), instances), targets) {
 			id := targets[i].ID()
-			t, ok := known[id]
-			if !ok {
-				t = member{id: id, usesSince: uses, loadsSince: loads}
-			}
+			t := known[id]
+			t.id = id
 			m.targets = append(m.targets, t)
 		}
 	}
--- a/internal/control/uses.go
+++ b/internal/control/uses.go
@@ -27,7 +27,6 @@
 	byInstance map[string]instanceUses
 	totals     map[string]*total // by target
 	version    uint64            // incremented when a total changes
-	forgotten  uint64            // newest version of the totals without uses that were removed
 	lastExpiry time.Duration     // when expired instances were last removed
 }
 
@@ -98,14 +97,6 @@
 	t.version, t.changedAt = u.version, at
 }
 
-// nextVersion returns a version that is newer than those of all totals.
-func (u *uses) nextVersion() uint64 {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.version++
-	return u.version
-}
-
 // remove removes an instance and its uses from the sums. Totals without uses are kept for a while, for
 // those who have not heard that they are. It is called with the lock held.
 func (u *uses) remove(instance string) {
@@ -132,35 +123,32 @@
 	}
 	for target, t := range u.totals {
 		if t.instances == 0 && now-t.changedAt > unusedTTL {
-			u.forgotten = max(u.forgotten, t.version)
 			delete(u.totals, target)
 		}
 	}
 }
 
-// changesFor returns the sums, over all instances except one, of the members of its subset that changed after
-// a version, or all of them that are not empty if the changes since then are not known, and the version that
-// the instance then has.
-func (u *uses) changesFor(except string, members []member, since uint64, now time.Duration) (sums []*wire.Use, version uint64, partial bool) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.expire(now)
-	partial = since > 0 && since >= u.forgotten && since <= u.version
-	own := u.ownUses(except)
-	for _, m := range members {
-		t := u.totals[m.id]
-		switch {
-		case partial && m.usesSince <= since && (t == nil || t.version <= since):
-			continue
-		case t != nil && t.usedByOthers(own[m.id]):
-			sums = append(sums, t.without(own[m.id], m.id, except, now))
-		case partial:
-			sums = append(sums, &wire.Use{Target: m.id})
+// untold returns the sum of the uses of a member of an instance's subset over all other instances, if it changed since
+// the instance was told of it, or nil. It is called with the lock held.
+func (u *uses) untold(t *member, own *wire.Use, instance string, now time.Duration) *wire.Use {
+	sum := u.totals[t.id]
+	if sum == nil {
+		if t.uses == unusedVersion {
+			return nil
 		}
+		t.uses = unusedVersion
+		return &wire.Use{Target: t.id}
 	}
-	return sums, u.version, partial
+	if t.uses == sum.version {
+		return nil
+	}
+	t.uses = sum.version
+	return sum.without(own, t.id, instance, now)
 }
 
+// unusedVersion stands for the version of the total of a target that no instance uses.
+const unusedVersion = ^uint64(0)
+
 // ownUses returns an instance's uses by target. It is called with the lock held.
 func (u *uses) ownUses(instance string) map[string]*wire.Use {
 	reported := u.byInstance[instance].uses
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -5,12 +5,14 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/vanillaward/vanillaward"
@@ -98,6 +100,8 @@
 	heard          map[string]uint64 // number of the document that each replica has
 	lists          map[string]*targetList
 	merged         mergedList
+	contacts       map[string]*contact
+	replicasHash   uint64 // as the replica stated it that named replicas
 	uses           usesState
 	exchanges      map[string]*exchange
 	statuses       map[string]string // last logged status by replica: current, behind or lost
@@ -111,7 +115,7 @@
 	return &Follower{
 		log: log, timers: timers, peers: peers, name: name, domain: domain, seeds: seeds, sink: sink, helping: noHelping{},
 		usesInterval: minUsesInterval, followed: map[string]bool{}, lists: map[string]*targetList{}, exchanges: map[string]*exchange{},
-		statuses: map[string]string{}, currentAt: timers.Now(), heard: map[string]uint64{},
+		contacts: map[string]*contact{}, statuses: map[string]string{}, currentAt: timers.Now(), heard: map[string]uint64{},
 		documents: documents{news: make(chan struct{}, 1)}, refresher: newRefresher(),
 	}
 }
@@ -141,7 +145,7 @@
 			f.follow(ctx, address)
 			f.release(address)
 		}
-		timer.Sleep(ctx, retryDelay)
+		timer.Sleep(ctx, f.delayAfter(address))
 	}
 }
 
@@ -162,9 +166,10 @@
 			candidates = append(candidates, s)
 		}
 	}
+	now := f.timers.Now()
 	for i := range candidates {
 		address := candidates[(next+i)%len(candidates)]
-		if !f.followed[address] {
+		if !f.followed[address] && now >= f.contactOf(address).notBefore {
 			f.followed[address] = true
 			return address
 		}
@@ -186,7 +191,12 @@
 		f.log.Error(err, "replica has no usable address", "address", address)
 		return
 	}
+	var lastPoll time.Duration
 	for first := true; ctx.Err() == nil; first = false {
+		if !first {
+			f.awaitTurn(ctx, address, lastPoll)
+		}
+		lastPoll = f.timers.Now()
 		resp, err := f.poll(ctx, client, address, first)
 		if err != nil {
 			f.refresher.end(0)
@@ -222,6 +232,18 @@
 	return f.leader != "" && !f.followed[f.leader] && (f.leader != f.failedLeader || f.timers.Now()-f.leaderFailedAt > leaderRetryDelay)
 }
 
+// awaitTurn returns when the next poll of a replica is due, of which the last one began at lastPoll.
+func (f *Follower) awaitTurn(ctx context.Context, address string, lastPoll time.Duration) {
+	f.mu.Lock()
+	isLeader, interval, spacing := address == f.leader, f.usesInterval, f.contactOf(address).spacing()
+	f.mu.Unlock()
+	if isLeader {
+		f.refresher.awaitNext(ctx, interval)
+	} else if wait := spacing - (f.timers.Now() - lastPoll); wait > 0 {
+		timer.Sleep(ctx, wait)
+	}
+}
+
 func (f *Follower) poll(ctx context.Context, client *peer.Client, address string, first bool) (*wire.FollowResponse, error) {
 	request := &wire.FollowRequest{
 		Instance: f.name, FailureDomain: f.domain, Document: f.sink.Number(), WaitMs: uint64(longPollWait.Milliseconds()),
@@ -234,14 +256,11 @@
 	if first || isLeader {
 		request.WaitMs = 0
 	}
-	interval := f.usesInterval
+	patience := f.contactOf(address).patience
 	f.mu.Unlock()
 	if isLeader {
 		// The leader responds at once, because the uses that it receives and the sums
 		// that it returns must be up to date.
-		if !first {
-			f.refresher.awaitNext(ctx, interval)
-		}
 		f.refresher.begin()
 		request.Uses = f.sink.LocalUses()
 		request.HelpAddress, request.AsksForHelpers = f.helping.HelpAddress(), f.helping.WantsHelpers()
@@ -250,9 +269,11 @@
 	ctx, cancel := context.WithTimeout(ctx, maxPollTime)
 	defer cancel()
 	resp := &wire.FollowResponse{}
-	if err := client.CallUntilSilent(ctx, longPollWait+responseMargin, control.MethodFollow, request, resp); err != nil {
+	begun, wait := f.timers.Now(), time.Duration(request.GetWaitMs())*time.Millisecond
+	if err := client.CallUntilSilent(ctx, longPollWait+patience, control.MethodFollow, request, resp); err != nil {
 		return nil, err
 	}
+	f.recordSuccess(address, f.timers.Now()-begun-wait)
 	f.handleEvidence(address, sent, resp)
 	// A new leader knows of nobody yet; what was known before is better than nothing.
 	if helpers := validAddresses(resp.GetHelpers()); len(helpers) > 0 {
@@ -267,9 +288,22 @@
 	if address == f.leader {
 		f.failedLeader, f.leaderFailedAt = address, f.timers.Now()
 	}
+	var unanswered *peer.UnansweredError
+	most := maxBackoff
+	if f.uses.instances <= wholeInstances {
+		most = maxSmallBackoff
+	}
+	f.contactOf(address).fail(errors.As(err, &unanswered), rand.Float64(), most, f.timers.Now())
 	f.recordStatus(address, "lost", err.Error())
 }
 
+// recordSuccess records that a replica took a time to answer, beside the time that it was to wait.
+func (f *Follower) recordSuccess(address string, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.contactOf(address).succeed(took)
+}
+
 // recordStatus logs the status of a replica when it changes. It also logs when no replica
 // has been current for lostAfter, and when one is current again. It is called with the
 // lock held.
@@ -301,14 +335,20 @@
 		f.recordStatus(address, "behind", "replica has not received a heartbeat of its leader lately")
 	}
 	if len(resp.GetReplicas()) > 0 {
-		f.replicas = validAddresses(resp.GetReplicas())
+		f.replicas, f.replicasHash = validAddresses(resp.GetReplicas()), resp.GetReplicasHash()
 		f.forgetRemovedReplicas()
 	}
 	f.updateLeader(address, resp)
+	c := f.contactOf(address)
+	c.keepTerms(resp)
 	if resp.GetLeader() {
 		f.usesInterval = max(minUsesInterval, time.Duration(resp.GetFollowers())*usesIntervalPerFollower)
-		f.updateUses(address, resp)
+		if c.interval > 0 {
+			f.usesInterval = periodicShare * c.interval
+		}
+		f.refresher.setInterval(c.interval)
 	}
+	f.updateUses(address, resp)
 	f.noteDocument(address, resp.GetDocumentNumber())
 	f.updateList(address, resp)
 	if len(resp.GetLoads()) > 0 {
@@ -325,6 +365,7 @@
 	maps.DeleteFunc(f.lists, func(address string, _ *targetList) bool { return removed(address) })
 	maps.DeleteFunc(f.heard, func(address string, _ uint64) bool { return removed(address) })
 	maps.DeleteFunc(f.exchanges, func(address string, _ *exchange) bool { return removed(address) })
+	maps.DeleteFunc(f.contacts, func(address string, _ *contact) bool { return removed(address) })
 	maps.DeleteFunc(f.statuses, func(address, _ string) bool { return removed(address) })
 }
 
--- a/internal/follow/refresh.go
+++ b/internal/follow/refresh.go
@@ -31,6 +31,11 @@
 	spentAt time.Duration
 	// answerBytes is the size of the last answer of the leader.
 	answerBytes int
+	// interval is the mean time between two exchanges that the leader grants, 0 if it states none, and credit
+	// the number of exchanges that may be asked for, as of creditAt.
+	interval time.Duration
+	credit   float64
+	creditAt time.Duration
 	// waiting and inFlight hold a channel for each call of wait: those that came before the exchange
 	// in flight began are ended by it, the others by the next one.
 	waiting  []chan struct{}
@@ -47,17 +52,53 @@
 	if len(r.asked) > 0 {
 		return true
 	}
+	if r.interval > 0 {
+		return r.askWithin(now)
+	}
 	r.spent = max(0, r.spent-askedBytesPerSecond*(now-r.spentAt).Seconds())
 	r.spentAt = now
 	if r.spent+float64(r.answerBytes) > maxAskedBytes {
 		return false
 	}
 	r.spent += float64(r.answerBytes)
+	r.beginAsked()
+	return true
+}
+
+// Where the leader states an interval, one exchange in periodicShare intervals is periodic, and the others may be asked
+// for, up to maxCredit in a row.
+const (
+	periodicShare = 2
+	maxCredit     = 3
+)
+
+// askWithin has the next exchange begin at once if the interval that the leader states permits it. It is called with the
+// lock held.
+func (r *refresher) askWithin(now time.Duration) bool {
+	perInterval := 1 - 1.0/periodicShare
+	r.credit = min(maxCredit, r.credit+perInterval*float64(now-r.creditAt)/float64(r.interval))
+	r.creditAt = now
+	if r.credit < 1 {
+		return false
+	}
+	r.credit--
+	r.beginAsked()
+	return true
+}
+
+// beginAsked has the next exchange begin at once. It is called with the lock held.
+func (r *refresher) beginAsked() {
 	select {
 	case r.asked <- struct{}{}:
-	default: // only this function fills it
+	default: // one is asked for already
 	}
-	return true
+}
+
+// setInterval sets the mean time between two exchanges that the leader grants, 0 if it states none.
+func (r *refresher) setInterval(interval time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.interval = interval
 }
 
 // awaitNext returns when the next exchange is due.
--- a/internal/follow/spread_test.go
+++ b/internal/follow/spread_test.go
@@ -200,6 +200,20 @@
 	return 0
 }
 
+// awaitLeaving returns when a leaving target was first seen, 0 if none was until a time. The configuration may be in
+// force before the next exchange with the leader.
+func (s *recordingSink) awaitLeaving(until time.Duration) time.Duration {
+	for {
+		s.mu.Lock()
+		at := s.leaving
+		s.mu.Unlock()
+		if at != 0 || s.clock.Now() > until {
+			return at
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // newDocument returns a configuration with a number and a number of routes. Two of them have the
 // routes of the smaller one in common.
 func newDocument(number uint64, routes int) []byte {
@@ -242,8 +256,9 @@
 				t.Logf("%d bytes for %d of which %d are new", d.network.Received(gatewayHost)-received, len(newDocument(2, routesBefore+routesMore)), len(newDocument(2, routesMore)))
 				require.NotZero(t, at, "never in force")
 				require.LessOrEqual(t, at-confirmed, applyTime)
-				require.NotZero(t, d.sink.leaving, "leaving target not known")
-				require.LessOrEqual(t, d.sink.leaving-confirmed, drainTime)
+				leaving := d.sink.awaitLeaving(confirmed + drainTime)
+				require.NotZero(t, leaving, "leaving target not known")
+				require.LessOrEqual(t, leaving-confirmed, drainTime)
 
 				time.Sleep(5 * time.Second)
 				received = d.network.Received(gatewayHost)
--- a/internal/follow/subsets.go
+++ b/internal/follow/subsets.go
@@ -20,16 +20,18 @@
 // usesState is what the instance has of the other instances' uses.
 type usesState struct {
 	address string // of the leader that told
-	epoch   uint64
-	version uint64
 	// instances is the number of instances from which the size of subsets follows.
 	instances int
 }
 
+// wholeInstances is the number of instances up to which each one keeps the loads of all targets that
+// each of its replicas reads.
+const wholeInstances = 100
+
 // addVersions states in a request what the instance has from a replica and what it needs. It is called
 // with the lock held.
 func (f *Follower) addVersions(address string, request *wire.FollowRequest) {
-	request.TakesChanges = true
+	request.TakesChanges, request.Paced, request.ReplicasHash = true, true, f.replicasHash
 	if l := f.lists[address]; l != nil {
 		request.ListEpoch, request.ListVersion, request.LoadsVersion = l.epoch, l.version, l.loadsVersion
 	}
@@ -37,21 +39,24 @@
 		return
 	}
 	request.SubsetInstances = uint32(f.uses.instances)
-	if f.uses.address == address {
-		request.UsesEpoch, request.UsesVersion = f.uses.epoch, f.uses.version
-	}
+	c := f.contactOf(address)
+	request.UsesEpoch, request.UsesVersion = c.toldEpoch, c.toldVersion
 	if f.uses.instances > wholeInstances && address != f.leader && f.leader != "" && f.followed[f.leader] {
 		// The leader has the loads that all replicas read.
 		request.WithoutLoads, request.LoadsVersion = true, 0
 	}
 }
 
-// wholeInstances is the number of instances up to which each one keeps the loads of all targets that
-// each of its replicas reads.
-const wholeInstances = 100
-
-// updateUses passes the uses in a response of the leader to the sink. It is called with the lock held.
+// updateUses passes the uses in a response to the sink. It is called with the lock held.
 func (f *Follower) updateUses(address string, resp *wire.FollowResponse) {
+	if resp.GetShed() {
+		return // what was told before is better than nothing
+	}
+	c := f.contactOf(address)
+	c.toldEpoch, c.toldVersion = resp.GetUsesEpoch(), resp.GetUsesVersion()
+	if !resp.GetLeader() {
+		return
+	}
 	instances := int(resp.GetFollowers())
 	if f.subsets != nil {
 		if size := subset.Round(instances); size != f.uses.instances {
@@ -62,11 +67,11 @@
 	switch {
 	case !resp.GetUsesChanges():
 		f.sink.UpdatePeerUses(resp.GetOthers(), instances)
-	case f.subsets != nil && f.uses.address == address && f.uses.epoch == resp.GetUsesEpoch():
+	case f.subsets != nil && f.uses.address == address:
 		f.subsets.ChangePeerUses(resp.GetOthers(), instances)
 	default: // another leader has told all uses meanwhile
-		f.uses.address = ""
+		c.toldVersion = 0
 		return
 	}
-	f.uses.address, f.uses.epoch, f.uses.version = address, resp.GetUsesEpoch(), resp.GetUsesVersion()
+	f.uses.address = address
 }
--- a/internal/instance/seeded.go
+++ b/internal/instance/seeded.go
@@ -139,7 +139,7 @@
 	service.Register(s.server)
 	s.control = service
 	s.registerGauges(ctx)
-	s.componentsDone = append(s.componentsDone, s.node.Run(ctx), service.MaintainMembership(ctx, s.seeds.Peers), service.KeepEvidence(ctx))
+	s.componentsDone = append(s.componentsDone, s.node.Run(ctx), service.MaintainMembership(ctx, s.seeds.Peers), service.KeepEvidence(ctx), service.MeasureLateness(ctx))
 	if cfg.Platform.ListURL != "" {
 		assignment := control.NewEngineAssignment(service, cfg.Instance.FailureDomain)
 		reader := fleet.NewReader(log, s.base.Timers, platform.NewDirectory(log, s.base.Metrics, cfg.Platform.ListURL), publisher, cfg.Platform.PollInterval, s.shouldReadList(ctx))
@@ -196,6 +196,9 @@
 	}
 	s.base.Metrics.Gauge("vanillaward_control_voters", gauge(control.LogStatus.Voters))
 	s.base.Metrics.Gauge("vanillaward_control_learners", gauge(control.LogStatus.Learners))
+	s.base.Metrics.Gauge("vanillaward_control_late_seconds", func() float64 { return s.control.Lateness().Seconds() })
+	s.base.Metrics.Gauge("vanillaward_control_slow_down", func() float64 { return s.control.SlowDown() })
+	s.base.Metrics.Gauge("vanillaward_control_answers_shed", func() float64 { return float64(s.control.Shed()) })
 	s.base.Metrics.Gauge("vanillaward_control_member", gauge(func(status control.LogStatus) int {
 		if status.Member() {
 			return 1
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -74,29 +74,62 @@
 // targets of the instance's domain first, up to a part of its size, so that the nearest are among
 // them, and then those of all domains.
 func Choose(instance, domain string, size int, targets []Target) []int {
+	listed := 0
+	for i := range targets {
+		if targets[i].domain == domain {
+			listed++
+		}
+	}
+	near := min(listed, size/domainPart)
+	out, ok := choose(instance, domain, size, near, targets, atLeast(near, listed), atLeast(size-near, len(targets)))
+	if !ok {
+		out, _ = choose(instance, domain, size, near, targets, 0, 0)
+	}
+	return out
+}
+
+// atLeast returns a weight that twice as many of a number of targets as are wanted are expected to reach: weights are
+// distributed evenly. The others need not be sorted.
+func atLeast(wanted, targets int) uint64 {
+	if 4*wanted >= targets || wanted < minSize/4 {
+		return 0
+	}
+	return ^uint64(0) - ^uint64(0)/uint64(targets)*uint64(2*wanted)
+}
+
+// choose chooses among the targets that reach a weight, in the instance's domain and in others, and reports whether
+// these are enough.
+func choose(instance, domain string, size, near int, targets []Target, leastNear, least uint64) ([]int, bool) {
 	hash := Hash(instance)
-	var own, others []ranked
+	own, others := make([]ranked, 0, size), make([]ranked, 0, 2*size)
 	for i := range targets {
 		r := ranked{weight: mix(hash ^ targets[i].hash), index: i}
-		if targets[i].domain == domain {
+		switch {
+		case r.weight < min(least, leastNear):
+		case targets[i].domain == domain:
 			own = append(own, r)
-		} else {
+		case r.weight >= least:
 			others = append(others, r)
 		}
 	}
-	highestFirst(own, min(len(own), size))
-	near := min(len(own), size/domainPart)
+	slices.SortFunc(own, highestFirst)
+	if len(own) < near || near > 0 && own[near-1].weight < leastNear {
+		return nil, false
+	}
 	out := make([]int, 0, size)
 	for _, r := range own[:near] {
 		out = append(out, r.index)
 	}
-	rest := slices.Concat(others, own[near:])
-	count := min(len(rest), size-near)
-	highestFirst(rest, count)
+	rest := append(others, own[near:]...) //nolint:gocritic // others is not used any more
+	slices.SortFunc(rest, highestFirst)
+	count := size - near
+	if len(rest) < count || count > 0 && rest[count-1].weight < least {
+		return nil, false
+	}
 	for _, r := range rest[:count] {
 		out = append(out, r.index)
 	}
-	return out
+	return out, true
 }
 
 // ranked is a target with its weight for an instance.
@@ -105,24 +138,6 @@
 	index  int
 }
 
-// highestFirst moves the count entries with the highest weights to the front, in order.
-func highestFirst(list []ranked, count int) {
-	byWeight := func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.index, b.index))
-	}
-	if n := len(list); count > 0 && 4*count < n {
-		// Weights are distributed evenly, so that few more than those wanted are above this one.
-		least := ^uint64(0) - ^uint64(0)/uint64(n)*uint64(2*count)
-		above := 0
-		for i := range list {
-			if list[i].weight > least {
-				list[i], list[above] = list[above], list[i]
-				above++
-			}
-		}
-		if above >= count {
-			list = list[:above]
-		}
-	}
-	slices.SortFunc(list, byWeight)
+func highestFirst(a, b ranked) int {
+	return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.index, b.index))
 }
