Control: answers to followers leave the log's goroutines room, replicas reconnect with backoff

Four answers are made at a time, so that messages of the log do not wait behind hundreds of them. Large lists are answered within the terms also for a few instances, and before an instance knows how many there are it gets no loads: after a restart of everything all asked for all of them at once. A connection keeps no large buffer. A replica that cannot be reached is tried again after 20 to 160 ms with variation instead of with each message.

--- a/internal/control/documents.go
+++ b/internal/control/documents.go
@@ -132,6 +132,10 @@
 	got := s.publisher.Await(s.ctx, request, wait, s.timers.Now)
 	ctx, cancel := context.WithTimeout(s.ctx, documentTimeout)
 	defer cancel()
+	if err := s.beginAnswer(ctx); err != nil {
+		return err
+	}
+	defer s.endAnswer()
 	status, hash, err := s.recentStatus(ctx)
 	if err != nil {
 		return err
@@ -148,11 +152,7 @@
 	answer.ChangesSince, answer.Removed, answer.CompressedList = got.GetChangesSince(), got.GetRemoved(), got.GetCompressedList()
 	answer.Loads, answer.LoadsVersion = got.GetLoads(), got.GetLoadsVersion()
 	answer.Followers = uint32(s.followers())
-	if s.addTerms(request, answer) {
-		s.addUsesAndLoads(request, answer)
-	} else {
-		answer.Loads, answer.LoadsVersion = nil, heldLoads(request, answer)
-	}
+	s.addUsesAndLoads(request, answer)
 	if request.GetAsksForHelpers() {
 		answer.Helpers = s.helpersOf(request)
 	}
--- a/internal/control/pace.go
+++ b/internal/control/pace.go
@@ -10,13 +10,15 @@
 
 // Bounds of what followers of a large deployment may ask of a replica.
 const (
-	// pacedFrom is the number of followers beyond which a replica states an interval. Up to it, followers keep
-	// intervals of their own.
-	pacedFrom = 100
+	// pacedFrom is the number of followers, and pacedFromTargets that of targets, beyond which a replica states an
+	// interval. Up to both, followers keep intervals of their own.
+	pacedFrom        = 100
+	pacedFromTargets = 1000
 	// intervalPerFollower is the interval for each follower: a replica that is not behind answers 1,000 exchanges
 	// a second.
 	intervalPerFollower = time.Millisecond
-	// maxInterval bounds the interval: uses that are not reported again expire.
+	// minInterval and maxInterval bound the interval: uses that are not reported again expire.
+	minInterval = 50 * time.Millisecond
 	maxInterval = 2500 * time.Millisecond
 	// answerBytesPerSecond is what all followers together may receive in a second as uses and loads.
 	answerBytesPerSecond = 2 << 20
@@ -68,16 +70,17 @@
 	shed           bool          // it gets no uses and loads
 }
 
-// termsFor returns the terms of each of a number of followers.
-func (p *pace) termsFor(followers int) terms {
-	if followers <= pacedFrom {
+// termsFor returns the terms of each of a number of followers, with a number of targets listed.
+func (p *pace) termsFor(followers, targets int) terms {
+	if followers <= pacedFrom && targets <= pacedFromTargets {
 		return terms{}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	interval := time.Duration(p.slowDown * float64(followers) * float64(intervalPerFollower))
 	return terms{
-		interval:       min(maxInterval, time.Duration(p.slowDown*float64(followers)*float64(intervalPerFollower))),
-		bytesPerSecond: uint32(answerBytesPerSecond / p.slowDown / float64(followers)),
+		interval:       min(maxInterval, max(minInterval, interval)),
+		bytesPerSecond: uint32(answerBytesPerSecond / p.slowDown / float64(max(1, followers))),
 		shed:           p.late > shedFrom,
 	}
 }
@@ -128,12 +131,13 @@
 	return done
 }
 
-// addTerms states the terms of a follower that keeps them, and reports whether the answer is to hold uses and loads.
-func (s *Service) addTerms(r *wire.FollowRequest, answer *wire.FollowResponse) bool {
+// addTerms states the terms of a follower that keeps them, with a number of targets listed, and reports whether the answer
+// is to hold uses and loads.
+func (s *Service) addTerms(r *wire.FollowRequest, answer *wire.FollowResponse, targets int) bool {
 	if !r.GetPaced() {
 		return true
 	}
-	t := s.pace.termsFor(int(answer.GetFollowers()))
+	t := s.pace.termsFor(int(answer.GetFollowers()), targets)
 	answer.IntervalMs, answer.BytesPerSecond, answer.Shed = uint32(t.interval.Milliseconds()), t.bytesPerSecond, t.shed
 	if t.shed {
 		s.shed.Add(1)
@@ -141,10 +145,19 @@
 	return !t.shed
 }
 
-// heldLoads returns the version of the loads that a follower has from this process.
-func heldLoads(r *wire.FollowRequest, answer *wire.FollowResponse) uint64 {
-	if r.GetListEpoch() != answer.GetListEpoch() {
-		return 0
+// maxAnswers is how many answers to followers are made at the same time. The others wait where they do not keep the
+// goroutines that deliver messages of the log from running.
+const maxAnswers = 4
+
+// beginAnswer waits until an answer to a follower may be made.
+func (s *Service) beginAnswer(ctx context.Context) error {
+	select {
+	case s.answering <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	return r.GetLoadsVersion()
 }
+
+// endAnswer lets another answer be made.
+func (s *Service) endAnswer() { <-s.answering }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -45,6 +45,7 @@
 	uses      *uses
 	subsets   *subsets
 	pace      *pace
+	answering chan struct{} // holds an element for each answer to a follower that is being made
 	shed      atomic.Uint64 // answers without uses and loads
 	// statusCache is the state of the log for followers
 	statusCache statusCache
@@ -77,7 +78,7 @@
 // address of the node's replica; store holds the versions that the node publishes.
 func NewService(ctx context.Context, node *Node, store *config.Store, timers vanillaward.Timers, peers *peer.Pool, self inifile.Peer) *Service {
 	return &Service{
-		ctx: ctx, node: node, store: store, timers: timers, peers: peers, publisher: node.publisher, uses: newUses(), subsets: newSubsets(), pace: newPace(), evidence: newEvidence(node.publisher.epoch), log: node.log,
+		ctx: ctx, node: node, store: store, timers: timers, peers: peers, publisher: node.publisher, uses: newUses(), subsets: newSubsets(), pace: newPace(), answering: make(chan struct{}, maxAnswers), evidence: newEvidence(node.publisher.epoch), log: node.log,
 		name: self.Name, self: self.Address.String(), watchers: map[string]watcher{},
 	}
 }
--- a/internal/control/subsetanswer.go
+++ b/internal/control/subsetanswer.go
@@ -42,25 +42,36 @@
 // take subtracts bytes that the follower receives.
 func (a *allowance) take(bytes int) { a.bytes -= float64(bytes) }
 
-// addUsesAndLoads adds the other instances' uses, if this replica leads, and the loads if the follower gets those
-// of its subset.
+// addUsesAndLoads adds the other instances' uses, if this replica leads, and the loads, in each case those of the
+// follower's subsets, within the terms that the follower is told.
 func (s *Service) addUsesAndLoads(r *wire.FollowRequest, answer *wire.FollowResponse) {
 	now := s.timers.Now()
 	list, version := s.publisher.listVersion()
+	if !s.addTerms(r, answer, len(list)) {
+		answer.Loads, answer.LoadsVersion = nil, r.GetLoadsVersion()
+		if r.GetListEpoch() != answer.GetListEpoch() {
+			answer.LoadsVersion = 0
+		}
+		return
+	}
 	s.subsets.mu.Lock()
 	defer s.subsets.mu.Unlock()
 	m := s.subsets.of(r, list, version, now)
-	if m == nil {
-		s.addWhole(r, answer, now)
-		return
+	switch {
+	case m == nil:
+		answer.Others = s.uses.sumsExcluding(r.GetInstance(), now)
+		s.addAllLoads(r, answer, now)
+	case r.GetSubsetInstances() == 0:
+		// The follower has its subsets chosen once it knows the number of instances, from this answer.
+		answer.Loads, answer.LoadsVersion = nil, 0
+	default:
+		s.addPart(r, m, answer, now)
 	}
-	s.addPart(r, m, answer, now)
 }
 
-// addWhole adds uses and loads of all targets.
-func (s *Service) addWhole(r *wire.FollowRequest, answer *wire.FollowResponse, now time.Duration) {
-	answer.Others = s.uses.sumsExcluding(r.GetInstance(), now)
-	if r.GetSubsetInstances() == 0 || r.GetWithoutLoads() {
+// addAllLoads adds the loads of all targets for a follower that would get those of its subsets of a larger list.
+func (s *Service) addAllLoads(r *wire.FollowRequest, answer *wire.FollowResponse, now time.Duration) {
+	if !choosesLoads(r) || r.GetWithoutLoads() {
 		return
 	}
 	since := r.GetLoadsVersion()
--- a/internal/control/subsetloads.go
+++ b/internal/control/subsetloads.go
@@ -19,10 +19,8 @@
 	copyValid = 20 * time.Millisecond
 )
 
-// choosesLoads reports whether a follower gets the loads of its subsets, or none.
-func choosesLoads(r *wire.FollowRequest) bool {
-	return r.GetWithoutLoads() || r.GetSubsetInstances() > 0
-}
+// choosesLoads reports whether a follower may get the loads of its subsets only, or none.
+func choosesLoads(r *wire.FollowRequest) bool { return r.GetPaced() }
 
 // next returns the report after r; nil stands for none.
 func (r *loadReport) next(l *wire.Load, at time.Duration, version uint64) *loadReport {
--- a/internal/control/subsets.go
+++ b/internal/control/subsets.go
@@ -66,12 +66,13 @@
 
 func newSubsets() *subsets { return &subsets{byInstance: map[string]*members{}} }
 
-// of returns the targets of which a follower gets uses and loads, or nil for all. It is called with the lock held.
+// of returns the targets of which a follower gets uses and loads, or nil for all: it is of an earlier build, or no
+// service is large. It is called with the lock held.
 func (s *subsets) of(r *wire.FollowRequest, list []*wire.Target, version uint64, now time.Duration) *members {
-	if r.GetSubsetInstances() == 0 || version == 0 {
+	s.list.update(list, version)
+	if !r.GetPaced() || subset.Whole(s.list.largest) {
 		return nil
 	}
-	s.list.update(list, version)
 	s.prune(now)
 	m := s.byInstance[r.GetInstance()]
 	same := m != nil && m.domain == r.GetFailureDomain() && m.instances == int(r.GetSubsetInstances())
@@ -80,9 +81,6 @@
 		s.byInstance[r.GetInstance()] = m
 	}
 	m.usedAt = now
-	if m.whole {
-		return nil
-	}
 	return m
 }
 
@@ -105,9 +103,6 @@
 func (s *subsets) choose(r *wire.FollowRequest, before *members, now time.Duration) *members {
 	instances := int(r.GetSubsetInstances())
 	m := &members{domain: r.GetFailureDomain(), instances: instances, version: s.list.version, chosenAt: now}
-	if m.whole = subset.Size(s.list.largest, instances) == s.list.largest; m.whole {
-		return m
-	}
 	known := map[string]member{}
 	if before != nil {
 		m.answers, m.allowance = before.answers, before.allowance
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/vanillaward/vanillaward/internal/peer"
+	"github.com/vanillaward/vanillaward/internal/timer"
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
@@ -26,6 +29,10 @@
 	// carries the sender's address. Only a replica that has no membership yet needs the
 	// address.
 	addressInterval = 16
+	// minReconnectDelay and maxReconnectDelay bound the mean delay before a replica that could not be reached is
+	// tried again.
+	minReconnectDelay = 20 * time.Millisecond
+	maxReconnectDelay = 160 * time.Millisecond
 	// maxBatchMessages bounds the messages of a batch.
 	maxBatchMessages = 32
 )
@@ -98,16 +105,30 @@
 	}
 	client := peer.NewClient(addr, t.creds, t.traffic)
 	defer client.Close()
+	failures := 0
 	for {
 		select {
 		case <-t.ctx.Done():
 			return
 		case first := <-queued:
-			t.deliver(client, nextBatch(first, queued))
+			if t.deliver(client, nextBatch(first, queued)) {
+				failures = 0
+				continue
+			}
+			timer.Sleep(t.ctx, reconnectDelay(failures, rand.Float64()))
+			failures++
 		}
 	}
 }
 
+// reconnectDelay returns the delay before messages are sent again to a replica that could not be reached, after a number
+// of earlier failures in a row. Random is from 0 to 1. What is queued meanwhile is sent then, so that the delay must stay
+// far below the time after which a leader is missed.
+func reconnectDelay(failures int, random float64) time.Duration {
+	mean := min(maxReconnectDelay, minReconnectDelay<<min(failures, 10))
+	return time.Duration((0.5 + random) * float64(mean))
+}
+
 // nextBatch returns a batch of the first message and the queued ones after it.
 func nextBatch(first *wire.Message, queued chan *wire.Message) *wire.MessageBatch {
 	batch := &wire.MessageBatch{Messages: []*wire.Message{first}}
@@ -122,10 +143,13 @@
 	return batch
 }
 
-func (t *PeerTransport) deliver(client *peer.Client, batch *wire.MessageBatch) {
+// deliver sends a batch and reports whether the replica could be reached.
+func (t *PeerTransport) deliver(client *peer.Client, batch *wire.MessageBatch) bool {
 	ctx, cancel := context.WithTimeout(t.ctx, sendTimeout+time.Duration(proto.Size(batch))*time.Second/minBytesPerSecond)
 	defer cancel()
-	if err := client.Call(ctx, methodDeliver, batch, &wire.Empty{}); err != nil {
+	err := client.Call(ctx, methodDeliver, batch, &wire.Empty{})
+	if err != nil {
 		t.log.V(1).Info("cannot deliver messages to replica; dropping them", "address", client.Address().String(), "reason", err.Error())
 	}
+	return !errors.Is(err, peer.ErrUnreachable)
 }
--- a/internal/follow/subsets.go
+++ b/internal/follow/subsets.go
@@ -31,7 +31,7 @@
 // addVersions states in a request what the instance has from a replica and what it needs. It is called
 // with the lock held.
 func (f *Follower) addVersions(address string, request *wire.FollowRequest) {
-	request.TakesChanges, request.Paced, request.ReplicasHash = true, true, f.replicasHash
+	request.TakesChanges, request.Paced, request.ReplicasHash = true, f.subsets != nil, f.replicasHash
 	if l := f.lists[address]; l != nil {
 		request.ListEpoch, request.ListVersion, request.LoadsVersion = l.epoch, l.version, l.loadsVersion
 	}
@@ -54,16 +54,16 @@
 	}
 	c := f.contactOf(address)
 	c.toldEpoch, c.toldVersion = resp.GetUsesEpoch(), resp.GetUsesVersion()
-	if !resp.GetLeader() {
-		return
-	}
 	instances := int(resp.GetFollowers())
-	if f.subsets != nil {
+	if f.subsets != nil && (resp.GetLeader() || f.uses.instances == 0) {
 		if size := subset.Round(instances); size != f.uses.instances {
 			f.uses.instances = size
 			f.subsets.UpdateSubsets(size)
 		}
 	}
+	if !resp.GetLeader() {
+		return
+	}
 	switch {
 	case !resp.GetUsesChanges():
 		f.sink.UpdatePeerUses(resp.GetOthers(), instances)
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -21,6 +21,10 @@
 
 const lengthBytes = 4
 
+// maxKeptBytes bounds the buffer that a connection keeps for its next message. A replica has hundreds of connections,
+// each of which sends a large message now and then.
+const maxKeptBytes = 32 << 10
+
 // ErrTooLarge is returned for a message over MaxMessageBytes.
 var ErrTooLarge = errors.New("message is over the size bound")
 
@@ -95,7 +99,9 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "cannot encode message")
 	}
-	f.buffer = body
+	if f.buffer = body; cap(body) > maxKeptBytes {
+		f.buffer = nil
+	}
 	if len(body) > MaxMessageBytes {
 		return 0, ErrTooLarge
 	}
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -61,10 +61,13 @@
 	return instances / step * step
 }
 
+// Whole reports whether a service with a number of targets is kept whole.
+func Whole(targets int) bool { return targets <= wholeUpTo }
+
 // Size returns the size of each instance's subset of a service with a number of targets. If the number of
 // instances is 0, that is all of them.
 func Size(targets, instances int) int {
-	if targets <= wholeUpTo || instances <= 0 {
+	if Whole(targets) || instances <= 0 {
 		return targets
 	}
 	return min(targets, max(minSize, (coverage*targets+instances-1)/instances))
