Control: a replica that is behind still tells of some uses; followers compare lists by digests

A follower that is shed is told of uses and loads every 1.5 s, so that it does not choose engines by what it remembers. A log that does not answer in 0.3 s no longer makes polls fail: the list is answered.

--- a/internal/control/pace.go
+++ b/internal/control/pace.go
@@ -36,8 +36,10 @@
 	slowDownFactor = 1.035
 	speedUpFactor  = 0.991
 	maxSlowDown    = 8
-	// shedFrom is the lateness from which uses and loads are left out of answers.
-	shedFrom = 100 * time.Millisecond
+	// shedFrom is the lateness from which uses and loads are left out of answers, except for one in shedInterval to each
+	// follower: without any, followers would choose engines by what they remember.
+	shedFrom     = 150 * time.Millisecond
+	shedInterval = 1500 * time.Millisecond
 )
 
 // pace decides at which interval followers may ask, from how late the replica's own timers are. It is safe for
@@ -133,16 +135,17 @@
 
 // addTerms states the terms of a follower that keeps them, with a number of targets listed, and reports whether the answer
 // is to hold uses and loads.
-func (s *Service) addTerms(r *wire.FollowRequest, answer *wire.FollowResponse, targets int) bool {
+func (s *Service) addTerms(r *wire.FollowRequest, answer *wire.FollowResponse, targets int) (told bool) {
 	if !r.GetPaced() {
 		return true
 	}
 	t := s.pace.termsFor(int(answer.GetFollowers()), targets)
-	answer.IntervalMs, answer.BytesPerSecond, answer.Shed = uint32(t.interval.Milliseconds()), t.bytesPerSecond, t.shed
-	if t.shed {
+	answer.IntervalMs, answer.BytesPerSecond = uint32(t.interval.Milliseconds()), t.bytesPerSecond
+	answer.Shed = t.shed && !s.subsets.due(r.GetInstance(), s.timers.Now())
+	if answer.GetShed() {
 		s.shed.Add(1)
 	}
-	return !t.shed
+	return !answer.GetShed()
 }
 
 // maxAnswers is how many answers to followers are made at the same time. The others wait where they do not keep the
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -5,6 +5,8 @@
 	"hash/fnv"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // statusValid is how old the state of the log may be that is told to followers: many ask at once, and each
@@ -18,16 +20,20 @@
 	hash uint64 // of the addresses
 	at   time.Duration
 	held bool
-	// failure is the error of the last question and failedAt its time, so that calls which waited for it do
-	// not each wait for another one.
-	failure  error
-	failedAt time.Duration
+	late bool // there was no answer in time
 }
 
-// failureValid is how long a failure is told to others.
-const failureValid = 200 * time.Millisecond
+const (
+	// statusTimeout bounds the wait for the state of the log.
+	statusTimeout = 300 * time.Millisecond
+	// lateValid is how long it is told that there was no answer in time: the calls that waited for it do not each
+	// wait for another one.
+	lateValid = 200 * time.Millisecond
+)
 
-// recentStatus returns the state of the log as of shortly before, and a hash of the replicas' addresses.
+// recentStatus returns the state of the log as of shortly before, and a hash of the replicas' addresses. Of a
+// replica that is behind or whose disk hangs, nothing is known of a leader, so that followers take it for one that
+// is behind; they still get its list.
 func (s *Service) recentStatus(ctx context.Context) (LogStatus, uint64, error) {
 	c := &s.statusCache
 	c.mu.Lock()
@@ -35,12 +41,14 @@
 	if now := s.timers.Now(); c.held && now-c.at < statusValid {
 		return c.last, c.hash, nil
 	}
-	if c.failure != nil && s.timers.Now()-c.failedAt < failureValid {
-		return LogStatus{}, 0, c.failure
+	if c.held && c.late && s.timers.Now()-c.at < lateValid {
+		return c.last, c.hash, nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
 	status, err := s.node.LogStatus(ctx)
-	c.failure, c.failedAt = err, s.timers.Now()
-	if err != nil {
+	c.late = errors.Is(err, context.DeadlineExceeded)
+	if err != nil && !c.late {
 		c.held = false
 		return LogStatus{}, 0, err
 	}
--- a/internal/control/subsetanswer.go
+++ b/internal/control/subsetanswer.go
@@ -45,15 +45,21 @@
 // addUsesAndLoads adds the other instances' uses, if this replica leads, and the loads, in each case those of the
 // follower's subsets, within the terms that the follower is told.
 func (s *Service) addUsesAndLoads(r *wire.FollowRequest, answer *wire.FollowResponse) {
-	now := s.timers.Now()
-	list, version := s.publisher.listVersion()
-	if !s.addTerms(r, answer, len(list)) {
-		answer.Loads, answer.LoadsVersion = nil, r.GetLoadsVersion()
-		if r.GetListEpoch() != answer.GetListEpoch() {
-			answer.LoadsVersion = 0
-		}
+	list, _ := s.publisher.listVersion()
+	if s.addTerms(r, answer, len(list)) {
+		s.addUsesAndLoadsWithin(r, answer)
 		return
 	}
+	answer.Loads, answer.LoadsVersion = nil, r.GetLoadsVersion()
+	if r.GetListEpoch() != answer.GetListEpoch() {
+		answer.LoadsVersion = 0
+	}
+}
+
+// addUsesAndLoadsWithin adds uses and loads within the bytes a second that an answer states.
+func (s *Service) addUsesAndLoadsWithin(r *wire.FollowRequest, answer *wire.FollowResponse) {
+	now := s.timers.Now()
+	list, version := s.publisher.listVersion()
 	s.subsets.mu.Lock()
 	defer s.subsets.mu.Unlock()
 	m := s.subsets.of(r, list, version, now)
@@ -90,6 +96,7 @@
 		m.forgetTold(!known)
 	}
 	m.answers++
+	m.toldAt = now
 	answer.UsesEpoch, answer.UsesVersion, answer.UsesChanges = epoch, m.answers, known
 	size := proto.Size(answer)
 	bound := max(m.allowance.next(float64(answer.GetBytesPerSecond()), now), size+minAnswerBytes)
--- a/internal/control/subsets.go
+++ b/internal/control/subsets.go
@@ -42,7 +42,8 @@
 	targets   []member
 	whole     bool   // all targets
 	answers   uint64 // number of the last answer
-	next      int    // index of the target of which the follower is told next
+	toldAt    time.Duration
+	next      int // index of the target of which the follower is told next
 	allowance allowance
 }
 
@@ -84,6 +85,14 @@
 	return m
 }
 
+// due reports whether a follower has not been told of uses and loads for shedInterval.
+func (s *subsets) due(instance string, now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.byInstance[instance]
+	return m == nil || now-m.toldAt >= shedInterval
+}
+
 // update indexes a version of the list, unless it has it.
 func (l *listIndex) update(list []*wire.Target, version uint64) {
 	if l.version >= version {
@@ -105,7 +114,7 @@
 	m := &members{domain: r.GetFailureDomain(), instances: instances, version: s.list.version, chosenAt: now}
 	known := map[string]member{}
 	if before != nil {
-		m.answers, m.allowance = before.answers, before.allowance
+		m.answers, m.allowance, m.toldAt = before.answers, before.allowance, before.toldAt
 		for _, t := range before.targets {
 			known[t.id] = t
 		}
--- a/internal/follow/contact.go
+++ b/internal/follow/contact.go
@@ -14,7 +14,8 @@
 	// to maxBackoff, and varies by half of it in both directions.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = time.Second
-	// maxSmallBackoff is the same up to wholeInstances instances.
+	// maxSmallBackoff is the same for a replica that cannot be reached, up to wholeInstances instances: it has stopped
+	// and is not kept from work.
 	maxSmallBackoff = 200 * time.Millisecond
 	// maxPatience bounds how much longer than a poll a connection may be silent before it is given up. It starts at
 	// responseMargin, doubles when a poll was given up, and shrinks with each answer to a multiple of the time
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -290,7 +290,7 @@
 	}
 	var unanswered *peer.UnansweredError
 	most := maxBackoff
-	if f.uses.instances <= wholeInstances {
+	if f.uses.instances <= wholeInstances && errors.Is(err, peer.ErrUnreachable) {
 		most = maxSmallBackoff
 	}
 	f.contactOf(address).fail(errors.As(err, &unanswered), rand.Float64(), most, f.timers.Now())
--- a/internal/follow/lists.go
+++ b/internal/follow/lists.go
@@ -23,6 +23,7 @@
 	readAt       time.Duration // when the replica read the list from the platform
 	warmAt       time.Duration // the reading that the warm-up times of the targets refer to
 	targets      []*wire.Target
+	digest       digest
 	loadsVersion uint64
 }
 
@@ -47,13 +48,21 @@
 		l.epoch, l.version, l.targets = 0, 0, nil
 		return
 	}
-	merged := mergeLists(f.lists)
-	if f.merged.holds(merged, f.timers.Now()) {
+	f.passOn(address, resp)
+}
+
+// passOn passes the merged lists to the sink unless it has them: most changes are reported by several replicas. It is
+// called with the lock held.
+func (f *Follower) passOn(address string, resp *wire.FollowResponse) {
+	newest, leaving := overlay(f.lists)
+	merged := newest.digest + leavingDigest(newest, leaving)
+	if f.merged.known && f.merged.digest == merged && f.merged.hasWarmUps(resp.GetTargets(), f.lists[address].readAt) {
 		return
 	}
-	f.merged = mergedList{targets: merged, at: f.timers.Now()}
-	f.log.Info("targets", "replica", address, "age-ms", resp.GetListAgeMs(), "ready", countReady(merged), "listed", len(merged))
-	f.sink.UpdateTargets(merged)
+	list := mergeLists(f.lists)
+	f.merged = mergedList{known: true, digest: merged, warmUps: warmUps(list, newest.readAt)}
+	f.log.Info("targets", "replica", address, "age-ms", resp.GetListAgeMs(), "ready", countReady(list), "listed", len(list))
+	f.sink.UpdateTargets(list)
 }
 
 // applyList replaces a replica's list by that of a response, which may hold the changes only.
@@ -75,34 +84,43 @@
 	default:
 		before = nil
 	}
+	sum := digestOf(changed)
 	if len(before) > 0 {
 		warmed(before, l.readAt-l.warmAt)
-		changed = replaceTargets(before, changed, resp)
+		if resp.GetChangesSince() > 0 {
+			sum += l.digest
+		} else {
+			sum += digestOf(before)
+		}
+		kept, replaced := withoutReplaced(before, resp)
+		sum -= digestOf(replaced)
+		changed = append(kept, changed...)
 	}
-	l.epoch, l.version, l.targets, l.warmAt = resp.GetListEpoch(), resp.GetListVersion(), changed, l.readAt
+	l.epoch, l.version, l.targets, l.digest, l.warmAt = resp.GetListEpoch(), resp.GetListVersion(), changed, sum, l.readAt
 	return nil
 }
 
 // errListBase is returned for changes to another list than the one that is held.
 var errListBase = errors.New("changes to another list")
 
-// replaceTargets returns a list in which the usable entries of a response take the place of all entries of their
-// keys.
-func replaceTargets(before, usable []*wire.Target, resp *wire.FollowResponse) []*wire.Target {
-	replaced := make(map[target.Key]bool, len(resp.GetTargets())+len(resp.GetRemoved()))
+// withoutReplaced divides a list into the targets that are kept and those whose keys are among the changes of a response.
+func withoutReplaced(before []*wire.Target, resp *wire.FollowResponse) (kept, replaced []*wire.Target) {
+	keys := newKeySet(len(resp.GetTargets()) + len(resp.GetRemoved()))
 	for _, t := range resp.GetTargets() {
-		replaced[target.KeyOf(t)] = true
+		keys.add(target.KeyOf(t))
 	}
 	for _, k := range resp.GetRemoved() {
-		replaced[target.NewKey(k.GetId(), k.GetAddress(), k.GetService())] = true
+		keys.add(target.NewKey(k.GetId(), k.GetAddress(), k.GetService()))
 	}
-	out := make([]*wire.Target, 0, len(before)+len(usable))
+	kept = make([]*wire.Target, 0, len(before)+len(resp.GetTargets()))
 	for _, t := range before {
-		if !replaced[target.KeyOf(t)] {
-			out = append(out, t)
+		if keys.has(t) {
+			replaced = append(replaced, t)
+		} else {
+			kept = append(kept, t)
 		}
 	}
-	return append(out, usable...)
+	return kept, replaced
 }
 
 func decompressList(data []byte) ([]*wire.Target, error) {
@@ -131,54 +149,6 @@
 	}
 }
 
-// mergedList is the list that the sink has, and since when.
-type mergedList struct {
-	targets []*wire.Target
-	at      time.Duration
-}
-
-// coldTolerance is the difference of the ends of a target's warm-up time that makes no difference.
-const coldTolerance = 300 * time.Millisecond
-
-// holds reports whether the sink has a list already: most changes are reported by several replicas.
-func (m mergedList) holds(list []*wire.Target, now time.Duration) bool {
-	if m.targets == nil || len(list) != len(m.targets) {
-		return false
-	}
-	known := make(map[target.Key]*wire.Target, len(list))
-	for _, t := range m.targets {
-		known[target.KeyOf(t)] = t
-	}
-	if len(known) != len(list) {
-		return false // an odd list
-	}
-	later := (now - m.at).Milliseconds()
-	for _, t := range list {
-		k := known[target.KeyOf(t)]
-		if k == nil || !sameTarget(k, t, later) {
-			return false
-		}
-	}
-	return true
-}
-
-// sameTarget reports whether two entries of a key are the same, apart from warm-up times that agree if the second
-// was read some milliseconds later.
-func sameTarget(before, after *wire.Target, laterMs int64) bool {
-	if before == after {
-		return before.GetColdMs() == 0
-	}
-	cold := max(0, int64(before.GetColdMs())-laterMs) - int64(after.GetColdMs())
-	if cold > coldTolerance.Milliseconds() || cold < -coldTolerance.Milliseconds() {
-		return false
-	}
-	if before.GetColdMs() != after.GetColdMs() {
-		after = proto.CloneOf(after)
-		after.ColdMs = before.GetColdMs()
-	}
-	return proto.Equal(before, after)
-}
-
 // checkTargets returns the targets of a replica's list that are usable.
 func (f *Follower) checkTargets(address string, list []*wire.Target) []*wire.Target {
 	usable := make([]*wire.Target, 0, len(list))
@@ -198,33 +168,46 @@
 	return usable
 }
 
-// mergeLists returns the newest list, in which a target is leaving if any list that is at
-// most maxListLag older reports it as leaving.
-func mergeLists(lists map[string]*targetList) []*wire.Target {
+// overlay returns the newest list, nil if there is none, and the targets that any list reports as leaving that is at most
+// maxListLag older.
+func overlay(lists map[string]*targetList) (*targetList, *keySet) {
 	var newest *targetList
 	for _, l := range lists {
 		if newest == nil || l.readAt > newest.readAt {
 			newest = l
 		}
 	}
-	leaving := map[target.Key]bool{}
+	leaving := newKeySet(0)
 	for _, l := range lists {
 		if newest.readAt-l.readAt > maxListLag {
 			continue
 		}
 		for _, t := range l.targets {
 			if t.GetState() == wire.TargetState_TARGET_STATE_LEAVING {
-				leaving[target.KeyOf(t)] = true
+				leaving.add(target.KeyOf(t))
 			}
 		}
 	}
+	return newest, leaving
+}
+
+// overlaid returns a target as the merged list shows it.
+func overlaid(t *wire.Target, leaving *keySet) *wire.Target {
+	if t.GetState() != wire.TargetState_TARGET_STATE_READY || !leaving.has(t) {
+		return t
+	}
+	out := proto.CloneOf(t)
+	out.State = wire.TargetState_TARGET_STATE_LEAVING
+	return out
+}
+
+// mergeLists returns the newest list, in which a target is leaving if any list that is at
+// most maxListLag older reports it as leaving.
+func mergeLists(lists map[string]*targetList) []*wire.Target {
+	newest, leaving := overlay(lists)
 	out := make([]*wire.Target, 0, len(newest.targets))
 	for _, t := range newest.targets {
-		if leaving[target.KeyOf(t)] && t.GetState() == wire.TargetState_TARGET_STATE_READY {
-			t = proto.CloneOf(t)
-			t.State = wire.TargetState_TARGET_STATE_LEAVING
-		}
-		out = append(out, t)
+		out = append(out, overlaid(t, leaving))
 	}
 	warmed(out, newest.readAt-newest.warmAt)
 	return out
