--- a/internal/control/subsets.go
+++ b/internal/control/subsets.go
@@ -40,7 +40,6 @@
 	chosenAt  time.Duration
 	usedAt    time.Duration
 	targets   []member
-	whole     bool   // all targets
 	answers   uint64 // number of the last answer
 	toldAt    time.Duration
 	next      int // index of the target of which the follower is told next
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -51,13 +51,13 @@
 	return x ^ x>>31
 }
 
-// Round returns the number of instances to use for the size of subsets: it is at most a quarter less, so that
+// Round returns the number of instances to use for the size of subsets: it is at most an eighth less, so that
 // sizes do not change whenever an instance joins or leaves.
 func Round(instances int) int {
 	if instances <= 0 {
 		return 0
 	}
-	step := 1 << max(0, bits.Len(uint(instances))-3)
+	step := 1 << max(0, bits.Len(uint(instances))-4)
 	return instances / step * step
 }
 
--- a/internal/subset/subset_test.go
+++ b/internal/subset/subset_test.go
@@ -99,6 +99,6 @@
 	for instances := 1; instances < 5000; instances++ {
 		rounded := subset.Round(instances)
 		require.LessOrEqual(t, rounded, instances)
-		require.GreaterOrEqual(t, 4*rounded, 3*instances)
+		require.GreaterOrEqual(t, 8*rounded, 7*instances)
 	}
 }
