Control: no interval is stated while answers are small; documents wait for slow replicas

A long list no longer leaves a follower without uses for a long time. The transfer of a document shares the connection of the polls: it broke it after a second of silence. It now waits as long as polls do, and goes on elsewhere after a delay that doubles to 0.4 s and varies.

--- a/internal/control/pace.go
+++ b/internal/control/pace.go
@@ -11,7 +11,8 @@
 // Bounds of what followers of a large deployment may ask of a replica.
 const (
 	// pacedFrom is the number of followers, and pacedFromTargets that of targets, beyond which a replica states an
-	// interval. Up to both, followers keep intervals of their own.
+	// interval. Up to both, followers keep intervals of their own, and also while no service is large and the replica is
+	// not behind: answers are small then.
 	pacedFrom        = 100
 	pacedFromTargets = 1000
 	// intervalPerFollower is the interval for each follower: a replica that is not behind answers 1,000 exchanges
@@ -75,13 +76,17 @@
 	shed           bool          // it gets no uses and loads
 }
 
-// termsFor returns the terms of each of a number of followers, with a number of targets listed.
-func (p *pace) termsFor(followers, targets int) terms {
+// termsFor returns the terms of each of a number of followers, with a number of targets listed. Large tells whether there
+// is a service of which followers keep subsets.
+func (p *pace) termsFor(followers, targets int, large bool) terms {
 	if followers <= pacedFrom && targets <= pacedFromTargets {
 		return terms{}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !large && p.slowDown <= 1 {
+		return terms{}
+	}
 	interval := time.Duration(p.slowDown * float64(followers) * float64(intervalPerFollower))
 	return terms{
 		interval:       min(maxInterval, max(minInterval, interval)),
@@ -136,13 +141,13 @@
 	return done
 }
 
-// addTerms states the terms of a follower that keeps them, with a number of targets listed, and reports whether the answer
-// is to hold uses and loads.
-func (s *Service) addTerms(r *wire.FollowRequest, answer *wire.FollowResponse, targets int) (told bool) {
+// addTerms states the terms of a follower that keeps them, and reports whether the answer is to hold uses and loads.
+func (s *Service) addTerms(r *wire.FollowRequest, answer *wire.FollowResponse) (told bool) {
 	if !r.GetPaced() {
 		return true
 	}
-	t := s.pace.termsFor(int(answer.GetFollowers()), targets)
+	list, version := s.publisher.listVersion()
+	t := s.pace.termsFor(int(answer.GetFollowers()), len(list), s.subsets.hasLarge(list, version))
 	answer.IntervalMs, answer.BytesPerSecond = uint32(t.interval.Milliseconds()), t.bytesPerSecond
 	answer.Shed = t.shed && !s.subsets.due(r.GetInstance(), s.timers.Now())
 	if answer.GetShed() {
--- a/internal/control/pace_test.go
+++ b/internal/control/pace_test.go
@@ -11,23 +11,25 @@
 // bounded, and return.
 func TestPace(t *testing.T) {
 	p := newPace()
-	require.Zero(t, p.termsFor(pacedFrom, pacedFromTargets), "few instances keep their own interval")
-	calm := p.termsFor(300, 3000)
+	require.Zero(t, p.termsFor(pacedFrom, pacedFromTargets, true), "few instances keep their own interval")
+	require.Zero(t, p.termsFor(300, 50, false), "answers are small")
+	calm := p.termsFor(300, 3000, true)
 	require.Equal(t, 300*time.Millisecond, calm.interval)
 	require.False(t, calm.shed)
 	for range 100 {
 		p.observe(time.Second)
 	}
-	late := p.termsFor(300, 3000)
+	require.NotZero(t, p.termsFor(300, 50, false), "small answers, and the replica is behind")
+	late := p.termsFor(300, 3000, true)
 	require.True(t, late.shed)
 	require.Greater(t, late.interval, 3*calm.interval)
 	require.LessOrEqual(t, late.interval, maxInterval)
 	require.Less(t, late.bytesPerSecond, calm.bytesPerSecond)
-	require.Zero(t, p.termsFor(pacedFrom, pacedFromTargets), "also while the replica is behind")
+	require.Zero(t, p.termsFor(pacedFrom, pacedFromTargets, true), "also while the replica is behind")
 	for range 1000 {
 		p.observe(0)
 	}
-	require.Equal(t, calm, p.termsFor(300, 3000))
+	require.Equal(t, calm, p.termsFor(300, 3000, true))
 }
 
 // TestPaceOfAllFollowers guards against exchanges and bytes that grow faster than instances: the sums over all followers
@@ -35,7 +37,7 @@
 func TestPaceOfAllFollowers(t *testing.T) {
 	p := newPace()
 	for _, followers := range []int{3, 101, 300, 1100, 2500} {
-		terms := p.termsFor(followers, 10*followers+pacedFromTargets)
+		terms := p.termsFor(followers, 10*followers+pacedFromTargets, true)
 		require.LessOrEqual(t, float64(followers)/terms.interval.Seconds(), 1000.1)
 		require.LessOrEqual(t, followers*int(terms.bytesPerSecond), answerBytesPerSecond)
 	}
--- a/internal/control/subsetanswer.go
+++ b/internal/control/subsetanswer.go
@@ -39,14 +39,13 @@
 // maxUnbounded is the size of an answer without a bound.
 const maxUnbounded = 1 << 30
 
-// take subtracts bytes that the follower receives.
-func (a *allowance) take(bytes int) { a.bytes -= float64(bytes) }
+// take subtracts bytes that the follower receives. What a long list costs beyond a second's bytes is not charged.
+func (a *allowance) take(bytes int, rate float64) { a.bytes = max(-rate, a.bytes-float64(bytes)) }
 
 // addUsesAndLoads adds the other instances' uses, if this replica leads, and the loads, in each case those of the
 // follower's subsets, within the terms that the follower is told.
 func (s *Service) addUsesAndLoads(r *wire.FollowRequest, answer *wire.FollowResponse) {
-	list, _ := s.publisher.listVersion()
-	if s.addTerms(r, answer, len(list)) {
+	if s.addTerms(r, answer) {
 		s.addUsesAndLoadsWithin(r, answer)
 		return
 	}
@@ -99,7 +98,8 @@
 	m.toldAt = now
 	answer.UsesEpoch, answer.UsesVersion, answer.UsesChanges = epoch, m.answers, known
 	size := proto.Size(answer)
-	bound := max(m.allowance.next(float64(answer.GetBytesPerSecond()), now), size+minAnswerBytes)
+	rate := float64(answer.GetBytesPerSecond())
+	bound := max(m.allowance.next(rate, now), size+minAnswerBytes)
 	leader, loads := answer.GetLeader(), !r.GetWithoutLoads()
 	s.uses.mu.Lock()
 	defer s.uses.mu.Unlock()
@@ -126,5 +126,5 @@
 			}
 		}
 	}
-	m.allowance.take(size)
+	m.allowance.take(size, rate)
 }
--- a/internal/control/subsets.go
+++ b/internal/control/subsets.go
@@ -84,6 +84,14 @@
 	return m
 }
 
+// hasLarge reports whether a version of the list has a service of which followers keep subsets.
+func (s *subsets) hasLarge(list []*wire.Target, version uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list.update(list, version)
+	return !subset.Whole(s.list.largest)
+}
+
 // due reports whether a follower has not been told of uses and loads for shedInterval.
 func (s *subsets) due(instance string, now time.Duration) bool {
 	s.mu.Lock()
--- a/internal/follow/contact.go
+++ b/internal/follow/contact.go
@@ -70,6 +70,13 @@
 	}
 }
 
+// extraPatience returns how much longer than otherwise a replica's connection may be silent because the replica is slow.
+func (f *Follower) extraPatience(address string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.contactOf(address).patience - responseMargin
+}
+
 // keepTerms records the interval that a replica states.
 func (c *contact) keepTerms(resp *wire.FollowResponse) {
 	c.interval = time.Duration(resp.GetIntervalMs()) * time.Millisecond
--- a/internal/follow/fetch.go
+++ b/internal/follow/fetch.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 	fetchSilence = time.Second
 	// maxPieceTime bounds the time for one piece over a connection that is slow.
 	maxPieceTime = 30 * time.Second
+	// maxFetchDelay bounds the mean delay after failures in a row, so that a configuration is in force in time.
+	maxFetchDelay = 400 * time.Millisecond
 )
 
 var (
@@ -69,7 +72,8 @@
 // fetchLoop fetches each document that is newer than the one in force, from one replica, until the
 // context ends. After a failure it goes on at another one.
 func (f *Follower) fetchLoop(ctx context.Context) {
-	failed := "" // the replica that failed last
+	failed := ""  // the replica that failed last
+	failures := 0 // in a row
 	for ctx.Err() == nil {
 		address := f.source(failed)
 		if address == "" {
@@ -83,11 +87,21 @@
 		if err := f.fetch(ctx, address); err != nil && ctx.Err() == nil {
 			failed = address
 			f.log.Info("cannot fetch document", "replica", address, "reason", err.Error(), "number", f.sink.Number(), "received", f.documents.current.received())
-			timer.Sleep(ctx, retryDelay)
+			timer.Sleep(ctx, fetchDelay(failures, rand.Float64()))
+			failures++
+		} else {
+			failures = 0
 		}
 	}
 }
 
+// fetchDelay returns the delay before a transfer goes on at another replica, after a number of earlier failures in a row.
+// Random is from 0 to 1.
+func fetchDelay(failures int, random float64) time.Duration {
+	mean := min(maxFetchDelay, retryDelay<<min(failures, 10))
+	return time.Duration((0.5 + random) * float64(mean))
+}
+
 // source returns the address of a replica that has a newer document than the one in force, or the empty
 // string. It prefers another one than the given one, and one that is followed.
 func (f *Follower) source(avoid string) string {
@@ -136,7 +150,8 @@
 	ctx, cancel := context.WithTimeout(ctx, maxPieceTime)
 	defer cancel()
 	resp := &wire.FetchResponse{}
-	if err := client.CallUntilSilent(ctx, fetchSilence, control.MethodFetch, request, resp); err != nil {
+	silence := fetchSilence + f.extraPatience(client.Address().String())
+	if err := client.CallUntilSilent(ctx, silence, control.MethodFetch, request, resp); err != nil {
 		return false, err
 	}
 	return f.documents.add(resp, f.timers.Now())
