Control: the list is answered while the log is late

A log that does not answer in 0.3 s (slow disk) is taken as it was for 0.9 s and then as one without a leader; followers get the list in both cases. Intervals stay below the time after which uses expire (1.4 s; an instance without requests exchanges once in two).

--- a/internal/control/pace.go
+++ b/internal/control/pace.go
@@ -18,9 +18,10 @@
 	// intervalPerFollower is the interval for each follower: a replica that is not behind answers 1,000 exchanges
 	// a second.
 	intervalPerFollower = time.Millisecond
-	// minInterval and maxInterval bound the interval: uses that are not reported again expire.
+	// minInterval and maxInterval bound the interval: an instance without requests exchanges its uses once in two of
+	// them, and they expire after useTTL.
 	minInterval = 50 * time.Millisecond
-	maxInterval = 2500 * time.Millisecond
+	maxInterval = 1400 * time.Millisecond
 	// answerBytesPerSecond is what all followers together may receive in a second as uses and loads: at 300 instances, each
 	// is told of its subset within about a second. Beyond manyFollowers it is less by their number, so that an instance
 	// receives less than 2 KB a second when there are 1,100.
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -20,7 +20,8 @@
 	hash uint64 // of the addresses
 	at   time.Duration
 	held bool
-	late bool // there was no answer in time
+	// lateAt is when there was last no answer in time, 0 if there was one since.
+	lateAt time.Duration
 }
 
 const (
@@ -29,31 +30,48 @@
 	// lateValid is how long it is told that there was no answer in time: the calls that waited for it do not each
 	// wait for another one.
 	lateValid = 200 * time.Millisecond
+	// lateStatusValid is how old the state may be that is told when there was no answer in time: the sync of a slow disk is
+	// no reason for all followers to leave their leader.
+	lateStatusValid = 900 * time.Millisecond
 )
 
-// recentStatus returns the state of the log as of shortly before, and a hash of the replicas' addresses. Of a
-// replica that is behind or whose disk hangs, nothing is known of a leader, so that followers take it for one that
-// is behind; they still get its list.
+// recentStatus returns the state of the log as of shortly before, and a hash of the replicas' addresses. If the log
+// does not answer in time, because the replica or its disk is slow, that is the last state for a while, and then one
+// without a leader: followers take the replica for one that is behind, and still get its list.
 func (s *Service) recentStatus(ctx context.Context) (LogStatus, uint64, error) {
 	c := &s.statusCache
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now := s.timers.Now(); c.held && now-c.at < statusValid {
+	now := s.timers.Now()
+	if c.held && now-c.at < statusValid {
 		return c.last, c.hash, nil
 	}
-	if c.held && c.late && s.timers.Now()-c.at < lateValid {
-		return c.last, c.hash, nil
+	if c.lateAt > 0 && now-c.lateAt < lateValid {
+		status, hash := c.whileLate(now)
+		return status, hash, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	status, err := s.node.LogStatus(ctx)
-	c.late = errors.Is(err, context.DeadlineExceeded)
-	if err != nil && !c.late {
+	switch {
+	case err == nil:
+		c.last, c.hash, c.at, c.held, c.lateAt = status, hashOf(status.Addresses()), s.timers.Now(), true, 0
+		return status, c.hash, nil
+	case !errors.Is(err, context.DeadlineExceeded):
 		c.held = false
 		return LogStatus{}, 0, err
 	}
-	c.last, c.hash, c.at, c.held = status, hashOf(status.Addresses()), s.timers.Now(), true
-	return status, c.hash, nil
+	c.lateAt = s.timers.Now()
+	status, hash := c.whileLate(c.lateAt)
+	return status, hash, nil
+}
+
+// whileLate returns the state to tell while the log does not answer in time. It is called with the lock held.
+func (c *statusCache) whileLate(now time.Duration) (LogStatus, uint64) {
+	if c.held && now-c.at < lateStatusValid {
+		return c.last, c.hash
+	}
+	return LogStatus{}, 0
 }
 
 // hashOf returns a hash of addresses in their order, other than 0.
