--- a/internal/control/pace.go
+++ b/internal/control/pace.go
@@ -125,7 +125,7 @@
 	go func() {
 		timer := time.NewTimer(lateInterval)
 		defer timer.Stop()
-		due := s.timers.Now() + lateInterval
+		due, shedding := s.timers.Now()+lateInterval, false
 		for {
 			select {
 			case <-ctx.Done():
@@ -135,6 +135,12 @@
 			}
 			now := s.timers.Now()
 			s.pace.observe(max(0, now-due))
+			late, slowDown := s.pace.state()
+			// Half of the bound ends it, so that a replica at the bound does not log all the time.
+			if behind := late > shedFrom || shedding && late > shedFrom/2; behind != shedding {
+				shedding = behind
+				s.log.Info("uses and loads left out of answers", "begins", behind, "late-ms", late.Milliseconds(), "slow-down", slowDown, "answers", s.Shed())
+			}
 			due = now + lateInterval
 			timer.Reset(lateInterval)
 		}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -229,7 +229,10 @@
 // leaderRetryDelay, because the other replicas may name it as the leader until they detect
 // the change. It is called with the lock held.
 func (f *Follower) needsLeaderLocked() bool {
-	return f.leader != "" && !f.followed[f.leader] && (f.leader != f.failedLeader || f.timers.Now()-f.leaderFailedAt > leaderRetryDelay)
+	if f.leader == "" || f.followed[f.leader] || f.timers.Now() < f.contactOf(f.leader).notBefore {
+		return false
+	}
+	return f.leader != f.failedLeader || f.timers.Now()-f.leaderFailedAt > leaderRetryDelay
 }
 
 // awaitTurn returns when the next poll of a replica is due, of which the last one began at lastPoll.
--- a/internal/follow/subsets.go
+++ b/internal/follow/subsets.go
@@ -57,6 +57,7 @@
 	instances := int(resp.GetFollowers())
 	if f.subsets != nil && (resp.GetLeader() || f.uses.instances == 0) {
 		if size := subset.Round(instances); size != f.uses.instances {
+			f.log.Info("size of subsets", "replica", address, "instances", instances, "before", f.uses.instances, "now", size)
 			f.uses.instances = size
 			f.subsets.UpdateSubsets(size)
 		}
