--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -70,6 +70,7 @@
 	address        string
 	domain         string
 	slots          int
+	outside        bool          // not in the subset of its service that this instance keeps
 	leaving        bool          // according to the platform's list, which lags
 	reportsLeaving bool          // according to the target's own report
 	suspectedUntil time.Duration // until when it is considered to be leaving
@@ -117,6 +118,7 @@
 	byService map[string][]*Target
 	hasList   bool
 	evacuated map[string]bool // failure domains
+	subsets   subsets
 	// pairs counts this instance's copies by the run's engine and the holder.
 	pairs map[pair]int
 	// partitionedUntil is the time until which a failure domain is considered partitioned.
@@ -127,9 +129,9 @@
 	arrivals map[string]*arrivals
 	// parts is the part of a service's engines that this instance chooses among, where that is not all.
 	parts map[string]float64
-	// pick picks one of several engines; candidates is reused by its calls.
-	pick       Picker
-	candidates []Candidate
+	// pick picks one of several engines; scored is reused by its calls.
+	pick   Picker
+	scored []Candidate
 	// instances is the number of instances that share targets, 0 if unknown, and peersAt when
 	// their uses were last heard of.
 	instances int
@@ -204,6 +206,7 @@
 	}
 	b.rememberDeparted(next, now)
 	b.targets = next
+	b.chooseSubsets()
 	b.countGroups()
 	b.updateCold(now)
 	maps.DeleteFunc(b.brittle, func(service string, _ *brittleness) bool { return len(b.byService[service]) == 0 })
@@ -235,19 +238,26 @@
 }
 
 // best returns the best of the targets for which allowed returns true and whose limits permit a
-// request.
+// request: one of the subset of the service if there is one.
 func (b *Balancer) best(service string, tokens int, avoid []string, now time.Duration, allowed func(*Target, time.Duration) bool) *Target {
+	if t := b.bestOf(service, b.candidates(service), tokens, avoid, now, allowed); t != nil {
+		return t
+	}
+	return b.bestOf(service, b.others(service), tokens, avoid, now, allowed)
+}
+
+func (b *Balancer) bestOf(service string, candidates []*Target, tokens int, avoid []string, now time.Duration, allowed func(*Target, time.Duration) bool) *Target {
 	var best *Target
 	bestScore, ties := 0.0, 0
-	b.candidates = b.candidates[:0]
-	for _, t := range b.byService[service] {
+	b.scored = b.scored[:0]
+	for _, t := range candidates {
 		if !b.usable(t, now) || !allowed(t, now) || !b.withinLimit(t, now) || tokens > 0 && !b.hasRoom(t, tokens, now) || slices.Contains(avoid, t.id) {
 			continue
 		}
 		parts := b.score(t, tokens, now)
 		score := parts.Total()
 		if tokens > 0 {
-			b.candidates = append(b.candidates, Candidate{target: t, Score: score, Step: t.step(tokens, now)})
+			b.scored = append(b.scored, Candidate{target: t, Score: score, Step: t.step(tokens, now)})
 			continue
 		}
 		switch {
@@ -259,10 +269,10 @@
 			}
 		}
 	}
-	if len(b.candidates) == 0 {
+	if len(b.scored) == 0 {
 		return best
 	}
-	return b.candidates[b.pick(b.candidates, b.crowd(service, now), b.random)].target
+	return b.scored[b.pick(b.scored, b.crowd(service, now), b.random)].target
 }
 
 // ByIdentity returns the listed target with an identity, or nil if there is none or more than one.
--- a/internal/control/documents.go
+++ b/internal/control/documents.go
@@ -120,7 +120,11 @@
 	if err := c.instanceOnly(); err != nil {
 		return err
 	}
-	s := c.service
+	return c.service.follow(request, answer)
+}
+
+// follow answers a request for the updates that an instance lacks.
+func (s *Service) follow(request *wire.FollowRequest, answer *wire.FollowResponse) error {
 	s.recordFollower(request)
 	s.uses.update(request.GetInstance(), request.GetUses(), s.timers.Now())
 	s.evidence.merge(request.GetEvidence(), s.timers.Now())
@@ -128,19 +132,27 @@
 	got := s.publisher.Await(s.ctx, request, wait, s.timers.Now)
 	ctx, cancel := context.WithTimeout(s.ctx, documentTimeout)
 	defer cancel()
-	status, err := s.node.LogStatus(ctx)
+	if err := s.beginAnswer(ctx); err != nil {
+		return err
+	}
+	defer s.endAnswer()
+	status, hash, err := s.recentStatus(ctx)
 	if err != nil {
 		return err
 	}
 	answer.Leader, answer.LeaderAddress = status.Leader() == s.self, status.Leader()
-	answer.Others = s.uses.sumsExcluding(request.GetInstance(), s.timers.Now())
-	answer.Fresh, answer.Replicas = status.LeaderReachable(), status.Addresses()
+	answer.Fresh = status.LeaderReachable()
+	if request.GetReplicasHash() != hash {
+		answer.Replicas, answer.ReplicasHash = status.Addresses(), hash
+	}
 	answer.Document, answer.Targets = got.GetDocument(), got.GetTargets()
 	answer.DocumentNumber = got.GetDocumentNumber()
 	answer.ListEpoch, answer.ListVersion = got.GetListEpoch(), got.GetListVersion()
 	answer.ListChanged, answer.ListAgeMs = got.GetListChanged(), got.GetListAgeMs()
+	answer.ChangesSince, answer.Removed, answer.CompressedList = got.GetChangesSince(), got.GetRemoved(), got.GetCompressedList()
 	answer.Loads, answer.LoadsVersion = got.GetLoads(), got.GetLoadsVersion()
 	answer.Followers = uint32(s.followers())
+	s.addUsesAndLoads(request, answer)
 	if request.GetAsksForHelpers() {
 		answer.Helpers = s.helpersOf(request)
 	}
--- a/internal/follow/evacuation.go
+++ b/internal/follow/evacuation.go
@@ -48,7 +48,7 @@
 	f.log.Info("orders for failure domains known", "replica", address, "index", e.index, "view", resp.GetEvacuationView().String(),
 		"after-ms", (f.timers.Now() - e.firstAt).Milliseconds())
 	if len(f.lists) > 0 {
-		f.passTargets(address, resp.GetListAgeMs())
+		f.passOn(address, resp)
 	}
 }
 
--- a/internal/follow/evacuation_test.go
+++ b/internal/follow/evacuation_test.go
@@ -117,6 +117,10 @@
 	require.Equal(t, []string{"orders", "orders", "targets"}, sink.calls, "the list that was held back follows the orders")
 	require.Equal(t, []string{"zone-9"}, sink.domains)
 	f.handleResponse("10.0.0.2:1", answer(behind, 5))
+	require.Equal(t, []string{"orders", "orders", "targets"}, sink.calls, "the same list is not passed on again")
+	changed := answer(behind, 5)
+	changed.ListVersion, changed.Targets = 2, append(changed.Targets, newTarget("u", wire.TargetState_TARGET_STATE_READY))
+	f.handleResponse("10.0.0.2:1", changed)
 	require.Equal(t, []string{"orders", "orders", "targets", "targets"}, sink.calls)
 	require.EqualValues(t, 9, sink.index)
 }
