Copies: a run that its engine's notice leaves time to copy gets none before, except at nearly idle engines

Cause: continuous copies of the runs beyond what the notice can move took the memory in which others would start; these were preempted and their prompts processed again.

--- a/internal/balance/copies.go
+++ b/internal/balance/copies.go
@@ -29,7 +29,7 @@
 	highUtilisationCopyLimit = 0.2
 	migrationCopyLimit       = 0.97
 	// spareCopyLimit is the limit for a copy that is not needed if the run's engine gives notice.
-	spareCopyLimit = 0.6
+	spareCopyLimit = 0.2
 	// noticeUse is the fraction of the time of notice that copying may take: other engines that
 	// leave copy over the same links.
 	noticeUse = 0.5
@@ -48,7 +48,8 @@
 // ChooseCopyHolder returns the engine that should hold a continuously updated copy of a
 // run's KV cache, or nil when none has the capacity. Rate is how many tokens an engine copies in a
 // second, 0 if unknown. A run that can be copied once its engine gives notice gets such a copy only
-// where much memory is free.
+// at an engine that is nearly idle: elsewhere another run would start in the memory that the copy takes for
+// the whole time of the run.
 func (b *Balancer) ChooseCopyHolder(source *Target, tokens int, rate float64, avoid []string, now time.Duration) *Target {
 	limit := b.copyLimit(source.service, now)
 	if b.movableInTime(source, tokens, rate) {
@@ -57,14 +58,14 @@
 	return b.chooseHolder(source, tokens, avoid, limit, crossDomainCopyCost, now)
 }
 
-// movableInTime reports whether a further run without a copy could be copied from an engine between
-// its notice and its end, after all others that have none.
+// movableInTime reports whether a run could be copied from an engine between its notice and its end. Its other runs
+// are copied over the same link, for which noticeUse leaves time.
 func (b *Balancer) movableInTime(source *Target, tokens int, rate float64) bool {
 	notice, known := b.notices[source.service]
 	if !known || rate <= 0 {
 		return false
 	}
-	return float64(source.uncopied+source.peerUse.uncopied+tokens)/rate <= noticeUse*notice
+	return float64(tokens)/rate <= noticeUse*notice
 }
 
 // AddUncopied adds to the tokens of this instance's runs at an engine that have no copy, or subtracts
