Bodies take memory from one budget as they arrive; connections and heads are limited at every HTTP listener

Cause: a gateway allocated the stated length of each body before a byte of it had come and waited 10 s for it, a control process read configurations without any limit in time or sum, net/http's own limit of 1 MiB held for heads where none was set, and what a crowd had used was kept.

Change. internal/bodyread reads bodies: 16 KiB each beside the budget, so that ordinary requests pass, then blocks of 64 KiB from the budget (body-memory, 24 MiB), used again without waiting for the collector. A sender that finds no memory waits up to 2 s, while those who have sent nothing for 300 ms or are slower than body-rate lose theirs, or the last one that has begun if all wait. A sender may stop for body-stall (5 s). Refusals: no-memory (503) and body-timeout (408), both with Retry-After and Connection: close. internal/connlimit limits the connections of a listener and those without a complete head, in all and by address; the oldest without a head is closed first. Heads: the gateway's servers follow the configuration's limit, operators 16 KiB, health and readiness 8 KiB. Answers that are passed through, refusals and buffered answers have the write deadline that events of streams have. internal/memreturn gives memory back at most every 10 s after growth. Settings, checked, in a new section [limits].

--- a/internal/base/base.go
+++ b/internal/base/base.go
@@ -5,6 +5,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/vanillaward/vanillaward"
+	"github.com/vanillaward/vanillaward/internal/bodyread"
 	"github.com/vanillaward/vanillaward/internal/peer"
 	"github.com/vanillaward/vanillaward/internal/settings"
 	"github.com/vanillaward/vanillaward/internal/telemetry"
@@ -18,4 +19,6 @@
 	Credentials *peer.Credentials
 	Traffic     *peer.Traffic
 	Metrics     *telemetry.Metrics
+	// Bodies is the memory of the bodies of requests that are being read; nil gives a component memory of its own.
+	Bodies *bodyread.Pool
 }
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -1,20 +1,20 @@
 package gateway
 
 import (
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/vanillaward/vanillaward/internal/bodyread"
 	"github.com/vanillaward/vanillaward/internal/route"
 )
 
 const (
 	// maxBody bounds a request's body, in bytes, when the configuration does not.
 	maxBody = 4 << 20
-	// bodyTimeout bounds how long reading a request's body may take.
+	// bodyTimeout bounds how long reading a request's body may take when the settings do not.
 	bodyTimeout = 10 * time.Second
 )
 
@@ -77,34 +77,24 @@
 	if limit <= 0 {
 		limit = maxBody
 	}
-	if req.r.ContentLength > limit {
-		return req.refuse(reasonBodyTooLarge)
-	}
-	if req.r.ContentLength == 0 {
-		return true
-	}
-	control := http.NewResponseController(req.w)
-	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		req.server.base.Log.Error(err, "cannot set the read deadline of a request body", "request", req.caller.ID)
+	timeout := req.server.base.Settings.Limits.BodyTimeout
+	if timeout <= 0 {
+		timeout = bodyTimeout
 	}
 	var err error
-	if req.r.ContentLength > 0 {
-		req.body = make([]byte, req.r.ContentLength)
-		_, err = io.ReadFull(req.r.Body, req.body)
-	} else {
-		req.body, err = io.ReadAll(http.MaxBytesReader(req.w, req.r.Body, limit))
-	}
-	var tooLarge *http.MaxBytesError
+	req.body, err = req.server.bodies.Read(req.w, req.r, limit, timeout)
 	switch {
-	case errors.As(err, &tooLarge):
+	case err == nil:
+		return true
+	case errors.Is(err, bodyread.ErrTooLarge):
 		return req.refuse(reasonBodyTooLarge)
-	case err != nil:
+	case errors.Is(err, bodyread.ErrNoMemory):
+		return req.refuse(reasonNoMemory)
+	case errors.Is(err, bodyread.ErrTimeout):
+		return req.refuse(reasonBodyTimeout)
+	default:
 		return req.refuse(reasonBodyBroken)
 	}
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		req.server.base.Log.Error(err, "cannot clear the read deadline of a request body", "request", req.caller.ID)
-	}
-	return true
 }
 
 // admit decides whether the request is worth starting. It reports false after a refusal.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -123,19 +124,39 @@
 	if response.ContentLength >= 0 {
 		req.w.Header().Set("Content-Length", response.Header.Get("Content-Length"))
 	}
+	req.extendWrite()
 	req.w.WriteHeader(response.StatusCode)
 	req.status = response.StatusCode
 	if _, err := req.w.Write(first); err != nil {
 		return err
 	}
 	req.hold.Release()
-	_, err := io.Copy(req.w, response.Body)
+	_, err := io.Copy(callerWriter{req}, response.Body)
 	return err
 }
 
+// callerWriter writes to a caller that must take each piece within callerWriteTimeout. It hides the other
+// methods of the writer, which could write any amount at once.
+type callerWriter struct{ req *request }
+
+// Write implements io.Writer.
+func (w callerWriter) Write(p []byte) (int, error) {
+	w.req.extendWrite()
+	return w.req.w.Write(p)
+}
+
+// extendWrite gives the caller callerWriteTimeout to take what is written next.
+func (req *request) extendWrite() {
+	control := http.NewResponseController(req.w)
+	if err := control.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		req.server.base.Log.V(1).Info("cannot set the write deadline of an answer", "request", req.caller.ID, "reason", err.Error())
+	}
+}
+
 // write gives the caller a buffered answer.
 func (a *answer) write(req *request) {
 	req.copyHeader(a.header)
+	req.extendWrite()
 	req.w.WriteHeader(a.status)
 	req.status, req.reason = a.status, reasonComplete
 	if a.status >= http.StatusInternalServerError {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -297,8 +297,8 @@
 // withHeader returns the request with other headers than the caller's.
 func (req *request) withHeader(h http.Header) *upstream.Request {
 	return &upstream.Request{
-		Method: req.r.Method, URI: req.r.RequestURI, Host: req.r.Host, Header: h, Body: req.body,
-		HasBody: len(req.body) > 0 || req.r.ContentLength == 0 && req.r.Header.Get("Content-Length") != "",
+		Method: req.r.Method, URI: req.r.RequestURI, Host: req.r.Host, Header: h, Body: req.body.Bytes(),
+		HasBody: len(req.body.Bytes()) > 0 || req.r.ContentLength == 0 && req.r.Header.Get("Content-Length") != "",
 	}
 }
 
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"github.com/vanillaward/vanillaward/internal/connlimit"
 	"github.com/vanillaward/vanillaward/internal/route"
 )
 
@@ -26,11 +27,12 @@
 	acceptPause = 20 * time.Millisecond
 )
 
-// timeouts holds how long a caller may take to send the head of a request, and how long its
-// connection may be idle.
+// timeouts holds how long a caller may take to send the head of a request, how long its
+// connection may be idle, and how large the head may be.
 type timeouts struct {
-	head time.Duration
-	idle time.Duration
+	head      time.Duration
+	idle      time.Duration
+	headBytes int
 }
 
 // frontend accepts callers' connections. net/http fixes the timeouts of a server when it
@@ -68,13 +70,16 @@
 
 func (f *frontend) serve(address net.Addr, conn net.Conn) {
 	limits := f.limits()
-	t := timeouts{head: limits.HeaderTimeout, idle: limits.IdleTimeout}
+	t := timeouts{head: limits.HeaderTimeout, idle: limits.IdleTimeout, headBytes: limits.HeaderBytes}
 	if t.head <= 0 {
 		t.head = defaultHeaderTimeout
 	}
 	if t.idle <= 0 {
 		t.idle = defaultIdleTimeout
 	}
+	if t.headBytes <= 0 {
+		t.headBytes = defaultHeaderBytes
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.closed {
@@ -84,8 +89,8 @@
 	listener := f.servers[t]
 	if listener == nil {
 		listener = newConnListener(address, &http.Server{
-			Handler: f.handler, ReadHeaderTimeout: t.head, IdleTimeout: t.idle, MaxHeaderBytes: defaultHeaderBytes,
-			ErrorLog: log.New(serverErrors{f.log}, "", 0),
+			Handler: f.handler, ReadHeaderTimeout: t.head, IdleTimeout: t.idle, MaxHeaderBytes: t.headBytes,
+			ConnState: connlimit.ConnState, ErrorLog: log.New(serverErrors{f.log}, "", 0),
 		})
 		f.servers[t] = listener
 		f.serving.Go(func() { _ = listener.server.Serve(listener) }) // the listener fails only once it is closed
@@ -127,7 +132,7 @@
 
 // reset closes a connection so that the caller sees an error instead of an orderly end.
 func reset(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0) // fails only if the connection is closed already
 	}
 	_ = conn.Close() // the connection is not used again
@@ -189,6 +194,11 @@
 	return route.Limits{}
 }
 
+// limitConnections returns a listener with the limits of the settings.
+func (g *Server) limitConnections(name string, listener net.Listener) net.Listener {
+	return connlimit.Limit(g.base.Log, g.base.Metrics, name, listener, g.base.Settings.Limits)
+}
+
 // Run serves callers, and other instances at the listener takeover unless that is nil, until the
 // context ends, or until the graceful stop is complete that closing the channel stop begins. It then
 // sends its result on the returned channel.
@@ -197,6 +207,7 @@
 	if takeover != nil {
 		endTakeover = g.runTakeover(takeover)
 	}
+	listener = g.limitConnections("callers", listener)
 	front := newFrontend(g.base.Log, http.HandlerFunc(g.serve), g.currentLimits)
 	done := make(chan error, 1)
 	ended := make(chan struct{})
--- a/internal/gateway/reason.go
+++ b/internal/gateway/reason.go
@@ -26,8 +26,10 @@
 	reasonNoKey        reason = "unknown-key"
 	reasonBodyTooLarge reason = "body-too-large"
 	reasonBodyBroken   reason = "body-broken"
-	reasonTooLate      reason = "too-late" // the deadline passed before the first attempt
-	reasonStopping     reason = "stopping" // the request might not end before the gateway stops
+	reasonNoMemory     reason = "no-memory"    // the memory for bodies was needed for others
+	reasonBodyTimeout  reason = "body-timeout" // the body did not arrive in time
+	reasonTooLate      reason = "too-late"     // the deadline passed before the first attempt
+	reasonStopping     reason = "stopping"     // the request might not end before the gateway stops
 	reasonNoTarget     reason = "no-target"
 	reasonUnreachable  reason = "unreachable"       // no connection to the last target could be made
 	reasonFull         reason = "full"              // the last target stated that it did not run the request
@@ -60,6 +62,8 @@
 	reasonNoKey:        {status: http.StatusUnauthorized},
 	reasonBodyTooLarge: {status: http.StatusRequestEntityTooLarge, closing: true},
 	reasonBodyBroken:   {status: http.StatusBadRequest, closing: true},
+	reasonNoMemory:     {status: http.StatusServiceUnavailable, retryAfter: 500 * time.Millisecond, closing: true},
+	reasonBodyTimeout:  {status: http.StatusRequestTimeout, retryAfter: 500 * time.Millisecond, closing: true},
 	reasonTooLate:      {status: http.StatusServiceUnavailable},
 	reasonStopping:     {status: http.StatusServiceUnavailable, retryAfter: 400 * time.Millisecond, closing: true},
 	reasonNoTarget:     {status: http.StatusServiceUnavailable, retryAfter: 400 * time.Millisecond},
@@ -87,6 +91,7 @@
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	req.markTakenOver(why)
+	req.extendWrite()
 	req.w.WriteHeader(answer.status)
 	_, _ = req.w.Write([]byte(string(why) + "\n")) // fails only if the caller has disconnected
 	return false
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/vanillaward/vanillaward"
+	"github.com/vanillaward/vanillaward/internal/bodyread"
 	"github.com/vanillaward/vanillaward/internal/handover"
 	"github.com/vanillaward/vanillaward/internal/membudget"
 	"github.com/vanillaward/vanillaward/internal/quarantine"
@@ -27,8 +28,8 @@
 	org      string
 	orgRank  int
 	service  string
-	body     []byte
-	deadline time.Duration // the time limit of the caller or of the route, whichever is earlier
+	body     *bodyread.Body // nil until it was read
+	deadline time.Duration  // the time limit of the caller or of the route, whichever is earlier
 
 	target  string           // ID of the last target
 	framing upstream.Framing // of the last answer; empty without one
@@ -78,7 +79,7 @@
 	ctx, cancel := context.WithTimeout(req.r.Context(), req.left())
 	defer cancel()
 	defer context.AfterFunc(req.server.openRequests, cancel)()
-	req.identity = quarantine.NewRequest(cmp.Or(req.org, req.caller.Key), req.r.Method, req.r.Host, req.r.RequestURI, req.body, req.caller.SharedParts)
+	req.identity = quarantine.NewRequest(cmp.Or(req.org, req.caller.Key), req.r.Method, req.r.Host, req.r.RequestURI, req.body.Bytes(), req.caller.SharedParts)
 	var avoid []string
 	for {
 		if req.server.outOfReach(req.service) && req.handOver(ctx) {
@@ -178,6 +179,7 @@
 func (req *request) finish() {
 	g := req.server
 	req.hold.Release()
+	req.body.Release()
 	took := g.base.Timers.Now() - req.arrived
 	name := ""
 	if req.route != nil {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -16,6 +16,7 @@
 	"github.com/vanillaward/vanillaward"
 	"github.com/vanillaward/vanillaward/internal/balance"
 	"github.com/vanillaward/vanillaward/internal/base"
+	"github.com/vanillaward/vanillaward/internal/bodyread"
 	"github.com/vanillaward/vanillaward/internal/evidence"
 	"github.com/vanillaward/vanillaward/internal/handover"
 	"github.com/vanillaward/vanillaward/internal/membudget"
@@ -68,6 +69,7 @@
 	formerDue  chan *formerEngine // engines to ask for their former runs
 	ended      chan endedAnswer
 	buffers    *membudget.Budget // of answers that are read whole
+	bodies     *bodyread.Pool    // of requests that are read whole
 	crashes    *evidence.Ledger
 	exchange   UsesExchange
 
@@ -111,7 +113,10 @@
 		pool:     upstream.NewPool(s.DialTimeout, maxIdleConns),
 		balancer: balance.New(b.Settings.Instance.FailureDomain, random), unused: make(chan unusedCopy, freeQueue), ended: make(chan endedAnswer, survivalQueue),
 		budgets: map[string]*retry.Budget{}, random: random, runs: map[*run]struct{}{}, former: map[string]*formerEngine{}, formerDue: make(chan *formerEngine, maxFormerRuns), crashes: evidence.New(b), exchange: noExchange{},
-		buffers: membudget.New(int64(s.BufferMemory)),
+		buffers: membudget.New(int64(s.BufferMemory)), bodies: b.Bodies,
+	}
+	if g.bodies == nil {
+		g.bodies = bodyread.NewPool()
 	}
 	if b.Credentials != nil {
 		g.helperPool = upstream.NewPool(helperDialTimeout, maxHelperConns, upstream.WithDial(b.Credentials.Dial))
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/vanillaward/vanillaward/internal/connlimit"
 	"github.com/vanillaward/vanillaward/internal/handover"
 )
 
@@ -75,9 +76,10 @@
 // runTakeover serves requests of other instances until the listener is closed. The returned function
 // closes all connections, and returns once nothing is served any more.
 func (g *Server) runTakeover(listener net.Listener) (end func()) {
+	listener = g.limitConnections("handover", listener)
 	server := &http.Server{
 		Handler: http.HandlerFunc(g.serveTakenOver), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: takeoverIdleTimeout,
-		MaxHeaderBytes: 2 * defaultHeaderBytes, ErrorLog: log.New(serverErrors{g.base.Log}, "", 0),
+		MaxHeaderBytes: 2 * defaultHeaderBytes, ConnState: connlimit.ConnState, ErrorLog: log.New(serverErrors{g.base.Log}, "", 0),
 	}
 	done := make(chan struct{})
 	go func() {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -87,6 +87,7 @@
 		store:  config.NewStore(),
 		server: peer.NewServer(log, creds, traffic),
 	}
+	i.prepareLimits()
 	for _, option := range options {
 		option(i)
 	}
@@ -141,10 +142,10 @@
 	}
 	subscriber := i.subscriber()
 	i.server.Register("Config", func(peer.Caller) any { return config.NewPeerService(i.store) })
-	componentsDone = append(componentsDone, i.server.Serve(ctx, listeners.peers), i.serveHealth(ctx, listeners.health), subscriber.Run(ctx))
+	componentsDone = append(componentsDone, i.server.Serve(ctx, i.limitConnections("peers", listeners.peers)), i.serveHealth(ctx, listeners.health), i.returnMemory(ctx), subscriber.Run(ctx))
 	var entryDone <-chan error
 	if i.entry != nil {
-		entryDone = i.entry.Run(ctx, listeners.callers)
+		entryDone = i.entry.Run(ctx, i.limitConnections("callers", listeners.callers))
 		go i.markReady(ctx, subscriber)
 	}
 	i.base.Log.Info("started", "failure-domain", i.base.Settings.Instance.FailureDomain, "roles", i.base.Settings.Instance.Roles)
@@ -313,8 +314,9 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { i.base.Metrics.Write(w) })
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: healthHeaderTimeout}
-	return serveHTTP(ctx, listener, server)
+	server := smallServer(mux)
+	server.WriteTimeout = profileTimeout
+	return serveHTTP(ctx, i.limitConnections("health", listener), server)
 }
 
 // readiness responds with status 503 while the instance should not receive
--- a/internal/instance/seeded.go
+++ b/internal/instance/seeded.go
@@ -22,8 +22,6 @@
 	"github.com/vanillaward/vanillaward/platform"
 )
 
-const readinessIdleTimeout = 30 * time.Second
-
 // seeded is an instance that discovers the replicas from seed addresses.
 type seeded struct {
 	*Instance
@@ -91,7 +89,7 @@
 			return nil, err
 		}
 	}
-	s.componentsDone = append(s.componentsDone, s.server.Serve(ctx, peers), s.serveHealth(ctx, health))
+	s.componentsDone = append(s.componentsDone, s.server.Serve(ctx, s.limitConnections("peers", peers)), s.serveHealth(ctx, health), s.returnMemory(ctx))
 	if !s.base.Settings.Has(settings.RoleGateway) {
 		return nil, nil
 	}
@@ -153,7 +151,7 @@
 	if err != nil {
 		return err
 	}
-	s.componentsDone = append(s.componentsDone, serveHTTP(ctx, operators, platform.NewOperator(log, service).Server()))
+	s.componentsDone = append(s.componentsDone, serveHTTP(ctx, s.limitConnections("operators", operators), s.operatorServer(log, service)))
 	return nil
 }
 
@@ -234,8 +232,9 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: healthHeaderTimeout, IdleTimeout: readinessIdleTimeout}
-	s.componentsDone = append(s.componentsDone, follower.Run(ctx), serveHTTP(ctx, readiness, server))
+	server := smallServer(mux)
+	server.WriteTimeout = readinessTimeout
+	s.componentsDone = append(s.componentsDone, follower.Run(ctx), serveHTTP(ctx, s.limitConnections("readiness", readiness), server))
 	return g.Run(ctx, callers, takeover, stop), nil
 }
 
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -1,4 +1,4 @@
-// Package membudget bounds the memory that many answers hold together while each of them is read whole.
+// Package membudget bounds the memory that many requests or answers hold together while each of them is read whole.
 package membudget
 
 import "sync/atomic"
@@ -21,12 +21,16 @@
 // Hold returns a hold without any bytes.
 func (b *Budget) Hold() *Hold { return &Hold{budget: b, free: freeBytes} }
 
+// StrictHold returns a hold without any bytes, of which all draw on the budget.
+func (b *Budget) StrictHold() *Hold { return &Hold{budget: b, strict: true} }
+
 // Hold is the part of a budget that one answer has. It is not safe for concurrent use. A nil hold
 // grows without bound.
 type Hold struct {
 	budget *Budget
 	free   int64 // bytes that are still had without drawing on the budget
 	held   int64
+	strict bool
 }
 
 // Grow takes a number of bytes more. It reports false, and takes none, if the budget lacks them.
@@ -51,4 +55,7 @@
 	}
 	h.budget.used.Add(-h.held)
 	h.held, h.free = 0, freeBytes
+	if h.strict {
+		h.free = 0
+	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,6 +35,7 @@
 	Control  Control
 	Entry    Entry
 	Gateway  Gateway
+	Limits   Limits
 	Platform Platform
 	Log      Log
 
@@ -112,6 +113,20 @@
 	StopGrace      time.Duration `ini:"stop-grace" default:"8s" min:"1000000000" doc:"How long after SIGTERM the process is killed. A stopping instance serves until shortly before."`
 }
 
+// Limits bounds what clients that are not controlled can take of an instance.
+type Limits struct {
+	MaxConnections        int           `ini:"max-connections" default:"2500" min:"1" doc:"Connections that may be open at one listener. Beyond it the oldest connection that has not sent a complete request head is closed, or else the new one."`
+	MaxAddressConnections int           `ini:"max-address-connections" default:"0" min:"0" doc:"Connections from one address that may be open at one listener; 0 is any number. Callers that a load balancer forwards may all have one address."`
+	MaxUnreadHeads        int           `ini:"max-unread-heads" default:"512" min:"1" doc:"Connections at one listener that may not have sent a complete request head yet. Beyond it the oldest of them is closed."`
+	MaxAddressUnreadHeads int           `ini:"max-address-unread-heads" default:"0" min:"0" doc:"Connections from one address that may not have sent a complete request head yet; 0 is any number."`
+	BodyMemory            inifile.Bytes `ini:"body-memory" default:"24MiB" min:"65536" doc:"Memory for the bodies of requests above 16 KiB, all together, taken as they arrive. Beyond it slow and stopped senders are refused first. A body over this size is always refused."`
+	BodyTimeout           time.Duration `ini:"body-timeout" default:"10s" min:"1000000" doc:"Bound on reading the body of a caller's request."`
+	BodyStall             time.Duration `ini:"body-stall" default:"5s" min:"1000000" doc:"How long the sender of a body may send nothing."`
+	BodyRate              inifile.Bytes `ini:"body-rate" default:"64KiB" min:"1" doc:"Bytes a second below which the sender of a body is refused first when memory for bodies is short."`
+	ConfigurationTimeout  time.Duration `ini:"configuration-timeout" default:"60s" min:"1000000" doc:"Bound on reading a configuration that the platform's operator sends."`
+	PeerMemory            inifile.Bytes `ini:"peer-memory" default:"32MiB" min:"16777216" doc:"Memory for messages above 16 KiB of the system's own processes that are being read, all together. A connection beyond it is closed."`
+}
+
 // Platform names the platform's list of live and leaving targets and sets the intervals
 // at which the list and the engines' reports are read.
 type Platform struct {
@@ -140,6 +155,7 @@
 		{"control", "The replicated configuration.", inifile.Fields(Control{})},
 		{"entry", "Bounds on the work of the role entry.", inifile.Fields(Entry{})},
 		{"gateway", "Bounds on the work of the role gateway.", inifile.Fields(Gateway{})},
+		{"limits", "Bounds on what clients take of the instance, whatever they send.", inifile.Fields(Limits{})},
 		{"platform", "The platform's list of targets.", inifile.Fields(Platform{})},
 		{"log", "Logs, written to standard output as JSON lines.", inifile.Fields(Log{})},
 	}
@@ -162,7 +178,7 @@
 	s := &Settings{file: file, sections: map[string]*inifile.Section{}}
 	destinations := map[string]any{
 		"instance": &s.Instance, "listen": &s.Listen, "control": &s.Control,
-		"entry": &s.Entry, "gateway": &s.Gateway, "platform": &s.Platform, "log": &s.Log,
+		"entry": &s.Entry, "gateway": &s.Gateway, "limits": &s.Limits, "platform": &s.Platform, "log": &s.Log,
 	}
 	for _, section := range sections {
 		if _, ok := destinations[section.ID()]; !ok {
@@ -222,9 +238,27 @@
 	if s.Control.ClockMargin >= s.Control.ElectionTimeout {
 		s.addFinding(found, "control", "clock-margin", "not below the election timeout")
 	}
+	s.checkLimits(found)
 	s.checkAddresses(found)
 }
 
+// maxConfigurationBytes is the largest configuration that the platform's operator may send.
+const maxConfigurationBytes = 16 << 20
+
+// checkLimits checks that the limits on clients leave room for what is legal.
+func (s *Settings) checkLimits(found *finding.List) {
+	l := s.Limits
+	if s.Listen.Operators.IsValid() && l.BodyMemory < maxConfigurationBytes {
+		s.addFinding(found, "limits", "body-memory", "below %d bytes, the largest configuration", maxConfigurationBytes)
+	}
+	if s.Has(RoleEntry) && l.BodyMemory < s.Entry.MaxBody {
+		s.addFinding(found, "limits", "body-memory", "below max-body, %d bytes", s.Entry.MaxBody)
+	}
+	if l.MaxUnreadHeads > l.MaxConnections {
+		s.addFinding(found, "limits", "max-unread-heads", "above max-connections, %d", l.MaxConnections)
+	}
+}
+
 // checkGateway checks the requirements of gateways and of deployments with seeds.
 func (s *Settings) checkGateway(found *finding.List) {
 	if s.Has(RoleGateway) && s.Has(RoleEntry) {
