Peers: messages take memory as they arrive, from a budget, and connections without a call end

Cause: four bytes of a stated length made a process allocate up to 16 MiB and wait for it without any limit in time, on a listener that plain deployments do not authenticate.

The connections of the listener are limited as the others are.

Networks in memory of tests have no deadlines; setReadDeadline accepts that.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -85,7 +85,7 @@
 		},
 		logs:   logs,
 		store:  config.NewStore(),
-		server: peer.NewServer(log, creds, traffic),
+		server: peer.NewServer(log, creds, traffic, peer.WithMemory(int64(s.Limits.PeerMemory))),
 	}
 	i.prepareLimits()
 	for _, option := range options {
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -8,10 +8,12 @@
 	"io"
 	"net/rpc"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/vanillaward/vanillaward/internal/membudget"
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
@@ -78,6 +80,8 @@
 	writer  *bufio.Writer
 	traffic *Traffic
 	buffer  []byte
+	// hold is the memory of the message that is being read; nil for any amount.
+	hold *membudget.Hold
 	// reading is the message whose header was read.
 	reading Message
 }
@@ -118,17 +122,53 @@
 	if n > MaxMessageBytes {
 		return ErrTooLarge
 	}
-	body := make([]byte, n)
-	if _, err := io.ReadFull(f.reader, body); err != nil {
+	defer f.hold.Release()
+	body, err := f.readMessage(int(n))
+	if err != nil {
 		return err
 	}
 	f.reading.bytes += lengthBytes + len(body)
 	return errors.Wrap(proto.Unmarshal(body, m), "malformed message")
 }
 
+// pieceBytes is the size of the first buffer of a message, which grows as the message arrives.
+const pieceBytes = 64 << 10
+
+// readTimeout bounds how long a peer may send nothing in the middle of a message.
+const readTimeout = 10 * time.Second
+
+// ErrNoMemory is returned for a message while too much of others is being read.
+var ErrNoMemory = errors.New("no memory for the message")
+
+// readMessage reads a message of a size. It takes memory as the message arrives.
+func (f *framer) readMessage(size int) ([]byte, error) {
+	var body []byte
+	for len(body) < size {
+		if len(body) == cap(body) {
+			next := min(size, max(pieceBytes, 2*cap(body)))
+			if !f.hold.Grow(next - cap(body)) {
+				return nil, ErrNoMemory
+			}
+			body = append(make([]byte, 0, next), body...)
+		}
+		if f.reader.Buffered() < size-len(body) {
+			if err := setReadDeadline(f.conn, time.Now().Add(readTimeout)); err != nil {
+				return nil, err
+			}
+		}
+		n, err := f.reader.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err != nil && len(body) < size {
+			return nil, err
+		}
+	}
+	return body, setReadDeadline(f.conn, time.Time{})
+}
+
 // serverCodec implements rpc.ServerCodec.
 type serverCodec struct {
 	*framer
+	called func() // called once the first call has arrived; nil from then on
 }
 
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
@@ -139,6 +179,10 @@
 	}
 	r.ServiceMethod, r.Seq = header.GetMethod(), header.GetSequence()
 	c.reading.method = r.ServiceMethod
+	if c.called != nil {
+		c.called()
+		c.called = nil
+	}
 	return nil
 }
 
--- a/internal/peer/metered.go
+++ b/internal/peer/metered.go
@@ -2,8 +2,11 @@
 
 import (
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -55,3 +58,11 @@
 	}
 	return written, nil
 }
+
+// setReadDeadline sets until when bytes must arrive. Networks in memory have no deadlines.
+func setReadDeadline(conn net.Conn, deadline time.Time) error {
+	if err := conn.SetReadDeadline(deadline); !errors.Is(err, os.ErrNoDeadline) {
+		return err
+	}
+	return nil
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -9,12 +9,19 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"github.com/vanillaward/vanillaward/internal/connlimit"
+	"github.com/vanillaward/vanillaward/internal/membudget"
 )
 
 // handshakeTimeout bounds how long an unauthenticated peer can hold a
 // connection.
 const handshakeTimeout = 5 * time.Second
 
+// firstCallTimeout bounds how long a peer may keep a connection without its first call; peers connect to make
+// one.
+const firstCallTimeout = 10 * time.Second
+
 // Caller is the authenticated other side of a connection.
 type Caller struct {
 	name string
@@ -37,17 +44,30 @@
 	factories map[string]Factory
 	creds     *Credentials
 	traffic   *Traffic
-	mu        sync.Mutex // guards conns and stopping; never held while another lock is taken
+	memory    *membudget.Budget // of messages that are being read; nil for any amount
+	mu        sync.Mutex        // guards conns and stopping; never held while another lock is taken
 	conns     map[net.Conn]struct{}
 	stopping  bool
 }
 
+// ServerOption configures a server.
+type ServerOption func(*Server)
+
+// WithMemory bounds the bytes of messages that are being read. A connection with a message beyond it is closed.
+func WithMemory(bytes int64) ServerOption {
+	return func(s *Server) { s.memory = membudget.New(bytes) }
+}
+
 // NewServer returns a server that admits peers with valid credentials only.
-func NewServer(log logr.Logger, creds *Credentials, traffic *Traffic) *Server {
-	return &Server{
+func NewServer(log logr.Logger, creds *Credentials, traffic *Traffic, options ...ServerOption) *Server {
+	s := &Server{
 		log: log, creds: creds, traffic: traffic,
 		factories: map[string]Factory{}, conns: map[net.Conn]struct{}{},
 	}
+	for _, option := range options {
+		option(s)
+	}
+	return s
 }
 
 // Register makes the methods of the factory's receivers callable as
@@ -102,7 +122,15 @@
 		_ = conn.Close()
 		return
 	}
-	rpcServer.ServeCodec(&serverCodec{newFramer(newMeteredConn(secure, s.traffic), s.traffic)})
+	if err := setReadDeadline(secure, time.Now().Add(firstCallTimeout)); err != nil {
+		_ = conn.Close()
+		return
+	}
+	framer := newFramer(newMeteredConn(secure, s.traffic), s.traffic)
+	if s.memory != nil {
+		framer.hold = s.memory.Hold()
+	}
+	rpcServer.ServeCodec(&serverCodec{framer: framer, called: func() { connlimit.HeadComplete(conn) }})
 }
 
 // newRPCServer returns an RPC server for one connection, whose receivers know the
