Entry: bodies from the shared budget, heads of at most 64 KiB, limited connections

Cause: the role entry read bodies of up to max-body from any number of callers without a limit in time or sum, and heads up to net/http's 1 MiB. Change: the limits that the gateway has; refusals no_body_memory (503) and body_timeout (408) with Retry-After. Packages entry and instance pass with -race. No crowd was played against the role entry.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/vanillaward/vanillaward/internal/admission"
+	"github.com/vanillaward/vanillaward/internal/bodyread"
 	"github.com/vanillaward/vanillaward/internal/declaration"
 	"github.com/vanillaward/vanillaward/internal/delivery"
 	"github.com/vanillaward/vanillaward/internal/idempotency"
@@ -25,6 +25,9 @@
 	maxResumes  = 6
 )
 
+// bodyTimeout bounds how long reading a request's body may take when the settings do not.
+const bodyTimeout = 10 * time.Second
+
 // exchange is one request of a caller from arrival to outcome.
 type exchange struct {
 	server  *Server
@@ -45,7 +48,8 @@
 	// identity is the same for repeats of the request
 	identity quarantine.Request
 	sentAt   time.Duration // when the last attempt began
-	reason   string        // why a request was refused or ended early, for the log
+	body     *bodyread.Body
+	reason   string // why a request was refused or ended early, for the log
 }
 
 // begin authenticates the caller and counts the request as open. It returns nil if
@@ -93,15 +97,26 @@
 // readBody reads the request's body up to the maximum size.
 func (ex *exchange) readBody() ([]byte, *problem) {
 	limit := int64(ex.server.settings.Entry.MaxBody)
-	data, err := io.ReadAll(http.MaxBytesReader(ex.w, ex.r.Body, limit))
-	var tooLarge *http.MaxBytesError
+	timeout := ex.server.settings.Limits.BodyTimeout
+	if timeout <= 0 {
+		timeout = bodyTimeout
+	}
+	var err error
+	ex.body, err = ex.server.bodies.Read(ex.w, ex.r, limit, timeout)
+	if err != nil {
+		ex.w.Header().Set("Connection", "close")
+	}
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, bodyread.ErrTooLarge):
 		return nil, refusal(http.StatusRequestEntityTooLarge, codeTooLarge, fmt.Sprintf("the body is over %d bytes", limit), 0)
+	case errors.Is(err, bodyread.ErrNoMemory):
+		return nil, refusal(http.StatusServiceUnavailable, codeNoMemory, "the memory for bodies is needed for others", time.Second)
+	case errors.Is(err, bodyread.ErrTimeout):
+		return nil, refusal(http.StatusRequestTimeout, codeBodyTimeout, "the body did not arrive in time", time.Second)
 	case err != nil:
 		return nil, refusal(http.StatusBadRequest, codeInvalid, "the body could not be read", 0)
 	}
-	return data, nil
+	return ex.body.Bytes(), nil
 }
 
 // policy returns the limits on the attempts at the request.
@@ -135,6 +150,7 @@
 	s.log.Info("request", "request", ex.id, "organisation", ex.org.Name(), "class", class, "target", ex.target,
 		"failure-domain", s.settings.Instance.FailureDomain, "outcome", string(outcome), "reason", ex.reason,
 		"tokens", passed, "attempts", attempts, "millis", (s.timers.Now() - ex.arrived).Milliseconds())
+	ex.body.Release()
 	s.closeRequest(ex.org)
 }
 
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -28,6 +28,8 @@
 	codeMalformed            Code = "malformed_json"
 	codeInvalid              Code = "invalid_request"
 	codeTooLarge             Code = "body_too_large"
+	codeNoMemory             Code = "no_body_memory"
+	codeBodyTimeout          Code = "body_timeout"
 	codeInvalidAPIKey        Code = "invalid_api_key"
 	codeNoModel              Code = "model_not_found"
 	codeNoService            Code = "service_not_found"
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -15,7 +15,9 @@
 
 	"github.com/vanillaward/vanillaward"
 	"github.com/vanillaward/vanillaward/internal/base"
+	"github.com/vanillaward/vanillaward/internal/bodyread"
 	"github.com/vanillaward/vanillaward/internal/config"
+	"github.com/vanillaward/vanillaward/internal/connlimit"
 	"github.com/vanillaward/vanillaward/internal/declaration"
 	"github.com/vanillaward/vanillaward/internal/evidence"
 	"github.com/vanillaward/vanillaward/internal/idempotency"
@@ -35,6 +37,8 @@
 	idleTimeout = 2 * time.Minute
 	// eventMemory bounds the long events that are being read, all together, in bytes.
 	eventMemory = 16 << 20
+	// maxHeadBytes bounds the head of a request.
+	maxHeadBytes = 64 << 10
 	// admissionTick is how often waiting requests are reconsidered.
 	admissionTick = 50 * time.Millisecond
 	// stopPollInterval is how often a stopping instance checks for open requests.
@@ -61,6 +65,7 @@
 	loads    *loadReader
 	memory   answerMemory
 	events   *membudget.Budget // of long events that are being read
+	bodies   *bodyread.Pool    // of requests that are read whole
 	crashes  *evidence.Ledger
 	pooled   *http.Client // reuses connections; for resumes, whose events name their run, and cancellations
 	// unpooled opens a connection for each request and never retries one. Refusals and the answers of
@@ -89,6 +94,9 @@
 		watchdog: newWatchdog(b.Timers), crashes: crashes, openByOrg: map[string]int{},
 	}
 	srv.memory.limit = int64(s.Entry.BufferMemory)
+	if srv.bodies = b.Bodies; srv.bodies == nil {
+		srv.bodies = bodyread.NewPool()
+	}
 	srv.events = membudget.New(eventMemory)
 	srv.pooled = &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: s.Entry.DialTimeout}).DialContext,
@@ -103,6 +111,7 @@
 	srv.loads = newLoadReader(srv.log, srv.dispatch, metrics, s.Entry.LoadInterval, s.Platform)
 	srv.httpServer = &http.Server{
 		Handler: srv.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeadBytes, ConnState: connlimit.ConnState,
 	}
 	metrics.Gauge("vanillaward_open_requests", func() float64 { return float64(srv.open.Load()) })
 	metrics.Gauge("vanillaward_queued_requests", func() float64 { return float64(srv.dispatch.queued()) })
