Bodies: the blocks of a refused body are there for the one that takes its bytes

The bytes were given back before the blocks, so that others allocated new blocks meanwhile and the old ones waited for the collector.

--- a/internal/bodyread/pool.go
+++ b/internal/bodyread/pool.go
@@ -209,11 +209,11 @@
 
 // remove takes a sender's blocks back. Their bytes are free again unless the body was read, which then holds them.
 func (p *Pool) remove(s *sender, read bool) {
-	if !read {
-		s.hold.Release()
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !read {
+		s.hold.Release() // with the lock held, so that its blocks are there for who takes the bytes
+	}
 	p.setWaiting(s, false)
 	if s.evicted {
 		p.evicting--
