Gateway: every write to a caller has a deadline of its own

Cause: the head of a stream and its last events were flushed, and net/http itself wrote (100 Continue, refusals of malformed heads), under the deadline that an earlier write on the connection had left. Change: both flushes extend it, and net/http sets it anew with each request.

--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -90,7 +90,10 @@
 	if listener == nil {
 		listener = newConnListener(address, &http.Server{
 			Handler: f.handler, ReadHeaderTimeout: t.head, IdleTimeout: t.idle, MaxHeaderBytes: t.headBytes,
-			ConnState: connlimit.ConnState, ErrorLog: log.New(serverErrors{f.log}, "", 0),
+			// Each write extends this. Without it, the deadline of an answer would hold for what net/http itself
+			// writes to the next request of the connection.
+			WriteTimeout: callerWriteTimeout,
+			ConnState:    connlimit.ConnState, ErrorLog: log.New(serverErrors{f.log}, "", 0),
 		})
 		f.servers[t] = listener
 		f.serving.Go(func() { _ = listener.server.Serve(listener) }) // the listener fails only once it is closed
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -73,6 +73,7 @@
 // that is one of the caller's connection.
 func (req *request) flushEvents(err error) {
 	if !isCallerError(err) {
+		req.extendWrite()
 		_ = http.NewResponseController(req.w).Flush() // fails if the caller has disconnected
 	}
 }
@@ -84,6 +85,7 @@
 	}
 	req.stream.headSent = true
 	req.copyHeader(response.Header)
+	req.extendWrite()
 	req.w.WriteHeader(response.StatusCode)
 	req.status = response.StatusCode
 	return http.NewResponseController(req.w).Flush()
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -79,6 +79,7 @@
 	listener = g.limitConnections("handover", listener)
 	server := &http.Server{
 		Handler: http.HandlerFunc(g.serveTakenOver), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: takeoverIdleTimeout,
+		WriteTimeout:   callerWriteTimeout,
 		MaxHeaderBytes: 2 * defaultHeaderBytes, ConnState: connlimit.ConnState, ErrorLog: log.New(serverErrors{g.base.Log}, "", 0),
 	}
 	done := make(chan struct{})
