Soak: two clients that are not controlled at each gateway and replica

They send heads without end, empty lines and bodies that stop before their end, by the seed, for as long as callers send. The checks of the soak are unchanged.

--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -21,6 +21,8 @@
 	requestBudget   = 6 * time.Second
 	// One stream in slowStreams lasts for seconds.
 	slowStreams = 4
+	// crowdClients is how many clients that are not controlled play at each process at a time.
+	crowdClients = 2
 	// answerTimeout bounds a request of a caller. It exceeds the time after which a missing
 	// answer is a finding.
 	answerTimeout = requestBudget + hangMargin + 5*time.Second
@@ -55,6 +57,12 @@
 			workers.Go(func() { l.sendRequests(ctx, gatewayName(i), k, random) })
 		}
 	}
+	for address, head := range l.cluster.crowdHeads() {
+		for i := range crowdClients {
+			random := rand.New(rand.NewPCG(seed, 1<<36+uint64(i)))
+			workers.Go(func() { runCrowd(ctx, address, head, random) })
+		}
+	}
 	workers.Go(func() { l.sendConfigurations(ctx, rand.New(rand.NewPCG(seed, 1<<32))) })
 	workers.Go(func() { l.readConfigurations(ctx, rand.New(rand.NewPCG(seed, 1<<33))) })
 	workers.Wait()
