--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"flag"
 	"os/exec"
 	"path/filepath"
 	"sync"
@@ -13,6 +14,9 @@
 	"github.com/stretchr/testify/require"
 )
 
+// largerCrowd replaces the sizes of the crowds in trials by hand; CI plays those of the constants.
+var largerCrowd = flag.Int("crowd.clients", 0, "clients of each kind at each process; 0 stands for the usual crowds")
+
 const (
 	// bodyCrowd is the number of clients of each kind at each process. Bodies of bodyBytes from it, read whole,
 	// hold 96 MiB, more than memoryBound.
@@ -75,6 +79,9 @@
 			if len(kinds) == 1 && k.head {
 				size = headCrowd
 			}
+			if *largerCrowd > 0 {
+				size = *largerCrowd
+			}
 			for range size {
 				clients.Go(func() { play(ctx, p.address(), k, p.request) })
 			}
