Peers: messages are read in pieces, within 20 MiB

Buffers that doubled left as much for the collector as they held. Pieces are 16 KiB since then, so that a message that is only announced draws nothing on the budget. Packages peer and follow pass with -race.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"io"
 	"net/rpc"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -131,8 +132,8 @@
 	return errors.Wrap(proto.Unmarshal(body, m), "malformed message")
 }
 
-// pieceBytes is the size of the first buffer of a message, which grows as the message arrives.
-const pieceBytes = 64 << 10
+// pieceBytes is the size of the pieces in which a larger message is read. The first of them is beside the budget, so that a message which is only announced takes nothing of it.
+const pieceBytes = 16 << 10
 
 // readTimeout bounds how long a peer may send nothing in the middle of a message.
 const readTimeout = 10 * time.Second
@@ -140,29 +141,41 @@
 // ErrNoMemory is returned for a message while too much of others is being read.
 var ErrNoMemory = errors.New("no memory for the message")
 
-// readMessage reads a message of a size. It takes memory as the message arrives.
+// readMessage reads a message of a size. It takes memory as the message arrives, in pieces: a buffer that grows
+// would leave as much for the collector as it holds.
 func (f *framer) readMessage(size int) ([]byte, error) {
-	var body []byte
-	for len(body) < size {
-		if len(body) == cap(body) {
-			next := min(size, max(pieceBytes, 2*cap(body)))
-			if !f.hold.Grow(next - cap(body)) {
-				return nil, ErrNoMemory
-			}
-			body = append(make([]byte, 0, next), body...)
+	if size <= pieceBytes {
+		return f.readPiece(size)
+	}
+	var pieces [][]byte
+	for left := size; left > 0; left -= pieceBytes {
+		piece, err := f.readPiece(min(left, pieceBytes))
+		if err != nil {
+			return nil, err
 		}
-		if f.reader.Buffered() < size-len(body) {
+		pieces = append(pieces, piece)
+	}
+	return slices.Concat(pieces...), nil
+}
+
+// readPiece reads a piece of a message.
+func (f *framer) readPiece(size int) ([]byte, error) {
+	if !f.hold.Grow(size) {
+		return nil, ErrNoMemory
+	}
+	piece := make([]byte, size)
+	for read := 0; read < size; {
+		if f.reader.Buffered() < size-read {
 			if err := setReadDeadline(f.conn, time.Now().Add(readTimeout)); err != nil {
 				return nil, err
 			}
 		}
-		n, err := f.reader.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if err != nil && len(body) < size {
+		n, err := f.reader.Read(piece[read:])
+		if read += n; err != nil && read < size {
 			return nil, err
 		}
 	}
-	return body, setReadDeadline(f.conn, time.Time{})
+	return piece, setReadDeadline(f.conn, time.Time{})
 }
 
 // serverCodec implements rpc.ServerCodec.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -124,7 +124,7 @@
 	BodyStall             time.Duration `ini:"body-stall" default:"5s" min:"1000000" doc:"How long the sender of a body may send nothing."`
 	BodyRate              inifile.Bytes `ini:"body-rate" default:"64KiB" min:"1" doc:"Bytes a second below which the sender of a body is refused first when memory for bodies is short."`
 	ConfigurationTimeout  time.Duration `ini:"configuration-timeout" default:"60s" min:"1000000" doc:"Bound on reading a configuration that the platform's operator sends."`
-	PeerMemory            inifile.Bytes `ini:"peer-memory" default:"32MiB" min:"16777216" doc:"Memory for messages above 16 KiB of the system's own processes that are being read, all together. A connection beyond it is closed."`
+	PeerMemory            inifile.Bytes `ini:"peer-memory" default:"20MiB" min:"16777216" doc:"Memory for messages above 16 KiB of the system's own processes that are being read, all together. A connection beyond it is closed."`
 }
 
 // Platform names the platform's list of live and leaving targets and sets the intervals
