Connections of clients have buffers of 64 KiB in the operating system, and passed answers 16 KiB in the process

The operating system's buffers grow to megabytes for a sender that waits for memory and for a reader that does not read; they count for the machine and not for the process. An answer that is passed on as it arrives has a buffer within what its request may have beside the budget.

--- a/internal/connlimit/limit.go
+++ b/internal/connlimit/limit.go
@@ -25,6 +25,10 @@
 	HeadlessByAddress int
 }
 
+// bufferBytes is the size of the operating system's buffers of a connection in each direction. By themselves they
+// grow to megabytes for a sender that is not read, or a reader that does not read, and take the machine's memory.
+const bufferBytes = 64 << 10
+
 // logInterval bounds the log lines about connections that were closed.
 const logInterval = 10 * time.Second
 
@@ -32,9 +36,10 @@
 // those that have not sent a complete head, or else the new one.
 type Listener struct {
 	net.Listener
-	log    logr.Logger
-	limits Limits
-	closed atomic.Int64 // connections that were closed over a limit
+	log     logr.Logger
+	limits  Limits
+	bounded bool         // the operating system's buffers have bufferBytes
+	closed  atomic.Int64 // connections that were closed over a limit
 
 	mu        sync.Mutex // guards the rest; never held while another lock is taken
 	open      int
@@ -67,6 +72,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if tcp, ok := conn.(*net.TCPConn); ok && l.bounded {
+			_ = tcp.SetReadBuffer(bufferBytes) // without it the buffer has the usual size
+			_ = tcp.SetWriteBuffer(bufferBytes)
+		}
 		limited := &Conn{Conn: conn, listener: l, address: host(conn)}
 		victim := l.add(limited)
 		if victim != nil {
@@ -207,6 +216,14 @@
 	}
 }
 
+// LimitClients is like Limit for a listener of clients that are not the system's own processes: it bounds the operating
+// system's buffers too.
+func LimitClients(log logr.Logger, metrics *telemetry.Metrics, name string, listener net.Listener, s settings.Limits) *Listener {
+	l := Limit(log, metrics, name, listener, s)
+	l.bounded = true
+	return l
+}
+
 // Limit returns a listener with the limits of the settings, whose connections the metrics show under a name.
 func Limit(log logr.Logger, metrics *telemetry.Metrics, name string, listener net.Listener, s settings.Limits) *Listener {
 	l := New(log, listener, Limits{
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -21,6 +21,8 @@
 	maxBufferedBytes = 256 << 10
 	// firstBufferBytes is the size of the first buffer of an answer.
 	firstBufferBytes = 2 << 10
+	// passBufferBytes is the size of the buffer of an answer that is passed on as it arrives.
+	passBufferBytes = 16 << 10
 )
 
 // answer is a complete answer of a target.
@@ -131,7 +133,8 @@
 		return err
 	}
 	req.hold.Release()
-	_, err := io.Copy(callerWriter{req}, response.Body)
+	req.hold.Grow(passBufferBytes) // within what each request may have beside the budget
+	_, err := io.CopyBuffer(callerWriter{req}, struct{ io.Reader }{response.Body}, make([]byte, passBufferBytes))
 	return err
 }
 
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -197,11 +197,6 @@
 	return route.Limits{}
 }
 
-// limitConnections returns a listener with the limits of the settings.
-func (g *Server) limitConnections(name string, listener net.Listener) net.Listener {
-	return connlimit.Limit(g.base.Log, g.base.Metrics, name, listener, g.base.Settings.Limits)
-}
-
 // Run serves callers, and other instances at the listener takeover unless that is nil, until the
 // context ends, or until the graceful stop is complete that closing the channel stop begins. It then
 // sends its result on the returned channel.
@@ -210,7 +205,7 @@
 	if takeover != nil {
 		endTakeover = g.runTakeover(takeover)
 	}
-	listener = g.limitConnections("callers", listener)
+	listener = connlimit.LimitClients(g.base.Log, g.base.Metrics, "callers", listener, g.base.Settings.Limits)
 	front := newFrontend(g.base.Log, http.HandlerFunc(g.serve), g.currentLimits)
 	done := make(chan error, 1)
 	ended := make(chan struct{})
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -76,7 +76,7 @@
 // runTakeover serves requests of other instances until the listener is closed. The returned function
 // closes all connections, and returns once nothing is served any more.
 func (g *Server) runTakeover(listener net.Listener) (end func()) {
-	listener = g.limitConnections("handover", listener)
+	listener = connlimit.Limit(g.base.Log, g.base.Metrics, "handover", listener, g.base.Settings.Limits)
 	server := &http.Server{
 		Handler: http.HandlerFunc(g.serveTakenOver), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: takeoverIdleTimeout,
 		WriteTimeout:   callerWriteTimeout,
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -145,7 +145,7 @@
 	componentsDone = append(componentsDone, i.server.Serve(ctx, i.limitConnections("peers", listeners.peers)), i.serveHealth(ctx, listeners.health), i.returnMemory(ctx), subscriber.Run(ctx))
 	var entryDone <-chan error
 	if i.entry != nil {
-		entryDone = i.entry.Run(ctx, i.limitConnections("callers", listeners.callers))
+		entryDone = i.entry.Run(ctx, i.limitClients("callers", listeners.callers))
 		go i.markReady(ctx, subscriber)
 	}
 	i.base.Log.Info("started", "failure-domain", i.base.Settings.Instance.FailureDomain, "roles", i.base.Settings.Instance.Roles)
--- a/internal/instance/limits.go
+++ b/internal/instance/limits.go
@@ -37,6 +37,10 @@
 	}
 }
 
+func (i *Instance) limitClients(name string, listener net.Listener) net.Listener {
+	return connlimit.LimitClients(i.base.Log, i.base.Metrics, name, listener, i.base.Settings.Limits)
+}
+
 func (i *Instance) limitConnections(name string, listener net.Listener) net.Listener {
 	return connlimit.Limit(i.base.Log, i.base.Metrics, name, listener, i.base.Settings.Limits)
 }
--- a/internal/instance/seeded.go
+++ b/internal/instance/seeded.go
@@ -151,7 +151,7 @@
 	if err != nil {
 		return err
 	}
-	s.componentsDone = append(s.componentsDone, serveHTTP(ctx, s.limitConnections("operators", operators), s.operatorServer(log, service)))
+	s.componentsDone = append(s.componentsDone, serveHTTP(ctx, s.limitClients("operators", operators), s.operatorServer(log, service)))
 	return nil
 }
 
