--- a/internal/crowd/client_test.go
+++ b/internal/crowd/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -43,6 +44,15 @@
 	{"small chunks", false, func(ctx context.Context, w io.Writer, r request) error { return sendChunks(ctx, w, r, smallChunkBytes) }},
 }
 
+// messages is the kind of clients that announce messages of the system's own processes, and stop before their end.
+var messages = kind{"messages", false, sendMessage}
+
+// sendMessage sends a message with its stated size, all but its last byte.
+func sendMessage(_ context.Context, w io.Writer, r request) error {
+	_, err := w.Write(append(binary.BigEndian.AppendUint32(nil, uint32(r.body)), body(r.body-1)...))
+	return err
+}
+
 // sendHeadOverLimit sends a complete head that is larger than any listener accepts.
 func sendHeadOverLimit(_ context.Context, w io.Writer, r request) error {
 	_, err := fmt.Fprintf(w, "%sLarge: %s\r\n\r\n", r.line, strings.Repeat("x", overLimitBytes))
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -12,6 +12,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/vanillaward/vanillaward/platform/platformtest"
 )
 
 // largerCrowd replaces the sizes of the crowds in trials by hand; CI plays those of the constants.
@@ -51,7 +53,7 @@
 func TestCrowdOfAllKinds(t *testing.T) { playCrowd(t, buildProgram(t), kinds) }
 
 // buildProgram builds the program without the race detector, which multiplies memory, and returns its path.
-func buildProgram(t *testing.T) string {
+func buildProgram(t testing.TB) string {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "vanillaward")
 	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/vanillaward").CombinedOutput()
@@ -59,11 +61,53 @@
 	return binary
 }
 
-// playCrowd plays a crowd of each of the kinds at the gateway and at the control process. The clients that stop
-// sending hold their connections until the process closes them.
+// TestCrowdAtOtherListeners is like TestCrowdOfAllKinds at the listeners for readiness, health, handover and peers.
+func TestCrowdAtOtherListeners(t *testing.T) {
+	d := startDeployment(t, buildProgram(t))
+	var places []place
+	for _, p := range []*process{d.control, d.gateway} {
+		places = append(places, place{p, platformtest.PeerPort, request{body: configurationBytes}, []kind{messages}})
+		places = append(places, place{p, platformtest.HealthPort, request{"GET /healthz HTTP/1.1\r\nHost: h\r\n", bodyBytes}, kinds})
+	}
+	places = append(places, place{d.gateway, platformtest.ReadinessPort, request{"GET /vanillaward/readiness HTTP/1.1\r\nHost: h\r\n", bodyBytes}, kinds})
+	places = append(places, place{d.gateway, platformtest.HandoverPort, d.gateway.request, kinds})
+	d.play(t, places)
+}
+
+// playCrowd plays a crowd of each of the kinds at the gateway and at the control process.
 func playCrowd(t *testing.T, binary string, kinds []kind) {
 	t.Helper()
 	d := startDeployment(t, binary)
+	var places []place
+	for _, p := range []*process{d.control, d.gateway} {
+		places = append(places, place{p, p.port, p.request, kinds})
+	}
+	d.play(t, places)
+}
+
+// place is where crowds play.
+type place struct {
+	process *process
+	port    string
+	request request
+	kinds   []kind
+}
+
+// crowdSize returns the number of clients of a kind at a place.
+func (p place) crowdSize(k kind) int {
+	switch {
+	case *largerCrowd > 0:
+		return *largerCrowd
+	case len(p.kinds) == 1 && k.head:
+		return headCrowd
+	default:
+		return bodyCrowd
+	}
+}
+
+// play plays crowds at places. The clients that stop sending hold their connections until the process closes them.
+func (d *deployment) play(t *testing.T, places []place) {
+	t.Helper()
 	processes := []*process{d.control, d.gateway}
 	memory, descriptors := map[*process]int{}, map[*process]int{}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -73,17 +117,10 @@
 	for _, p := range processes {
 		memory[p], descriptors[p] = p.memory(t, "VmRSS"), p.descriptors(t)
 	}
-	for _, p := range processes {
-		for _, k := range kinds {
-			size := bodyCrowd
-			if len(kinds) == 1 && k.head {
-				size = headCrowd
-			}
-			if *largerCrowd > 0 {
-				size = *largerCrowd
-			}
-			for range size {
-				clients.Go(func() { play(ctx, p.address(), k, p.request) })
+	for _, at := range places {
+		for _, k := range at.kinds {
+			for range at.crowdSize(k) {
+				clients.Go(func() { play(ctx, at.process.ip+":"+at.port, k, at.request) })
 			}
 		}
 	}
--- a/internal/crowd/deployment_test.go
+++ b/internal/crowd/deployment_test.go
@@ -32,8 +32,8 @@
 type process struct {
 	role    string
 	ip      string
-	port    string // port that the crowd uses
-	request request
+	port    string  // where it serves callers or operators
+	request request // legal there
 	command *exec.Cmd
 	exited  chan struct{}
 }
@@ -50,7 +50,7 @@
 }
 
 // startDeployment starts the processes and waits until they serve.
-func startDeployment(t *testing.T, binary string) *deployment {
+func startDeployment(t testing.TB, binary string) *deployment {
 	t.Helper()
 	prefix := loopbacktest.Reserve(t)
 	fleet, err := platformtest.NewFleet(prefix + "200")
@@ -75,7 +75,7 @@
 }
 
 // start starts a process with the settings of a deployment, and ends it with the test.
-func (d *deployment) start(t *testing.T, binary string, p *process) {
+func (d *deployment) start(t testing.TB, binary string, p *process) {
 	t.Helper()
 	folder := t.TempDir()
 	values := platformtest.ProcessSettings{
@@ -126,7 +126,7 @@
 
 // await waits until a condition holds. If it does not, the test fails and goes on, so that it shows the other
 // figures too.
-func (d *deployment) await(t *testing.T, what string, holds func() bool) {
+func (d *deployment) await(t testing.TB, what string, holds func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(limit); !holds(); time.Sleep(pollInterval) {
 		d.requireAlive(t)
@@ -138,7 +138,7 @@
 }
 
 // requireAlive fails the test if a process has exited.
-func (d *deployment) requireAlive(t *testing.T) {
+func (d *deployment) requireAlive(t testing.TB) {
 	t.Helper()
 	for _, p := range []*process{d.control, d.gateway} {
 		select {
@@ -150,7 +150,7 @@
 }
 
 // memory returns a value of the process's status in bytes: VmHWM is its peak resident memory, VmRSS the present one.
-func (p *process) memory(t *testing.T, name string) int {
+func (p *process) memory(t testing.TB, name string) int {
 	t.Helper()
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
 	require.NoError(t, err)
@@ -163,7 +163,7 @@
 }
 
 // descriptors returns the number of open descriptors of the process.
-func (p *process) descriptors(t *testing.T) int {
+func (p *process) descriptors(t testing.TB) int {
 	t.Helper()
 	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.command.Process.Pid))
 	require.NoError(t, err)
