--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"flag"
+	"net/http"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 
@@ -29,6 +31,8 @@
 	// configurations that the crowd sends; 16 MiB are legal.
 	bodyBytes          = 4 << 20
 	configurationBytes = 8 << 20
+	// largestConfiguration is the size of a configuration that the commit in the log still has room for.
+	largestConfiguration = 15 << 20
 	// memoryBound bounds the peak resident memory of each process: the smallest machine of the reduced
 	// deployments. It leaves 38 MB for the program, its state and its connections, 25 MB for the budget of 24 MiB
 	// for bodies that are being read, and as much again for what the collector has not freed yet.
@@ -61,6 +65,25 @@
 	return binary
 }
 
+// TestLargestBodies guards against limits that refuse a single body of the largest legal size: one at the gateway and
+// a configuration at the control process.
+func TestLargestBodies(t *testing.T) {
+	d := startDeployment(t, buildProgram(t))
+	request := platformtest.Request{ID: "00000000largest0", Path: platformtest.SafePath + "x", Body: string(body(bodyBytes)), Budget: callTimeout}
+	answer := platformtest.Send(t.Context(), d.client, d.gateway.address(), request)
+	require.Equal(t, http.StatusOK, answer.Status, answer.Err)
+	require.True(t, answer.Body == platformtest.PlainAnswer(request.ID, platformtest.Organisation, request.Body), "the body arrived changed")
+	d.version++
+	configuration := platformtest.Configuration(d.version, "/once/")
+	configuration = strings.Repeat(" ", largestConfiguration-len(configuration)) + configuration
+	status, err := platformtest.PutConfiguration(t.Context(), d.client, d.control.address(), configuration)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	for _, p := range []*process{d.control, d.gateway} {
+		t.Logf("%s: peak %d bytes", p.role, p.memory(t, "VmHWM"))
+	}
+}
+
 // TestCrowdAtOtherListeners is like TestCrowdOfAllKinds at the listeners for readiness, health, handover and peers.
 func TestCrowdAtOtherListeners(t *testing.T) {
 	d := startDeployment(t, buildProgram(t))
@@ -129,7 +152,14 @@
 		clients.Wait()
 		close(ended)
 	}()
+	asked, answered := 0, 0
 	d.await(t, "the processes close the connections of all clients", func() bool {
+		if *largerCrowd > 0 { // by hand: ordinary requests beside the crowd
+			asked++
+			if d.serves() {
+				answered++
+			}
+		}
 		select {
 		case <-ended:
 			return true
@@ -137,6 +167,9 @@
 			return false
 		}
 	})
+	if *largerCrowd > 0 {
+		t.Logf("beside the crowd %d of %d rounds of ordinary requests were answered", answered, asked)
+	}
 	d.await(t, "an ordinary request is answered", d.serves)
 	for _, p := range processes {
 		peak := p.memory(t, "VmHWM")
