--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -77,6 +77,7 @@
 // that is one of the caller's connection or the head was not sent.
 func (req *request) flushEvents(err error) {
 	if req.stream.headSent && !isCallerError(err) {
+		req.extendWrite()
 		_ = http.NewResponseController(req.w).Flush() // fails if the caller has disconnected
 	}
 }
@@ -88,6 +89,7 @@
 	}
 	req.stream.headSent = true
 	req.copyHeader(response.Header)
+	req.extendWrite()
 	req.w.WriteHeader(response.StatusCode)
 	req.status = response.StatusCode
 	if err := http.NewResponseController(req.w).Flush(); err != nil {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -88,8 +88,9 @@
 		},
 		logs:   logs,
 		store:  config.NewStore(),
-		server: peer.NewServer(log, creds, traffic),
+		server: peer.NewServer(log, creds, traffic, peer.WithMemory(int64(s.Limits.PeerMemory))),
 	}
+	i.prepareLimits()
 	for _, option := range options {
 		option(i)
 	}
@@ -144,10 +145,10 @@
 	}
 	subscriber := i.subscriber()
 	i.server.Register("Config", func(peer.Caller) any { return config.NewPeerService(i.store) })
-	componentsDone = append(componentsDone, i.server.Serve(ctx, listeners.peers), i.serveHealth(ctx, listeners.health), subscriber.Run(ctx))
+	componentsDone = append(componentsDone, i.server.Serve(ctx, i.limitConnections("peers", listeners.peers)), i.serveHealth(ctx, listeners.health), i.returnMemory(ctx), subscriber.Run(ctx))
 	var entryDone <-chan error
 	if i.entry != nil {
-		entryDone = i.entry.Run(ctx, listeners.callers)
+		entryDone = i.entry.Run(ctx, i.limitClients("callers", listeners.callers))
 		go i.markReady(ctx, subscriber)
 	}
 	i.base.Log.Info("started", "failure-domain", i.base.Settings.Instance.FailureDomain, "roles", i.base.Settings.Instance.Roles)
@@ -317,8 +318,9 @@
 	mux.HandleFunc("GET "+gateway.PathWhere, i.where)
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: healthHeaderTimeout}
-	return serveHTTP(ctx, listener, server)
+	server := smallServer(mux)
+	server.WriteTimeout = profileTimeout
+	return serveHTTP(ctx, i.limitConnections("health", listener), server)
 }
 
 // where says where the gateway would send a request.
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -7,11 +7,14 @@
 	"encoding/binary"
 	"io"
 	"net/rpc"
+	"slices"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/vanillaward/vanillaward/internal/membudget"
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
@@ -78,6 +81,8 @@
 	writer  *bufio.Writer
 	traffic *Traffic
 	buffer  []byte
+	// hold is the memory of the message that is being read; nil for any amount.
+	hold *membudget.Hold
 	// reading is the message whose header was read.
 	reading Message
 }
@@ -118,17 +123,65 @@
 	if n > MaxMessageBytes {
 		return ErrTooLarge
 	}
-	body := make([]byte, n)
-	if _, err := io.ReadFull(f.reader, body); err != nil {
+	defer f.hold.Release()
+	body, err := f.readMessage(int(n))
+	if err != nil {
 		return err
 	}
 	f.reading.bytes += lengthBytes + len(body)
 	return errors.Wrap(proto.Unmarshal(body, m), "malformed message")
 }
 
+// pieceBytes is the size of the pieces in which a larger message is read. The first of them is beside the budget, so that a message which is only announced takes nothing of it.
+const pieceBytes = 16 << 10
+
+// readTimeout bounds how long a peer may send nothing in the middle of a message.
+const readTimeout = 10 * time.Second
+
+// ErrNoMemory is returned for a message while too much of others is being read.
+var ErrNoMemory = errors.New("no memory for the message")
+
+// readMessage reads a message of a size. It takes memory as the message arrives, in pieces: a buffer that grows
+// would leave as much for the collector as it holds.
+func (f *framer) readMessage(size int) ([]byte, error) {
+	if size <= pieceBytes {
+		return f.readPiece(size)
+	}
+	var pieces [][]byte
+	for left := size; left > 0; left -= pieceBytes {
+		piece, err := f.readPiece(min(left, pieceBytes))
+		if err != nil {
+			return nil, err
+		}
+		pieces = append(pieces, piece)
+	}
+	return slices.Concat(pieces...), nil
+}
+
+// readPiece reads a piece of a message.
+func (f *framer) readPiece(size int) ([]byte, error) {
+	if !f.hold.Grow(size) {
+		return nil, ErrNoMemory
+	}
+	piece := make([]byte, size)
+	for read := 0; read < size; {
+		if f.reader.Buffered() < size-read {
+			if err := setReadDeadline(f.conn, time.Now().Add(readTimeout)); err != nil {
+				return nil, err
+			}
+		}
+		n, err := f.reader.Read(piece[read:])
+		if read += n; err != nil && read < size {
+			return nil, err
+		}
+	}
+	return piece, setReadDeadline(f.conn, time.Time{})
+}
+
 // serverCodec implements rpc.ServerCodec.
 type serverCodec struct {
 	*framer
+	called func() // called once the first call has arrived; nil from then on
 }
 
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
@@ -139,6 +192,10 @@
 	}
 	r.ServiceMethod, r.Seq = header.GetMethod(), header.GetSequence()
 	c.reading.method = r.ServiceMethod
+	if c.called != nil {
+		c.called()
+		c.called = nil
+	}
 	return nil
 }
 
