--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -92,7 +92,7 @@
 		places = append(places, place{p, platformtest.PeerPort, request{body: configurationBytes}, []kind{messages}})
 		places = append(places, place{p, platformtest.HealthPort, request{"GET /healthz HTTP/1.1\r\nHost: h\r\n", bodyBytes}, kinds})
 	}
-	places = append(places, place{d.gateway, platformtest.ReadinessPort, request{"GET /vanillaward/readiness HTTP/1.1\r\nHost: h\r\n", bodyBytes}, kinds})
+	places = append(places, place{d.gateway, platformtest.ReadinessPort, request{platformtest.ReadinessHead, bodyBytes}, kinds})
 	places = append(places, place{d.gateway, platformtest.HandoverPort, d.gateway.request, kinds})
 	d.play(t, places)
 }
--- a/internal/crowd/deployment_test.go
+++ b/internal/crowd/deployment_test.go
@@ -62,7 +62,7 @@
 	d := &deployment{
 		client: client, fleet: fleet,
 		control: &process{role: "control", ip: prefix + "10", port: platformtest.OperatorPort, request: request{
-			line: "PUT /vanillaward/config HTTP/1.1\r\nHost: control\r\n", body: configurationBytes,
+			line: platformtest.ConfigHead, body: configurationBytes,
 		}},
 		gateway: &process{role: "gateway", ip: prefix + "20", port: platformtest.CallerPort, request: request{
 			line: fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n", platformtest.SafePath, platformtest.Host, platformtest.Key), body: bodyBytes,
--- a/internal/soak/crowd_test.go
+++ b/internal/soak/crowd_test.go
@@ -60,7 +60,7 @@
 		heads[c.processes[gatewayName(i)].ip+":"+platformtest.CallerPort] = fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n", platformtest.SafePath, platformtest.Host, platformtest.Key)
 	}
 	for i := range controlCount {
-		heads[c.operator(i)] = "PUT /vanillaward/config HTTP/1.1\r\nHost: control\r\n"
+		heads[c.operator(i)] = platformtest.ConfigHead
 	}
 	return heads
 }
