Dispatch: the order, shares and forecast of generations that wait at an instance

Cause: generations wait in the queues of engines, in order of arrival, until the engine ends or the caller gives up. Change: a queue without clocks or sockets orders the waiting generations of a service by rank (aged over their time limit), by whether they can still meet their objective, by the share of their organisation and by arrival, offers them capacity in that order and forecasts from the measured rate how long one waits.

--- /dev/null
+++ b/internal/dispatch/queue.go
@@ -0,0 +1,197 @@
+// Package dispatch holds the generations of a service that wait at an instance until an engine has capacity
+// for them: in which order they are offered the capacity that there is, how long one is likely to wait, and
+// which cannot begin before their deadline. It uses neither clocks nor sockets, and does not know engines.
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// agingSteps is the number of ranks that a request gains over its whole time limit, in equal steps, so that
+	// requests of a less urgent rank begin although more urgent ones keep arriving.
+	agingSteps = 4
+	// overdueDivisor divides a request's time limit; one that has waited for the quotient no longer goes after
+	// those that can still meet their objective.
+	overdueDivisor = 2
+	// overtakeTime is how long smaller requests of the same rank may go before one for which there was no
+	// capacity. After that they wait too, so that capacity for the larger one can become free.
+	overtakeTime = 300 * time.Millisecond
+)
+
+// Request is a generation that is to be sent to an engine.
+type Request struct {
+	Organisation string
+	// Rank orders requests; lower ranks go first.
+	Rank int
+	// Tokens is the memory that it needs, and Prompt the part that the engine processes before the first event.
+	Tokens, Prompt int
+	// Again is true for a request that has been sent to a target before; it goes before new ones.
+	Again bool
+	// Arrived is when the caller's request arrived, Objective by when it should begin, and Deadline by when it
+	// must begin.
+	Arrived, Objective, Deadline time.Duration
+}
+
+// Entry is a request in a queue.
+type Entry struct {
+	Request
+	number  uint64        // of the order of arrival in the queue
+	blocked time.Duration // since when there is no capacity for it; 0 if it has not been offered any
+	queued  bool
+}
+
+// Queue holds the waiting requests of one service. It is not safe for concurrent use.
+type Queue struct {
+	entries []*Entry
+	added   uint64
+	shares  shares
+	rate    rate
+}
+
+// New returns an empty queue.
+func New() *Queue { return &Queue{shares: shares{tags: map[string]float64{}}} }
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int { return len(q.entries) }
+
+// Blocked returns the number of requests that were offered capacity when there was none for them.
+func (q *Queue) Blocked() int {
+	n := 0
+	for _, e := range q.entries {
+		if e.blocked > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Add adds a request.
+func (q *Queue) Add(r Request) *Entry {
+	q.added++
+	e := &Entry{Request: r, number: q.added, queued: true}
+	q.shares.join(r.Organisation, slices.ContainsFunc(q.entries, func(o *Entry) bool { return o.Organisation == r.Organisation }))
+	q.entries = append(q.entries, e)
+	return e
+}
+
+// Remove removes a request that is not to be sent any more. It does nothing for one that is not queued.
+func (q *Queue) Remove(e *Entry) {
+	if !e.queued {
+		return
+	}
+	e.queued = false
+	q.entries = slices.DeleteFunc(q.entries, func(o *Entry) bool { return o == e })
+	q.shares.forgetIdle(q.entries)
+}
+
+// Dispatch offers capacity to the requests in their order. Place reports whether a request was sent; it is then
+// no longer queued. A request for which there is no capacity holds back those of less urgent ranks, and after
+// overtakeTime those of its own.
+func (q *Queue) Dispatch(now time.Duration, place func(*Entry) bool) {
+	q.rate.observe(now)
+	defer func() { q.rate.waits(now, len(q.entries) > 0) }()
+	var held *Entry // the first request without capacity
+	for tried := map[*Entry]bool{}; ; {
+		e := q.next(now, tried)
+		if e == nil || held != nil && !e.mayOvertake(held, now) {
+			return
+		}
+		tried[e] = true
+		if place(e) {
+			q.rate.add(e.Tokens)
+			q.shares.charge(e.Organisation, float64(e.Tokens))
+			q.Remove(e)
+			continue
+		}
+		if e.blocked == 0 {
+			e.blocked = now
+		}
+		if held == nil && !e.Again { // one that is sent again may avoid engines that others can use
+			held = e
+		}
+	}
+}
+
+// mayOvertake reports whether a request may be sent before one for which there is no capacity.
+func (e *Entry) mayOvertake(held *Entry, now time.Duration) bool {
+	return e.Rank == held.Rank && e.Tokens < held.Tokens && now-held.blocked < overtakeTime
+}
+
+// next returns the first of the requests that are not among the tried ones, nil without one.
+func (q *Queue) next(now time.Duration, tried map[*Entry]bool) *Entry {
+	var first *Entry
+	for _, e := range q.entries {
+		if !tried[e] && (first == nil || q.before(e, first, now)) {
+			first = e
+		}
+	}
+	return first
+}
+
+// before reports whether a request goes before another one.
+func (q *Queue) before(a, b *Entry, now time.Duration) bool {
+	if a.Again != b.Again {
+		return a.Again
+	}
+	return cmp.Or(
+		cmp.Compare(a.RankAt(now), b.RankAt(now)),
+		compareBool(a.missed(now), b.missed(now)),
+		cmp.Compare(q.shares.tags[a.Organisation], q.shares.tags[b.Organisation]),
+		cmp.Compare(a.Arrived, b.Arrived),
+		cmp.Compare(a.number, b.number),
+	) < 0
+}
+
+// RankAt returns the request's rank, which is the more urgent the longer it has waited.
+func (e *Entry) RankAt(now time.Duration) int {
+	limit := e.Deadline - e.Arrived
+	if limit <= 0 {
+		return e.Rank
+	}
+	return max(min(e.Rank, 0), e.Rank-int(agingSteps*(now-e.Arrived)/limit))
+}
+
+// missed reports whether the request can no longer meet its objective, and goes after those that can.
+func (e *Entry) missed(now time.Duration) bool {
+	return now > e.Objective && now-e.Arrived < (e.Deadline-e.Arrived)/overdueDivisor
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// Wait returns how long it is likely to take until a queued request can begin, and false if that is not known.
+func (q *Queue) Wait(e *Entry, now time.Duration) (time.Duration, bool) {
+	perSecond, known := q.rate.perSecond(now)
+	if !known {
+		return 0, false
+	}
+	ahead := e.Tokens
+	for _, o := range q.entries {
+		if o != e && q.before(o, e, now) {
+			ahead += o.Tokens
+		}
+	}
+	seconds := float64(ahead) / perSecond
+	if seconds > math.MaxInt32 {
+		return math.MaxInt32 * time.Second, true
+	}
+	return time.Duration(seconds * float64(time.Second)), true
+}
+
+// InTime reports whether a queued request can begin before its deadline, as far as is known, and how long it is
+// likely to wait.
+func (q *Queue) InTime(e *Entry, now time.Duration) (bool, time.Duration) {
+	wait, known := q.Wait(e, now)
+	return now < e.Deadline && (!known || now+wait <= e.Deadline), wait
+}
--- /dev/null
+++ b/internal/dispatch/rate.go
@@ -0,0 +1,56 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// rateTime is the time over which the rate at which capacity appears is averaged, and rateKnownAfter the
+	// time during which requests have to wait before it is used: shorter ones are gaps between two reports.
+	rateTime       = 4 * time.Second
+	rateKnownAfter = 2 * time.Second
+)
+
+// rate measures how many tokens of waiting requests find capacity in a second, while some wait.
+type rate struct {
+	waiting bool
+	since   time.Duration // since when requests wait without a break
+	at      time.Duration
+	tokens  float64 // sent, with exponentially decreasing weight
+	weight  float64 // seconds, with the same weight
+}
+
+// observe is called before capacity is offered to requests.
+func (r *rate) observe(now time.Duration) {
+	if r.waiting {
+		seconds := (now - r.at).Seconds()
+		left := math.Exp(-seconds / rateTime.Seconds())
+		r.tokens *= left
+		r.weight = r.weight*left + seconds
+	}
+	r.at = now
+}
+
+// waits records whether requests wait after capacity was offered.
+func (r *rate) waits(now time.Duration, waiting bool) {
+	if waiting && !r.waiting {
+		r.since = now
+	}
+	r.waiting = waiting
+}
+
+// add counts a request that is sent. Those that are sent while none waits tell nothing.
+func (r *rate) add(tokens int) {
+	if r.waiting {
+		r.tokens += float64(tokens)
+	}
+}
+
+// perSecond returns the rate, and false while it is not known.
+func (r *rate) perSecond(now time.Duration) (float64, bool) {
+	if !r.waiting || now-r.since < rateKnownAfter || r.weight <= 0 || r.tokens <= 0 {
+		return 0, false
+	}
+	return r.tokens / r.weight, true
+}
