--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -17,6 +17,7 @@
 	requiresKeys  bool
 	organisations map[string]*Organisation // by key
 	limits        Limits
+	ranks         map[string]rankRange // of the generations of each service
 }
 
 // Route is one route of a table.
@@ -60,6 +61,7 @@
 	for _, routes := range t.hosts {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.spec.Prefix) - len(a.spec.Prefix) })
 	}
+	t.ranks = generationRanks(c.Routes)
 	for _, o := range c.Organisations {
 		organisation := &Organisation{name: o.Name, rank: o.Rank}
 		for _, key := range o.Keys {
