Balance: chooses among the engines that are forecast to have capacity

Cause: a choice takes an engine however full it is; the engine then preempts running requests. Change: ChooseWithRoom takes only engines with memory, slots and no waiting requests or long prompts before the request, and leaves a part of the memory to the most urgent rank. Where others may have taken more unseen than there is, each request is open to the engines that it draws with each report.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -118,6 +118,8 @@
 	partitionedUntil map[string]time.Duration
 	// demand is what this instance wants to send to each service of which a target states a limit.
 	demand map[string]*ratelimit.Demand
+	// arrivals is what this instance sends to each service whose requests wait for capacity.
+	arrivals map[string]*ratelimit.Demand
 	// instances is the number of instances that share targets, 0 if unknown, and peersAt when
 	// their uses were last heard of.
 	instances int
@@ -144,7 +146,7 @@
 	return &Balancer{
 		domain: domain, random: random, targets: map[target.Key]*Target{}, byID: map[string][]*Target{}, byService: map[string][]*Target{},
 		pairs: map[pair]int{}, partitionedUntil: map[string]time.Duration{}, departed: map[target.Key]departedTarget{},
-		demand: map[string]*ratelimit.Demand{}, notices: map[string]float64{}, reach: map[string]*reach{}, brittle: map[string]*brittleness{},
+		demand: map[string]*ratelimit.Demand{}, arrivals: map[string]*ratelimit.Demand{}, notices: map[string]float64{}, reach: map[string]*reach{}, brittle: map[string]*brittleness{},
 	}
 }
 
@@ -184,6 +186,7 @@
 	b.countGroups()
 	maps.DeleteFunc(b.brittle, func(service string, _ *brittleness) bool { return len(b.byService[service]) == 0 })
 	maps.DeleteFunc(b.reach, func(service string, _ *reach) bool { return len(b.byService[service]) == 0 })
+	maps.DeleteFunc(b.arrivals, func(service string, _ *ratelimit.Demand) bool { return len(b.byService[service]) == 0 })
 	maps.DeleteFunc(b.demand, func(service string, _ *ratelimit.Demand) bool {
 		return b.brittle[service] == nil && !slices.ContainsFunc(b.byService[service], func(t *Target) bool { return t.stated.share.Limited() })
 	})
@@ -199,6 +202,10 @@
 	if d := b.demand[service]; d != nil {
 		d.Add(now)
 	}
+	return b.choose(service, tokens, avoid, now)
+}
+
+func (b *Balancer) choose(service string, tokens int, avoid []string, now time.Duration) *Target {
 	if t := b.best(service, tokens, avoid, now, (*Target).accepts); t != nil {
 		return t
 	}
--- /dev/null
+++ b/internal/balance/capacity.go
@@ -0,0 +1,161 @@
+package balance
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/vanillaward/vanillaward/internal/ratelimit"
+)
+
+const (
+	// urgentMemory and otherMemory are the fractions of an engine's memory up to which the most urgent
+	// requests and all others are sent to it. The difference holds one prompt of an urgent request; 7 of the long
+	// generations of a demanding load, with half of their output, take 0.88 of the memory and fit when all
+	// of them are at their end.
+	urgentMemory = 0.97
+	otherMemory  = 0.885
+	// unheardMemory is subtracted from both while only reports tell what other instances have sent: they do not
+	// contain the output that running requests will produce.
+	unheardMemory = 0.05
+	// urgentPrompts and otherPrompts bound the prompt tokens that an engine has not processed yet when a request
+	// is sent to it: about two prompts and one.
+	urgentPrompts = 4500
+	otherPrompts  = 2500
+	// unseenMargin is how many times the memory is kept free that others have probably taken unseen, where
+	// requests are sent without a draw.
+	unseenMargin = 2
+	// drawnPart is the part of the free memory that all instances together take by draw with one report; the
+	// next report does not show yet what they took with this one.
+	drawnPart = 0.5
+)
+
+// Demand is what a generation that waits needs from an engine.
+type Demand struct {
+	// Tokens is the memory, and Prompt the part of it that is processed before the first event.
+	Tokens, Prompt int
+	// Urgent is true for requests of the most urgent rank.
+	Urgent bool
+	// Key is a random number of the request.
+	Key uint64
+	// Blocked is the number of this instance's requests for which there was no capacity before.
+	Blocked int
+}
+
+// CountArrival counts a request of this instance that is to be sent to an engine of a service.
+func (b *Balancer) CountArrival(service string, now time.Duration) {
+	if d := b.demand[service]; d != nil {
+		d.Add(now)
+	}
+	if b.arrivals[service] == nil {
+		b.arrivals[service] = &ratelimit.Demand{}
+	}
+	b.arrivals[service].Add(now)
+}
+
+// ChooseWithRoom returns the best target of a service among those that are forecast to have capacity for a
+// generation now. With wait there is none, and there will be one. If nothing is known of the capacity of any target, it is
+// chosen as by Choose.
+func (b *Balancer) ChooseWithRoom(service string, d Demand, avoid []string, now time.Duration) (t *Target, wait bool) {
+	capacity := b.knownCapacity(service, avoid, now)
+	if capacity == 0 {
+		return b.choose(service, d.Tokens, avoid, now), false
+	}
+	came := b.unseenArrivals(service, d.Blocked, now)
+	t = b.best(service, d.Tokens, avoid, now, func(t *Target, now time.Duration) bool {
+		return t.accepts(now) && now >= t.ejectedUntil && b.fits(t, d, capacity, came, now)
+	})
+	return t, t == nil
+}
+
+// knownCapacity returns the largest memory that an engine of a service which could be chosen reports, in
+// tokens, or 0 without a valid report of one.
+func (b *Balancer) knownCapacity(service string, avoid []string, now time.Duration) int {
+	capacity := 0
+	for _, t := range b.byService[service] {
+		if t.isLeaving(now) || !t.accepts(now) || now < t.ejectedUntil || !t.load.valid(now) || slices.Contains(avoid, t.id) {
+			continue
+		}
+		capacity = max(capacity, t.load.capacity)
+	}
+	return capacity
+}
+
+func (l *load) valid(now time.Duration) bool {
+	return l.known && l.capacity > 0 && now-l.at <= reportValid
+}
+
+// arrivals are the requests that come to the engines of a service from all instances.
+type arrivals struct {
+	perSecond float64
+	waiting   float64 // requests that are sent as soon as there is capacity
+	engines   float64
+}
+
+// unseenArrivals estimates what comes from all instances, if others have as much as this one.
+func (b *Balancer) unseenArrivals(service string, blocked int, now time.Duration) arrivals {
+	a := arrivals{waiting: float64(blocked * b.likelyInstances()), engines: float64(max(1, len(b.byService[service])))}
+	if d := b.arrivals[service]; d != nil {
+		a.perSecond = d.Rate(now) * float64(b.likelyInstances())
+	}
+	return a
+}
+
+// fits reports whether an engine is forecast to have capacity for a generation. Where others may have taken so
+// much unseen that not all requests can be sent, each request is sent to the engines that it draws with each report,
+// so that all together take a part of the free memory.
+func (b *Balancer) fits(t *Target, d Demand, capacity int, came arrivals, now time.Duration) bool {
+	valid := t.load.valid(now)
+	if valid && t.load.waiting > 0 {
+		return false
+	}
+	ceiling, prompts := otherMemory, otherPrompts
+	if d.Urgent {
+		ceiling, prompts = urgentMemory, urgentPrompts
+	}
+	// What was heard of others before the time that the report describes is out of date.
+	heard := b.instances == 1 || b.peersAt > 0 && (!valid || b.peersAt >= t.load.at)
+	batch, used, prefilling := t.open, t.tokens, t.prefilling
+	if heard {
+		batch, used, prefilling = batch+t.peerUse.requests, used+t.peerUse.tokens, prefilling+t.peerUse.prefilling
+	} else {
+		ceiling -= unheardMemory
+	}
+	window := now - b.peersAt + b.peersInterval
+	if valid {
+		requests, tokens := t.load.placed()
+		batch, used = max(batch, t.load.running+requests), max(used, t.load.used+tokens)
+		capacity, window = t.load.capacity, min(window, now-t.load.at)
+	}
+	need, free := float64(d.Tokens), ceiling*float64(capacity)-float64(used)
+	if batch >= t.likelySlots() || prefilling > prompts {
+		return false
+	}
+	if free < need {
+		return used == 0 // no engine will ever have more room
+	}
+	unseen := came.waiting + came.perSecond*window.Seconds()
+	if b.instances == 1 || free >= need*(1+unseenMargin*unseen/came.engines) {
+		return true
+	}
+	return d.draw(t)*unseen <= drawnPart*free/need
+}
+
+// draw returns a number, uniform in [0, 1), that decides whether a request is sent to an engine of which others may
+// have taken much unseen. It is another one for each report, and not for each time that the request is considered: the
+// oftener that happened, the more would be sent.
+func (d Demand) draw(t *Target) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(t.id)) // never fails
+	return rand.New(rand.NewPCG(d.Key, h.Sum64()^uint64(t.load.at))).Float64()
+}
+
+// placed returns the requests that this instance has sent to the engine since the report, and their memory with
+// that of copies.
+func (l *load) placed() (requests, tokens int) {
+	for _, p := range l.recent {
+		requests, tokens = requests+p.requests, tokens+p.tokens
+	}
+	return requests, tokens
+}
