Gateway: generations wait until an engine has capacity

Change: where the configuration asks for it, a generation waits in the queue of its service and is sent when news shows capacity, in order of rank. It leaves the queue with its caller, when it cannot begin before its deadline (503, as not run) and when a stopping gateway cannot finish it. Without any valid report it is sent as before.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -120,7 +120,7 @@
 	if req.left() <= 0 {
 		return req.refuse(reasonTooLate)
 	}
-	if req.route.Generation() && req.server.atCapacity(req.service, req.tokens()) {
+	if req.route.Generation() && !req.queues() && req.server.atCapacity(req.service, req.tokens()) {
 		return req.refuse(reasonCrowded)
 	}
 	if req.server.stopping.Load() && !req.endsInTime() {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,11 +42,13 @@
 	failed
 	// heldBack means that targets crash on the request, or on a part of its prompt.
 	heldBack
+	// notDispatched means that the request has left the queue of this gateway without a target.
+	notDispatched
 )
 
 // String returns the outcome's name in logs.
 func (o outcome) String() string {
-	return [...]string{"delivered", "no-target", "not-sent", "not-run", "failed", "held-back"}[o]
+	return [...]string{"delivered", "no-target", "not-sent", "not-run", "failed", "held-back", "not-dispatched"}[o]
 }
 
 // attemptResult is the result of one attempt.
@@ -55,7 +57,7 @@
 	target  string
 	reason  reason
 	tried   int           // targets tried so far, including this one
-	wait    time.Duration // how long the request is held back, for the outcome heldBack
+	wait    time.Duration // how long the request is held back, for the outcomes heldBack and notDispatched
 	// failureAnswer is a complete answer with an error status, which the caller gets
 	// when no other attempt follows.
 	failureAnswer *answer
@@ -74,9 +76,9 @@
 	if why, wait := req.heldBack(); wait > 0 {
 		return attemptResult{outcome: heldBack, reason: why, wait: wait}
 	}
-	t, state := req.server.begin(ctx, req.service, req.tokens(), req.promptTokens(), avoid)
+	t, state, unplaced := req.choose(ctx, avoid)
 	if t == nil {
-		return attemptResult{outcome: noTarget}
+		return unplaced
 	}
 	if req.route.Generation() {
 		req.logChoice(t, state)
@@ -112,7 +114,7 @@
 func (req *request) logChoice(t *balance.Target, s balance.LoadState) {
 	req.server.base.Log.Info("engine chosen", "request", req.caller.ID, "target", t.ID(), "failure-domain", s.Domain, "tokens", req.tokens(),
 		"report", s.Known, "report-age-ms", s.ReportAge.Milliseconds(), "uses-age-ms", s.UsesAge.Milliseconds(), "memory-percent", int(100*s.Memory), "waiting", s.Waiting,
-		"prefilling", s.Prefilling)
+		"prefilling", s.Prefilling, "queued-ms", req.queued.Milliseconds())
 }
 
 // endUnreached ends an attempt for which no connection could be made. If the caller has
--- /dev/null
+++ b/internal/gateway/dispatch_test.go
@@ -0,0 +1,104 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillaward/vanillaward/internal/route"
+	"github.com/vanillaward/vanillaward/internal/wire"
+)
+
+// newQueueRig returns a gateway whose generations wait for capacity, before an engine that reports no free memory.
+func newQueueRig(t *testing.T) (*rig, *standin) {
+	t.Helper()
+	c := configuration(1, route.Stream, 1, 10*time.Second)
+	c.Organisations = append(c.Organisations, route.OrganisationSpec{Name: "other", Keys: []string{"other-key"}})
+	s := newStandin(t, "t1", "stream:")
+	r := newRig(t, c, s)
+	r.report("t1", 10000)
+	return r, s
+}
+
+// report gives the gateway a report of an engine with memory for 10,000 tokens.
+func (r *rig) report(engine string, used uint32) {
+	r.gateway.UpdateLoads([]*wire.Load{{Target: engine, UsedTokens: used, CapacityTokens: 10000}})
+}
+
+func (r *rig) queued() bool {
+	return !strings.Contains(r.metricsText(), "vanillaward_gateway_queued_requests 0")
+}
+
+func (r *rig) awaitQueued(t *testing.T, queued bool) {
+	t.Helper()
+	require.Eventually(t, func() bool { return r.queued() == queued }, 10*time.Second, time.Millisecond)
+}
+
+// TestQueueSendsWhenCapacityAppears guards against a request that waits in the queue of a full engine, and against one
+// that is left waiting when there is news.
+func TestQueueSendsWhenCapacityAppears(t *testing.T) {
+	r, s := newQueueRig(t)
+	got := make(chan reply, 1)
+	go func() { got <- r.send(t, http.MethodPost, "/r/x", "", map[string]string{testBudget: "9000"}) }()
+	r.awaitQueued(t, true)
+	require.Zero(t, s.requestCount())
+	r.report("t1", 1000)
+	answer := <-got
+	require.NoError(t, answer.err)
+	require.Equal(t, http.StatusOK, answer.status)
+	require.Equal(t, 1, s.requestCount())
+}
+
+// TestQueueRefusesAsNotRun guards against an unclear outcome of a request that never left the gateway.
+func TestQueueRefusesAsNotRun(t *testing.T) {
+	r, s := newQueueRig(t)
+	answer := r.send(t, http.MethodPost, "/r/x", "", map[string]string{testBudget: "300"})
+	require.NoError(t, answer.err)
+	require.Equal(t, http.StatusServiceUnavailable, answer.status)
+	require.Equal(t, "queue-timeout\n", answer.body)
+	require.NotEmpty(t, answer.header.Get("Retry-After"))
+	require.Zero(t, s.requestCount())
+}
+
+// TestQueueForgetsCallersThatLeave guards against capacity that is given to a request without a caller.
+func TestQueueForgetsCallersThatLeave(t *testing.T) {
+	r, s := newQueueRig(t)
+	ctx, leave := context.WithCancel(context.Background())
+	left := make(chan error, 1)
+	go func() {
+		_, err := r.sendDiscarding(ctx, t, "/r/x", map[string]string{testBudget: "9000"}, 1)
+		left <- err
+	}()
+	r.awaitQueued(t, true)
+	leave()
+	require.Error(t, <-left)
+	r.awaitQueued(t, false)
+	r.report("t1", 0)
+	require.Zero(t, s.requestCount())
+}
+
+// TestQueueWithoutReports guards against requests that wait for news of engines of which nothing is known.
+func TestQueueWithoutReports(t *testing.T) {
+	c := configuration(1, route.Stream, 1, 10*time.Second)
+	c.Organisations = append(c.Organisations, route.OrganisationSpec{Name: "other", Keys: []string{"other-key"}})
+	r := newRig(t, c, newStandin(t, "t1", "stream:"))
+	require.Equal(t, http.StatusOK, r.send(t, http.MethodPost, "/r/x", "", nil).status)
+}
+
+// TestQueueOfStoppingGateway guards against requests that a stopping gateway keeps although they cannot end in time.
+func TestQueueOfStoppingGateway(t *testing.T) {
+	r, s := newQueueRig(t)
+	got := make(chan reply, 1)
+	go func() { got <- r.send(t, http.MethodPost, "/r/x", "", map[string]string{testBudget: "9000"}) }()
+	r.awaitQueued(t, true)
+	close(r.stop)
+	answer := <-got
+	require.NoError(t, answer.err)
+	require.Equal(t, http.StatusServiceUnavailable, answer.status)
+	require.Equal(t, "stopping\n", answer.body)
+	require.Zero(t, s.requestCount())
+}
--- a/internal/gateway/reason.go
+++ b/internal/gateway/reason.go
@@ -33,6 +33,7 @@
 	reasonFull         reason = "full"              // the last target stated that it did not run the request
 	reasonTargetsWait  reason = "targets-wait"      // all targets asked to get no requests for a time
 	reasonCrowded      reason = "crowded"           // no engine has enough free memory
+	reasonQueueTimeout reason = "queue-timeout"     // no engine has capacity before the deadline
 	reasonPartHeldBack reason = "part-held-back"    // engines crash on a part of the prompt
 	reasonHeldBack     reason = "request-held-back" // targets crash on the request
 	reasonBehind       reason = "behind"            // the request was accepted by a newer configuration, at another instance
@@ -67,6 +68,7 @@
 	reasonFull:         {status: http.StatusServiceUnavailable, retryAfter: 150 * time.Millisecond},
 	reasonTargetsWait:  {status: http.StatusServiceUnavailable, retryAfter: 150 * time.Millisecond},
 	reasonCrowded:      {status: http.StatusServiceUnavailable, retryAfter: 800 * time.Millisecond},
+	reasonQueueTimeout: {status: http.StatusServiceUnavailable, retryAfter: 800 * time.Millisecond},
 	reasonPartHeldBack: {status: http.StatusServiceUnavailable, retryAfter: 10 * time.Second},
 	reasonHeldBack:     {status: http.StatusServiceUnavailable, retryAfter: 10 * time.Second},
 	reasonBehind:       {status: http.StatusServiceUnavailable, retryAfter: 150 * time.Millisecond},
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -49,6 +49,7 @@
 	// comeBack is how long the caller of a refused request should wait, if that is known better
 	// than from the reason alone.
 	comeBack time.Duration
+	queued   time.Duration // how long the request has waited at this gateway for an engine with capacity
 }
 
 // serve handles a request of a caller.
@@ -95,6 +96,13 @@
 		case heldBack:
 			req.refuseHeldBack(a.reason, a.wait)
 			return
+		case notDispatched:
+			if a.reason == reasonCallerLeft {
+				req.reason = a.reason
+			} else {
+				req.refuseHeldBack(a.reason, a.wait)
+			}
+			return
 		}
 		avoid = append(avoid, a.target)
 		retrying := req.mayRetry(ctx, a)
@@ -200,7 +208,7 @@
 		"framing", string(req.framing), "unfinished-bytes", req.stream.unfinished,
 		"first-ms", req.stream.timeToFirst.Milliseconds(), "longest-gap-ms", req.stream.longestGap.Milliseconds(),
 		"outcome", string(req.reason), "helper", req.helper, "taken-over", req.terms != nil,
-		"configuration", number, "budget-ms", req.caller.Budget.Milliseconds(),
+		"queued-ms", req.queued.Milliseconds(), "configuration", number, "budget-ms", req.caller.Budget.Milliseconds(),
 		"took-ms", took.Milliseconds())
 	if req.aborted {
 		req.abortConn()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -90,6 +90,8 @@
 	// former holds the engines with former runs by address; formerCount is the number of those runs.
 	former      map[string]*formerEngine
 	formerCount int
+	// queues holds the requests that wait for capacity, by service.
+	queues map[string]*serviceQueue
 }
 
 // Option configures a gateway.
@@ -110,7 +112,7 @@
 		base: b, settings: s, dialect: dialect, engines: engines, decode: decode,
 		pool:     upstream.NewPool(s.DialTimeout, maxIdleConns),
 		balancer: balance.New(b.Settings.Instance.FailureDomain, random), unused: make(chan unusedCopy, freeQueue), ended: make(chan endedAnswer, survivalQueue),
-		budgets: map[string]*retry.Budget{}, random: random, runs: map[*run]struct{}{}, former: map[string]*formerEngine{}, formerDue: make(chan *formerEngine, maxFormerRuns), crashes: evidence.New(b), exchange: noExchange{},
+		budgets: map[string]*retry.Budget{}, random: random, runs: map[*run]struct{}{}, queues: map[string]*serviceQueue{}, former: map[string]*formerEngine{}, formerDue: make(chan *formerEngine, maxFormerRuns), crashes: evidence.New(b), exchange: noExchange{},
 		buffers: membudget.New(int64(s.BufferMemory)),
 	}
 	if b.Credentials != nil {
@@ -123,6 +125,7 @@
 	}
 	b.Metrics.Gauge("vanillaward_gateway_open_requests", func() float64 { return float64(g.open.Load()) })
 	b.Metrics.Gauge("vanillaward_gateway_buffered_bytes", func() float64 { return float64(g.buffers.Used()) })
+	b.Metrics.Gauge("vanillaward_gateway_queued_requests", func() float64 { return float64(g.queueLength()) })
 	b.Metrics.Gauge("vanillaward_gateway_parts_held_back", func() float64 { return float64(g.crashes.Parts()) })
 	b.Metrics.Gauge("vanillaward_gateway_services_out_of_reach", func() float64 { return float64(len(g.servicesOutOfReach())) })
 	b.Metrics.Gauge("vanillaward_gateway_configuration_number", func() float64 { return float64(g.Number()) })
@@ -171,6 +174,7 @@
 	defer g.mu.Unlock()
 	g.balancer.Update(list, g.base.Timers.Now())
 	g.startMoves()
+	g.dispatchAll()
 }
 
 // UpdateLoads updates the load reports of the listed engines.
@@ -179,6 +183,7 @@
 	defer g.mu.Unlock()
 	g.balancer.UpdateLoads(loads, g.base.Timers.Now())
 	g.startMoves()
+	g.dispatchAll()
 }
 
 // LocalUses returns this instance's use of targets.
@@ -199,6 +204,7 @@
 		g.share.UpdateInstances(instances, now)
 	}
 	g.startMoves()
+	g.dispatchAll()
 }
 
 // Ready reports whether the instance should be sent new connections: it has a
@@ -343,6 +349,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	end()
+	g.dispatchAll()
 }
 
 // endPrefill removes the tokens of a prompt that a target has processed, or will not.
@@ -354,6 +361,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.balancer.AddPrefill(t, -tokens)
+	g.dispatchAll()
 }
 
 // suspectLeaving records that an engine is probably leaving.
