--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -88,6 +88,7 @@
 	prefilling   int     // prompt tokens of this instance that were sent and not answered yet
 	load         load
 	peerUse      peerUse
+	peerHistory  []placement   // memory that other instances were heard to need; kept where requests wait
 	tokens       int           // memory that this instance's requests and copies will need
 	copyTokens   int           // the part of tokens that copies need
 	uncopied     int           // tokens of this instance's runs here that have no copy
@@ -303,6 +304,9 @@
 	t.open--
 	t.tokens -= tokens
 	t.stated.end()
+	if b.arrivals[t.service] != nil && (result == Served || result == Full) {
+		t.load.ended = append(t.load.ended, placement{at: now, tokens: tokens, requests: 1})
+	}
 	switch result {
 	case Served:
 		t.failures, t.misdirected = 0, 0
--- a/internal/balance/capacity.go
+++ b/internal/balance/capacity.go
@@ -14,8 +14,8 @@
 	// requests and all others are sent to it. The difference holds one prompt of an urgent request; 7 of the long
 	// generations of a demanding load, with half of their output, take 0.88 of the memory and fit when all
 	// of them are at their end.
-	urgentMemory = 0.97
-	otherMemory  = 0.885
+	urgentMemory = 1.0
+	otherMemory  = 0.90
 	// unheardMemory is subtracted from both while only reports tell what other instances have sent: they do not
 	// contain the output that running requests will produce.
 	unheardMemory = 0.05
@@ -23,12 +23,18 @@
 	// is sent to it: about two prompts and one.
 	urgentPrompts = 4500
 	otherPrompts  = 2500
-	// unseenMargin is how many times the memory is kept free that others have probably taken unseen, where
-	// requests are sent without a draw.
-	unseenMargin = 2
-	// drawnPart is the part of the free memory that all instances together take by draw with one report; the
-	// next report does not show yet what they took with this one.
-	drawnPart = 0.5
+	// growthPerSecond is the number of tokens that a run produces in a second, and admissionTime the time until the
+	// prompt of a request is processed.
+	growthPerSecond = 100
+	admissionTime   = 400 * time.Millisecond
+	// largeDivisor divides the memory of an engine; a request that needs more than the quotient is sent, once it is overdue,
+	// to an engine without room, since engines seldom have so much free while smaller requests keep arriving.
+	largeDivisor = 4
+	// reportInterval is the time between two reports of an engine.
+	reportInterval = 500 * time.Millisecond
+	// drawnPart is the part of the free memory that all instances together take by draw while they do not know what
+	// others take.
+	drawnPart = 0.7
 )
 
 // Demand is what a generation that waits needs from an engine.
@@ -37,6 +43,8 @@
 	Tokens, Prompt int
 	// Urgent is true for requests of the most urgent rank.
 	Urgent bool
+	// Overdue is true for requests that have waited for half of their time limit.
+	Overdue bool
 	// Key is a random number of the request.
 	Key uint64
 	// Blocked is the number of this instance's requests for which there was no capacity before.
@@ -59,7 +67,7 @@
 // chosen as by Choose.
 func (b *Balancer) ChooseWithRoom(service string, d Demand, avoid []string, now time.Duration) (t *Target, wait bool) {
 	capacity := b.knownCapacity(service, avoid, now)
-	if capacity == 0 {
+	if capacity == 0 || d.Overdue && d.Tokens > capacity/largeDivisor {
 		return b.choose(service, d.Tokens, avoid, now), false
 	}
 	came := b.unseenArrivals(service, d.Blocked, now)
@@ -69,7 +77,7 @@
 	return t, t == nil
 }
 
-// knownCapacity returns the largest memory that an engine of a service which could be chosen reports, in
+// knownCapacity returns the smallest memory that an engine of a service which could be chosen reports, in
 // tokens, or 0 without a valid report of one.
 func (b *Balancer) knownCapacity(service string, avoid []string, now time.Duration) int {
 	capacity := 0
@@ -77,7 +85,9 @@
 		if t.isLeaving(now) || !t.accepts(now) || now < t.ejectedUntil || !t.load.valid(now) || slices.Contains(avoid, t.id) {
 			continue
 		}
-		capacity = max(capacity, t.load.capacity)
+		if capacity == 0 || t.load.capacity < capacity {
+			capacity = t.load.capacity
+		}
 	}
 	return capacity
 }
@@ -90,12 +100,11 @@
 type arrivals struct {
 	perSecond float64
 	waiting   float64 // requests that are sent as soon as there is capacity
-	engines   float64
 }
 
 // unseenArrivals estimates what comes from all instances, if others have as much as this one.
 func (b *Balancer) unseenArrivals(service string, blocked int, now time.Duration) arrivals {
-	a := arrivals{waiting: float64(blocked * b.likelyInstances()), engines: float64(max(1, len(b.byService[service])))}
+	a := arrivals{waiting: float64(blocked * b.likelyInstances())}
 	if d := b.arrivals[service]; d != nil {
 		a.perSecond = d.Rate(now) * float64(b.likelyInstances())
 	}
@@ -107,9 +116,6 @@
 // so that all together take a part of the free memory.
 func (b *Balancer) fits(t *Target, d Demand, capacity int, came arrivals, now time.Duration) bool {
 	valid := t.load.valid(now)
-	if valid && t.load.waiting > 0 {
-		return false
-	}
 	ceiling, prompts := otherMemory, otherPrompts
 	if d.Urgent {
 		ceiling, prompts = urgentMemory, urgentPrompts
@@ -124,8 +130,12 @@
 	}
 	window := now - b.peersAt + b.peersInterval
 	if valid {
-		requests, tokens := t.load.placed()
-		batch, used = max(batch, t.load.running+requests), max(used, t.load.used+tokens)
+		requests, tokens := t.changeSinceReport(heard)
+		used = max(used, t.load.used+tokens+t.growth(now))
+		if !d.Urgent { // an urgent one is admitted before those that wait
+			used = max(used, t.load.used+tokens+t.load.waiting*d.Tokens)
+		}
+		batch = max(batch, t.load.running+requests)
 		capacity, window = t.load.capacity, min(window, now-t.load.at)
 	}
 	need, free := float64(d.Tokens), ceiling*float64(capacity)-float64(used)
@@ -135,10 +145,11 @@
 	if free < need {
 		return used == 0 // no engine will ever have more room
 	}
-	unseen := came.waiting + came.perSecond*window.Seconds()
-	if b.instances == 1 || free >= need*(1+unseenMargin*unseen/came.engines) {
+	if d.Urgent || b.instances == 1 {
 		return true
 	}
+	// What waits is drawn for again with each report of the window.
+	unseen := came.waiting*max(1, window.Seconds()/reportInterval.Seconds()) + came.perSecond*window.Seconds()
 	return d.draw(t)*unseen <= drawnPart*free/need
 }
 
@@ -151,11 +162,40 @@
 	return rand.New(rand.NewPCG(d.Key, h.Sum64()^uint64(t.load.at))).Float64()
 }
 
-// placed returns the requests that this instance has sent to the engine since the report, and their memory with
-// that of copies.
-func (l *load) placed() (requests, tokens int) {
-	for _, p := range l.recent {
+// growth returns the memory that the output of the runs in a report takes until a request that is sent now has
+// been admitted and its prompt processed.
+func (t *Target) growth(now time.Duration) int {
+	return int(growthPerSecond * float64(t.load.running) * (now - t.load.at + admissionTime).Seconds())
+}
+
+// changeSinceReport returns by how much the requests at the engine and their memory have changed since the time that
+// the report describes, as far as is known: what this instance has sent and what of it has ended, and what others
+// were heard to have there before and have now.
+func (t *Target) changeSinceReport(heard bool) (requests, tokens int) {
+	for _, p := range t.load.recent {
 		requests, tokens = requests+p.requests, tokens+p.tokens
 	}
+	for _, p := range t.load.ended {
+		requests, tokens = requests-p.requests, tokens-p.tokens
+	}
+	if heard && len(t.peerHistory) > 0 {
+		before := t.peerHistory[0]
+		for _, p := range t.peerHistory {
+			if p.at <= t.load.at {
+				before = p
+			}
+		}
+		requests, tokens = requests+t.peerUse.requests-before.requests, tokens+t.peerUse.tokens-before.tokens
+	}
 	return requests, tokens
 }
+
+// recordPeerUses keeps what was heard of other instances' uses for as long as reports are old.
+func (b *Balancer) recordPeerUses(now time.Duration) {
+	for service := range b.arrivals {
+		for _, t := range b.byService[service] {
+			t.peerHistory = slices.DeleteFunc(t.peerHistory, func(p placement) bool { return now-p.at > reportValid })
+			t.peerHistory = append(t.peerHistory, placement{at: now, tokens: t.peerUse.tokens, requests: t.peerUse.requests})
+		}
+	}
+}
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/vanillaward/vanillaward/internal/wire"
@@ -37,6 +38,7 @@
 	used     int // tokens
 	capacity int // tokens
 	recent   []placement
+	ended    []placement // requests of this instance that have ended
 }
 
 // placement is a request that this instance sent to an engine, or a copy of one of its runs
@@ -81,13 +83,8 @@
 
 // discardBefore discards the placements from before a time.
 func (l *load) discardBefore(before time.Duration) {
-	kept := l.recent[:0]
-	for _, p := range l.recent {
-		if p.at >= before {
-			kept = append(kept, p)
-		}
-	}
-	l.recent = kept
+	old := func(p placement) bool { return p.at < before }
+	l.recent, l.ended = slices.DeleteFunc(l.recent, old), slices.DeleteFunc(l.ended, old)
 }
 
 // memory returns the fraction of the engine's memory that would be used with further
@@ -179,6 +176,7 @@
 			}
 		}
 	}
+	b.recordPeerUses(now)
 }
 
 // LocalUses returns what this instance has in flight at targets.
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -1,6 +1,6 @@
 // Package dispatch holds the generations of a service that wait at an instance until an engine has capacity
 // for them: in which order they are offered the capacity that there is, how long one is likely to wait, and
-// which cannot begin before their deadline. It uses neither clocks nor sockets, and does not know engines.
+// which cannot begin before their deadline. It uses neither clocks nor sockets.
 package dispatch
 
 import (
@@ -29,6 +29,12 @@
 	Rank int
 	// Tokens is the memory that it needs, and Prompt the part that the engine processes before the first event.
 	Tokens, Prompt int
+	// Urgent is true for requests of the most urgent route of the service.
+	Urgent bool
+	// Key is a random number.
+	Key uint64
+	// Avoid holds the targets that it is not to be sent to.
+	Avoid []string
 	// Again is true for a request that has been sent to a target before; it goes before new ones.
 	Again bool
 	// Arrived is when the caller's request arrived, Objective by when it should begin, and Deadline by when it
@@ -157,7 +163,12 @@
 
 // missed reports whether the request can no longer meet its objective, and goes after those that can.
 func (e *Entry) missed(now time.Duration) bool {
-	return now > e.Objective && now-e.Arrived < (e.Deadline-e.Arrived)/overdueDivisor
+	return now > e.Objective && !e.overdue(now)
+}
+
+// overdue reports whether the request has waited for half of its time limit.
+func (e *Entry) overdue(now time.Duration) bool {
+	return now-e.Arrived >= (e.Deadline-e.Arrived)/overdueDivisor
 }
 
 func compareBool(a, b bool) int {
@@ -193,5 +204,5 @@
 // likely to wait.
 func (q *Queue) InTime(e *Entry, now time.Duration) (bool, time.Duration) {
 	wait, known := q.Wait(e, now)
-	return now < e.Deadline && (!known || now+wait <= e.Deadline), wait
+	return now < e.Deadline && (!known || now+time.Duration(float64(wait)/q.rate.uncertainty()) <= e.Deadline), wait
 }
--- a/internal/dispatch/rate.go
+++ b/internal/dispatch/rate.go
@@ -10,6 +10,12 @@
 	// time during which requests have to wait before it is used: shorter ones are gaps between two reports.
 	rateTime       = 4 * time.Second
 	rateKnownAfter = 2 * time.Second
+	// rateKnownSent is the number of requests that have to be sent before it is used. One of many instances
+	// sends about one request a second: the rate of a few says nothing of when the next one begins.
+	rateKnownSent = 8
+	// rateDeviations is the number of standard deviations by which the rate may be higher than measured before a
+	// request is refused because of it: serving late is better than refusing.
+	rateDeviations = 3
 )
 
 // rate measures how many tokens of waiting requests find capacity in a second, while some wait.
@@ -17,6 +23,7 @@
 	waiting bool
 	since   time.Duration // since when requests wait without a break
 	at      time.Duration
+	sent    int     // since then
 	tokens  float64 // sent, with exponentially decreasing weight
 	weight  float64 // seconds, with the same weight
 }
@@ -35,7 +42,7 @@
 // waits records whether requests wait after capacity was offered.
 func (r *rate) waits(now time.Duration, waiting bool) {
 	if waiting && !r.waiting {
-		r.since = now
+		r.since, r.sent = now, 0
 	}
 	r.waiting = waiting
 }
@@ -44,13 +51,17 @@
 func (r *rate) add(tokens int) {
 	if r.waiting {
 		r.tokens += float64(tokens)
+		r.sent++
 	}
 }
 
 // perSecond returns the rate, and false while it is not known.
 func (r *rate) perSecond(now time.Duration) (float64, bool) {
-	if !r.waiting || now-r.since < rateKnownAfter || r.weight <= 0 || r.tokens <= 0 {
+	if !r.waiting || now-r.since < rateKnownAfter || r.sent < rateKnownSent || r.weight <= 0 {
 		return 0, false
 	}
 	return r.tokens / r.weight, true
 }
+
+// uncertainty returns by which factor the rate may be higher than measured.
+func (r *rate) uncertainty() float64 { return 1 + rateDeviations/math.Sqrt(float64(max(1, r.sent))) }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -20,8 +20,6 @@
 // waiter is a request that waits until an engine has capacity for it.
 type waiter struct {
 	entry  *dispatch.Entry
-	demand balance.Demand
-	avoid  []string
 	placed chan placement // holds the engine once it is chosen
 }
 
@@ -123,14 +121,11 @@
 		g.queues[req.service] = q
 	}
 	now := g.base.Timers.Now()
-	w := &waiter{
-		entry: q.queue.Add(dispatch.Request{
-			Organisation: req.org, Rank: req.urgency() - urgencyBase, Tokens: req.tokens(), Prompt: req.promptTokens(), Again: len(avoid) > 0,
-			Arrived: req.arrived, Objective: req.arrived + req.route.Objective(), Deadline: req.deadline - startMargin,
-		}),
-		demand: balance.Demand{Tokens: req.tokens(), Prompt: req.promptTokens(), Key: g.random.Uint64(), Urgent: req.route.Rank() == req.table.FirstRank(req.service)},
-		avoid:  avoid, placed: make(chan placement, 1),
-	}
+	w := &waiter{placed: make(chan placement, 1), entry: q.queue.Add(dispatch.Request{
+		Organisation: req.org, Rank: req.urgency() - urgencyBase, Tokens: req.tokens(), Prompt: req.promptTokens(),
+		Urgent: req.route.Rank() == req.table.FirstRank(req.service), Key: g.random.Uint64(), Avoid: avoid, Again: len(avoid) > 0,
+		Arrived: req.arrived, Objective: req.arrived + req.route.Objective(), Deadline: req.deadline - startMargin,
+	})}
 	q.waiters[w.entry] = w
 	g.balancer.CountArrival(req.service, now)
 	g.dispatch(req.service, q, now)
@@ -172,24 +167,13 @@
 	if q.queue.Len() == 0 {
 		return
 	}
-	q.queue.Dispatch(now, func(e *dispatch.Entry) bool {
-		w := q.waiters[e]
-		d := w.demand
-		d.Blocked = q.queue.Blocked()
-		d.Urgent = d.Urgent || e.RankAt(now) < e.Rank
-		t, wait := g.balancer.ChooseWithRoom(service, d, w.avoid, now)
-		if wait {
-			return false
-		}
+	q.queue.Send(g.balancer, service, now, func(e *dispatch.Entry, t *balance.Target) {
 		p := placement{target: t}
 		if t != nil {
 			p.state = g.balancer.LoadState(t, now)
-			g.balancer.Begin(t, d.Tokens, now)
-			g.balancer.AddPrefill(t, d.Prompt)
 		}
-		w.placed <- p
+		q.waiters[e].placed <- p
 		delete(q.waiters, e)
-		return true
 	})
 }
 
