--- a/internal/balance/capacity.go
+++ b/internal/balance/capacity.go
@@ -148,18 +148,21 @@
 	if d.Urgent || b.instances == 1 {
 		return true
 	}
-	// What waits is drawn for again with each report of the window.
-	unseen := came.waiting*max(1, window.Seconds()/reportInterval.Seconds()) + came.perSecond*window.Seconds()
-	return d.draw(t)*unseen <= drawnPart*free/need
+	news, draws := b.peersAt, 1.0
+	if !heard {
+		news, draws = t.load.at, max(1, window.Seconds()/reportInterval.Seconds())
+	}
+	unseen := draws*came.waiting + came.perSecond*window.Seconds()
+	return d.draw(t, news)*unseen <= drawnPart*free/need
 }
 
 // draw returns a number, uniform in [0, 1), that decides whether a request is sent to an engine of which others may
-// have taken much unseen. It is another one for each report, and not for each time that the request is considered: the
-// oftener that happened, the more would be sent.
-func (d Demand) draw(t *Target) float64 {
+// have taken much unseen. It is another one for the news of each time, and not for each time that the request is
+// considered: the oftener that happened, the more would be sent.
+func (d Demand) draw(t *Target, news time.Duration) float64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(t.id)) // never fails
-	return rand.New(rand.NewPCG(d.Key, h.Sum64()^uint64(t.load.at))).Float64()
+	return rand.New(rand.NewPCG(d.Key, h.Sum64()^uint64(news))).Float64()
 }
 
 // growth returns the memory that the output of the runs in a report takes until a request that is sent now has
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -204,5 +204,7 @@
 // likely to wait.
 func (q *Queue) InTime(e *Entry, now time.Duration) (bool, time.Duration) {
 	wait, known := q.Wait(e, now)
-	return now < e.Deadline && (!known || now+time.Duration(float64(wait)/q.rate.uncertainty()) <= e.Deadline), wait
+	shortest := time.Duration(float64(wait) / q.rate.uncertainty())
+	late := known && q.rate.foretells(now, e.Deadline-now) && now+shortest > e.Deadline
+	return now < e.Deadline && !late, wait
 }
--- a/internal/dispatch/rate.go
+++ b/internal/dispatch/rate.go
@@ -16,6 +16,9 @@
 	// rateDeviations is the number of standard deviations by which the rate may be higher than measured before a
 	// request is refused because of it: serving late is better than refusing.
 	rateDeviations = 3
+	// rateHorizon is how many times the duration of a measurement it is a forecast for: the rate of a burst, or of a time
+	// without news, says nothing of the end of a long time limit.
+	rateHorizon = 4
 )
 
 // rate measures how many tokens of waiting requests find capacity in a second, while some wait.
@@ -63,5 +66,8 @@
 	return r.tokens / r.weight, true
 }
 
+// foretells reports whether requests have waited for long enough to forecast the rate for a time to come.
+func (r *rate) foretells(now, ahead time.Duration) bool { return ahead <= rateHorizon*(now-r.since) }
+
 // uncertainty returns by which factor the rate may be higher than measured.
 func (r *rate) uncertainty() float64 { return 1 + rateDeviations/math.Sqrt(float64(max(1, r.sent))) }
