Dispatch: requests that wait at other instances at a more urgent rank count as occupied capacity

Cause: an instance estimated what waits elsewhere from its own queue, so the instance with the longest queue sent least, and less urgent requests could take the capacity that more urgent ones waited for. Change: instances state to the leader what waits at them by rank (field 40 of FollowRequest), and it answers with the sums of the others (fields 40 and 41 of FollowResponse). Builds that do not know the fields ignore them; with a leader that does not sum, or none, the estimate is used. In the model, arrivals are the same with and without the queue.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -121,6 +121,8 @@
 	demand map[string]*ratelimit.Demand
 	// arrivals is what this instance sends to each service whose requests wait for capacity.
 	arrivals map[string]*ratelimit.Demand
+	// queued is what waits at other instances.
+	queued peersQueued
 	// instances is the number of instances that share targets, 0 if unknown, and peersAt when
 	// their uses were last heard of.
 	instances int
--- a/internal/balance/capacity.go
+++ b/internal/balance/capacity.go
@@ -39,6 +39,8 @@
 
 // Demand is what a generation that waits needs from an engine.
 type Demand struct {
+	// Rank is the rank of the request; lower ranks go first.
+	Rank int
 	// Tokens is the memory, and Prompt the part of it that is processed before the first event.
 	Tokens, Prompt int
 	// Urgent is true for requests of the most urgent rank.
@@ -70,7 +72,7 @@
 	if capacity == 0 || d.Overdue && d.Tokens > capacity/largeDivisor {
 		return b.choose(service, d.Tokens, avoid, now), false
 	}
-	came := b.unseenArrivals(service, d.Blocked, now)
+	came := b.unseenArrivals(service, d, now)
 	t = b.best(service, d.Tokens, avoid, now, func(t *Target, now time.Duration) bool {
 		return t.accepts(now) && now >= t.ejectedUntil && b.fits(t, d, capacity, came, now)
 	})
@@ -100,13 +102,20 @@
 type arrivals struct {
 	perSecond float64
 	waiting   float64 // requests that are sent as soon as there is capacity
+	// ahead is the memory, in tokens, that more urgent requests which wait at other instances take of each engine.
+	ahead float64
 }
 
-// unseenArrivals estimates what comes from all instances, if others have as much as this one.
-func (b *Balancer) unseenArrivals(service string, blocked int, now time.Duration) arrivals {
-	a := arrivals{waiting: float64(blocked * b.likelyInstances())}
-	if d := b.arrivals[service]; d != nil {
-		a.perSecond = d.Rate(now) * float64(b.likelyInstances())
+// unseenArrivals estimates what comes from all instances before a request or beside it. Others are taken to have as
+// much as this one where it is not known.
+func (b *Balancer) unseenArrivals(service string, d Demand, now time.Duration) arrivals {
+	a := arrivals{waiting: float64(d.Blocked * b.likelyInstances())}
+	if own := b.arrivals[service]; own != nil {
+		a.perSecond = own.Rate(now) * float64(b.likelyInstances())
+	}
+	if b.queued.valid(now) {
+		requests, tokens := b.queued.before(service, d.Rank)
+		a.waiting, a.ahead = float64(d.Blocked+requests), float64(tokens)/float64(max(1, len(b.byService[service])))
 	}
 	return a
 }
@@ -138,7 +147,7 @@
 		batch = max(batch, t.load.running+requests)
 		capacity, window = t.load.capacity, min(window, now-t.load.at)
 	}
-	need, free := float64(d.Tokens), ceiling*float64(capacity)-float64(used)
+	need, free := float64(d.Tokens), ceiling*float64(capacity)-float64(used)-came.ahead
 	if batch >= t.likelySlots() || prefilling > prompts {
 		return false
 	}
--- a/internal/balance/capacity_test.go
+++ b/internal/balance/capacity_test.go
@@ -88,3 +88,20 @@
 	require.Nil(t, target)
 	require.False(t, wait)
 }
+
+// TestRoomIsKeptForUrgentRequestsElsewhere guards against less urgent requests that take the capacity for which more urgent
+// ones wait at other instances.
+func TestRoomIsKeptForUrgentRequestsElsewhere(t *testing.T) {
+	for _, c := range []struct {
+		rank uint32
+		at   time.Duration
+		wait bool
+	}{{0, 10 * time.Second, true}, {2, 10 * time.Second, false}, {0, 5 * time.Second, false}} {
+		b := newEngines(1, 20000, 20000)
+		b.UpdatePeersQueued([]*wire.Queued{{Service: "s", Rank: c.rank, Requests: 2, Tokens: 4408}}, c.at)
+		d := long
+		d.Rank = 2
+		_, wait := b.ChooseWithRoom("s", d, nil, 10*time.Second)
+		require.Equal(t, c.wait, wait, "rank %d, heard of at %v", c.rank, c.at)
+	}
+}
--- a/internal/control/documents.go
+++ b/internal/control/documents.go
@@ -123,6 +123,7 @@
 	s := c.service
 	s.recordFollower(request)
 	s.uses.update(request.GetInstance(), request.GetUses(), s.timers.Now())
+	s.queued.update(request.GetInstance(), request.GetQueued(), s.timers.Now())
 	s.evidence.merge(request.GetEvidence(), s.timers.Now())
 	wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, maxFollowWait)
 	got := s.publisher.Await(s.ctx, request, wait, s.timers.Now)
@@ -134,6 +135,7 @@
 	}
 	answer.Leader, answer.LeaderAddress = status.Leader() == s.self, status.Leader()
 	answer.Others = s.uses.sumsExcluding(request.GetInstance(), s.timers.Now())
+	answer.OthersQueued, answer.SumsQueued = s.queued.sumsExcluding(request.GetInstance(), s.timers.Now()), true
 	answer.Fresh, answer.Replicas = status.LeaderReachable(), status.Addresses()
 	answer.Document, answer.Targets = got.GetDocument(), got.GetTargets()
 	answer.DocumentNumber = got.GetDocumentNumber()
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -43,6 +43,7 @@
 	peers     *peer.Pool
 	publisher *Publisher
 	uses      *uses
+	queued    *queued
 	evidence  *evidence
 	log       logr.Logger
 	name      string
@@ -72,7 +73,7 @@
 // address of the node's replica; store holds the versions that the node publishes.
 func NewService(ctx context.Context, node *Node, store *config.Store, timers vanillaward.Timers, peers *peer.Pool, self inifile.Peer) *Service {
 	return &Service{
-		ctx: ctx, node: node, store: store, timers: timers, peers: peers, publisher: node.publisher, uses: newUses(), evidence: newEvidence(node.publisher.epoch), log: node.log,
+		ctx: ctx, node: node, store: store, timers: timers, peers: peers, publisher: node.publisher, uses: newUses(), queued: newQueued(), evidence: newEvidence(node.publisher.epoch), log: node.log,
 		name: self.Name, self: self.Address.String(), watchers: map[string]watcher{},
 	}
 }
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -39,6 +39,7 @@
 	instance *modelInstance
 	request  dispatch.Request
 	target   *balance.Target
+	length   int
 	prefills bool
 	last     time.Duration
 	inTime   bool // and without a pause until now
@@ -61,6 +62,7 @@
 	queue    *dispatch.Queue
 	waiting  map[*dispatch.Entry]*modelRequest
 	uses     []*wire.Use
+	queued   []*wire.Queued
 }
 
 type delivery struct {
@@ -70,7 +72,8 @@
 
 // model runs instances before engines that admit by memory and preempt when it runs out.
 type model struct {
-	random    *rand.Rand
+	random    *rand.Rand // of engines and news
+	callers   *rand.Rand // of arrivals, the same with and without the queue
 	queues    bool
 	burst     float64
 	now       time.Duration
@@ -84,7 +87,7 @@
 }
 
 func newModel(seed uint64, queues bool, burst float64) *model {
-	m := &model{random: rand.New(rand.NewPCG(seed, 7)), queues: queues, burst: burst, routes: []*modelRoute{
+	m := &model{random: rand.New(rand.NewPCG(seed, 7)), callers: rand.New(rand.NewPCG(seed, 8)), queues: queues, burst: burst, routes: []*modelRoute{
 		{rank: 2, prompt: 3000, output: 752, perSecond: 24.7, objective: 4 * time.Second, timeout: 39 * time.Second},
 		{rank: 0, prompt: 2200, output: 8, perSecond: 48.3, objective: 1500 * time.Millisecond, timeout: 6 * time.Second},
 	}}
@@ -281,6 +284,14 @@
 	for _, u := range sums {
 		others = append(others, u)
 	}
+	i.queued = i.queue.Waiting(modelService, m.now)
+	var queued []*wire.Queued
+	for _, o := range m.instances {
+		if o != i {
+			queued = append(queued, o.queued...)
+		}
+	}
+	i.balancer.UpdatePeersQueued(queued, m.now)
 	i.balancer.UpdatePeerUses(others, modelInstances, m.now)
 }
 
@@ -290,13 +301,16 @@
 		if m.now > 6*time.Second && m.now < 14*time.Second {
 			rate *= m.burst
 		}
-		for p := rate * modelStep.Seconds(); m.random.Float64() < p; p-- {
+		for p := rate * modelStep.Seconds(); m.callers.Float64() < p; p-- {
 			m.requests++
-			i := m.instances[m.random.IntN(modelInstances)]
-			r := &modelRequest{route: route, instance: i, request: dispatch.Request{
-				Rank: route.rank, Tokens: route.prompt + route.output/2, Prompt: route.prompt, Urgent: route.rank == 0, Key: m.random.Uint64(),
-				Arrived: m.now, Objective: m.now + route.objective, Deadline: m.now + route.timeout,
-			}}
+			i := m.instances[m.callers.IntN(modelInstances)]
+			r := &modelRequest{
+				route: route, instance: i, length: max(2, int(float64(route.output)*(0.6+0.8*m.callers.Float64()))),
+				request: dispatch.Request{
+					Rank: route.rank, Tokens: route.prompt + route.output/2, Prompt: route.prompt, Urgent: route.rank == 0, Key: m.callers.Uint64(),
+					Arrived: m.now, Objective: m.now + route.objective, Deadline: m.now + route.timeout,
+				},
+			}
 			m.exchange(i)
 			if m.queues {
 				i.balancer.CountArrival(modelService, m.now)
@@ -351,7 +365,7 @@
 	if e.engine.Idle() && len(e.events) == 0 {
 		e.next = m.now
 	}
-	e.engine.Submit(&engine.Sequence{ID: id, Prompt: r.route.prompt, Length: max(2, int(float64(r.route.output)*(0.6+0.8*m.random.Float64()))), Priority: -r.route.rank})
+	e.engine.Submit(&engine.Sequence{ID: id, Prompt: r.route.prompt, Length: r.length, Priority: -r.route.rank})
 }
 
 // TestModel guards against engines that have to process prompts again because all instances send what they have at
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -1,9 +1,11 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/vanillaward/vanillaward/internal/balance"
+	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
 // Send sends the requests for which the engines of a service are forecast to have capacity: it counts each at the
@@ -11,7 +13,7 @@
 func (q *Queue) Send(b *balance.Balancer, service string, now time.Duration, sent func(*Entry, *balance.Target)) {
 	q.Dispatch(now, func(e *Entry) bool {
 		t, wait := b.ChooseWithRoom(service, balance.Demand{
-			Tokens: e.Tokens, Prompt: e.Prompt, Urgent: e.Urgent || e.overdue(now), Overdue: e.overdue(now), Key: e.Key, Blocked: q.Blocked(),
+			Rank: e.RankAt(now), Tokens: e.Tokens, Prompt: e.Prompt, Urgent: e.Urgent || e.overdue(now), Overdue: e.overdue(now), Key: e.Key, Blocked: q.Blocked(),
 		}, e.Avoid, now)
 		if wait {
 			return false
@@ -24,3 +26,21 @@
 		return true
 	})
 }
+
+// Waiting returns the requests for which there was no capacity, by rank.
+func (q *Queue) Waiting(service string, now time.Duration) []*wire.Queued {
+	var out []*wire.Queued
+	for _, e := range q.entries {
+		if e.blocked == 0 {
+			continue
+		}
+		rank := uint32(max(0, e.RankAt(now)))
+		i := slices.IndexFunc(out, func(w *wire.Queued) bool { return w.GetRank() == rank })
+		if i < 0 {
+			i, out = len(out), append(out, &wire.Queued{Service: service, Rank: rank})
+		}
+		out[i].Requests++
+		out[i].Tokens += uint32(e.Tokens)
+	}
+	return out
+}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -74,14 +74,15 @@
 
 // Follower follows replicas, starting from seeds.
 type Follower struct {
-	log     logr.Logger
-	timers  vanillaward.Timers
-	peers   *peer.Pool
-	name    string
-	domain  string
-	seeds   func() []string
-	sink    Sink
-	helping Helping
+	log      logr.Logger
+	timers   vanillaward.Timers
+	peers    *peer.Pool
+	name     string
+	domain   string
+	seeds    func() []string
+	sink     Sink
+	helping  Helping
+	queueing Queueing
 
 	documents documents
 	refresher *refresher
@@ -106,7 +107,7 @@
 // seeds returns peer addresses of some replicas.
 func New(log logr.Logger, timers vanillaward.Timers, peers *peer.Pool, name, domain string, seeds func() []string, sink Sink) *Follower {
 	return &Follower{
-		log: log, timers: timers, peers: peers, name: name, domain: domain, seeds: seeds, sink: sink, helping: noHelping{},
+		log: log, timers: timers, peers: peers, name: name, domain: domain, seeds: seeds, sink: sink, helping: noHelping{}, queueing: noQueueing{},
 		usesInterval: minUsesInterval, followed: map[string]bool{}, lists: map[string]*targetList{}, exchanges: map[string]*exchange{},
 		statuses: map[string]string{}, currentAt: timers.Now(), heard: map[string]uint64{},
 		documents: documents{news: make(chan struct{}, 1)}, refresher: newRefresher(),
@@ -242,7 +243,7 @@
 			f.refresher.awaitNext(ctx, interval)
 		}
 		f.refresher.begin()
-		request.Uses = f.sink.LocalUses()
+		request.Uses, request.Queued = f.sink.LocalUses(), f.queueing.LocalQueued()
 		request.HelpAddress, request.AsksForHelpers = f.helping.HelpAddress(), f.helping.WantsHelpers()
 	}
 	sent := f.addEvidence(address, request)
@@ -306,6 +307,9 @@
 	f.updateLeader(address, resp)
 	if resp.GetLeader() {
 		f.usesInterval = max(minUsesInterval, time.Duration(resp.GetFollowers())*usesIntervalPerFollower)
+		if resp.GetSumsQueued() {
+			f.queueing.UpdatePeersQueued(resp.GetOthersQueued())
+		}
 		f.sink.UpdatePeerUses(resp.GetOthers(), int(resp.GetFollowers()))
 	}
 	f.noteDocument(address, resp.GetDocumentNumber())
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -6,6 +6,7 @@
 
 	"github.com/vanillaward/vanillaward/internal/balance"
 	"github.com/vanillaward/vanillaward/internal/dispatch"
+	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
 const (
@@ -187,3 +188,22 @@
 	}
 	return n
 }
+
+// LocalQueued returns the requests that wait at this instance.
+func (g *Server) LocalQueued() []*wire.Queued {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []*wire.Queued
+	for service, q := range g.queues {
+		out = append(out, q.queue.Waiting(service, g.base.Timers.Now())...)
+	}
+	return out
+}
+
+// UpdatePeersQueued replaces what is known of the requests that wait at other instances. The uses that follow have
+// the waiting requests offered capacity.
+func (g *Server) UpdatePeersQueued(waiting []*wire.Queued) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.UpdatePeersQueued(waiting, g.base.Timers.Now())
+}
--- a/internal/instance/seeded.go
+++ b/internal/instance/seeded.go
@@ -222,6 +222,7 @@
 	follower := follow.New(s.base.Log, s.base.Timers, s.peers, cfg.Instance.Name, cfg.Instance.FailureDomain, s.seeds.Peers, g)
 	g.UseExchange(follower)
 	follower.UseHelping(g)
+	follower.UseQueueing(g)
 	var takeover net.Listener
 	if cfg.Listen.Handover.IsValid() {
 		if takeover, err = listen(cfg.Listen.Handover.String()); err != nil {
