Gateway: tells how long requests wait, and waits for targets that ask to wait

Cause: what a request waited for was not visible, and a request was refused at once when all targets asked to wait, stated a limit or were brittle, although one would take it in time. Change: log fields queued-ms and queued-why, a histogram by rank and a counter of refusals; a request waits for such targets as long as it can meet its objective; an instance that loses its targets hands its queued requests over. Measured: unit tests only.

--- a/internal/balance/capacity.go
+++ b/internal/balance/capacity.go
@@ -45,6 +45,8 @@
 	Tokens, Prompt int
 	// Urgent is true for requests of the most urgent rank.
 	Urgent bool
+	// Missed is true for requests that can no longer meet their objective.
+	Missed bool
 	// Overdue is true for requests that have waited for half of their time limit.
 	Overdue bool
 	// Key is a random number of the request.
@@ -66,16 +68,21 @@
 
 // ChooseWithRoom returns the best target of a service among those that are forecast to have capacity for a
 // generation now. With wait there is none, and there will be one. If nothing is known of the capacity of any target, it is
-// chosen as by Choose.
+// chosen as by Choose. Targets that ask to wait, state a limit or are brittle are waited for as long as the request can
+// still meet its objective.
 func (b *Balancer) ChooseWithRoom(service string, d Demand, avoid []string, now time.Duration) (t *Target, wait bool) {
 	capacity := b.knownCapacity(service, avoid, now)
 	if capacity == 0 || d.Overdue && d.Tokens > capacity/largeDivisor {
-		return b.choose(service, d.Tokens, avoid, now), false
+		t = b.choose(service, d.Tokens, avoid, now)
+		return t, t == nil && !d.Missed && b.EarliestReturn(service, now) > 0
 	}
 	came := b.unseenArrivals(service, d, now)
 	t = b.best(service, d.Tokens, avoid, now, func(t *Target, now time.Duration) bool {
 		return t.accepts(now) && now >= t.ejectedUntil && b.fits(t, d, capacity, came, now)
 	})
+	if t == nil && d.Missed && b.EarliestReturn(service, now) > 0 {
+		return nil, false
+	}
 	return t, t == nil
 }
 
--- a/internal/balance/capacity_test.go
+++ b/internal/balance/capacity_test.go
@@ -105,3 +105,21 @@
 		require.Equal(t, c.wait, wait, "rank %d, heard of at %v", c.rank, c.at)
 	}
 }
+
+// TestRoomOfTargetsThatAskToWait guards against requests that are refused although a target that asked to wait takes
+// them in time, and against those that wait for it longer than they may.
+func TestRoomOfTargetsThatAskToWait(t *testing.T) {
+	b := newEngines(1, 1000)
+	e := b.ByIdentity("e0")
+	b.StateWait(e, time.Second, 10*time.Second)
+	probe, _ := b.ChooseWithRoom("s", long, nil, 10*time.Second)
+	require.NotNil(t, probe, "one request may be sent at once")
+	b.Begin(probe, long.Tokens, 10*time.Second)
+	target, wait := b.ChooseWithRoom("s", long, nil, 10*time.Second)
+	require.Nil(t, target)
+	require.True(t, wait)
+	late := long
+	late.Missed = true
+	_, wait = b.ChooseWithRoom("s", late, nil, 10*time.Second)
+	require.False(t, wait)
+}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -48,6 +48,19 @@
 	number  uint64        // of the order of arrival in the queue
 	blocked time.Duration // since when there is no capacity for it; 0 if it has not been offered any
 	queued  bool
+	// heldBack is true once it was not offered capacity because of those before it.
+	heldBack bool
+}
+
+// Why tells why the request has waited: empty if it has not.
+func (e *Entry) Why() string {
+	switch {
+	case e.blocked > 0:
+		return "no-capacity"
+	case e.heldBack:
+		return "order" // others before it found no capacity
+	}
+	return ""
 }
 
 // Queue holds the waiting requests of one service. It is not safe for concurrent use.
@@ -103,7 +116,11 @@
 	var held *Entry // the first request without capacity
 	for tried := map[*Entry]bool{}; ; {
 		e := q.next(now, tried)
-		if e == nil || held != nil && !e.mayOvertake(held, now) {
+		if e == nil {
+			return
+		}
+		if held != nil && !e.mayOvertake(held, now) {
+			e.heldBack = true
 			return
 		}
 		tried[e] = true
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -21,6 +21,7 @@
 // waiter is a request that waits until an engine has capacity for it.
 type waiter struct {
 	entry  *dispatch.Entry
+	why    string         // why it has waited; set before placed holds an engine or the request is dequeued
 	placed chan placement // holds the engine once it is chosen
 }
 
@@ -49,14 +50,26 @@
 	w := req.server.enqueue(req, avoid)
 	began := req.server.base.Timers.Now()
 	p, result := req.awaitPlacement(ctx, w)
-	req.queued += req.server.base.Timers.Now() - began
+	req.noteQueued(w, req.server.base.Timers.Now()-began)
 	if p.target == nil {
+		if result.outcome == notDispatched && result.reason != reasonCallerLeft {
+			req.server.base.Metrics.QueueRefusal(string(result.reason))
+		}
 		return nil, p.state, result
 	}
 	req.server.exchange.Announce()
 	return p.target, p.state, none
 }
 
+// noteQueued records that the request has waited, and why.
+func (req *request) noteQueued(w *waiter, waited time.Duration) {
+	req.server.base.Metrics.Queued(w.entry.Rank, waited)
+	req.queued += waited
+	if w.why != "" {
+		req.queuedWhy = w.why
+	}
+}
+
 // queues reports whether the request waits at this gateway until an engine has capacity for it.
 func (req *request) queues() bool {
 	return req.route.Generation() && req.table.Queues(req.service)
@@ -77,6 +90,9 @@
 			if p, placed := req.server.dequeue(req.service, w); placed {
 				return p, result
 			}
+			if why == reasonUnreachable { // another instance may reach the targets
+				return placement{}, attemptResult{outcome: notSent, reason: why, tried: maxDials}
+			}
 			return placement{}, attemptResult{outcome: notDispatched, reason: why, wait: wait}
 		}
 		select {
@@ -100,6 +116,8 @@
 		return reasonStopping, 0
 	case ctx.Err() != nil:
 		return reasonQueueTimeout, 0
+	case g.outOfReach(req.service):
+		return reasonUnreachable, 0
 	}
 	if why, wait := req.heldBack(); wait > 0 {
 		return why, wait
@@ -143,6 +161,7 @@
 	default:
 	}
 	q := g.queues[service]
+	w.why = w.entry.Why()
 	q.queue.Remove(w.entry)
 	delete(q.waiters, w.entry)
 	return placement{}, false
@@ -173,7 +192,9 @@
 		if t != nil {
 			p.state = g.balancer.LoadState(t, now)
 		}
-		q.waiters[e].placed <- p
+		w := q.waiters[e]
+		w.why = e.Why()
+		w.placed <- p
 		delete(q.waiters, e)
 	})
 }
--- a/internal/gateway/dispatch_test.go
+++ b/internal/gateway/dispatch_test.go
@@ -51,6 +51,7 @@
 	require.NoError(t, answer.err)
 	require.Equal(t, http.StatusOK, answer.status)
 	require.Equal(t, 1, s.requestCount())
+	require.Contains(t, r.metricsText(), `vanillaward_gateway_queue_seconds_count{rank="0"} 1`)
 }
 
 // TestQueueRefusesAsNotRun guards against an unclear outcome of a request that never left the gateway.
@@ -61,6 +62,7 @@
 	require.Equal(t, http.StatusServiceUnavailable, answer.status)
 	require.Equal(t, "queue-timeout\n", answer.body)
 	require.NotEmpty(t, answer.header.Get("Retry-After"))
+	require.Contains(t, r.metricsText(), `vanillaward_gateway_queue_refusals_total{reason="queue-timeout"} 1`)
 	require.Zero(t, s.requestCount())
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -49,7 +49,9 @@
 	// comeBack is how long the caller of a refused request should wait, if that is known better
 	// than from the reason alone.
 	comeBack time.Duration
-	queued   time.Duration // how long the request has waited at this gateway for an engine with capacity
+	// queued is how long the request has waited at this gateway for an engine with capacity, and queuedWhy why.
+	queued    time.Duration
+	queuedWhy string
 }
 
 // serve handles a request of a caller.
@@ -208,7 +210,7 @@
 		"framing", string(req.framing), "unfinished-bytes", req.stream.unfinished,
 		"first-ms", req.stream.timeToFirst.Milliseconds(), "longest-gap-ms", req.stream.longestGap.Milliseconds(),
 		"outcome", string(req.reason), "helper", req.helper, "taken-over", req.terms != nil,
-		"queued-ms", req.queued.Milliseconds(), "configuration", number, "budget-ms", req.caller.Budget.Milliseconds(),
+		"queued-ms", req.queued.Milliseconds(), "queued-why", req.queuedWhy, "configuration", number, "budget-ms", req.caller.Budget.Milliseconds(),
 		"took-ms", took.Milliseconds())
 	if req.aborted {
 		req.abortConn()
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -140,6 +140,17 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_target_connections_total{result=%q}", result)).Inc()
 }
 
+// Queued records how long a generation of a rank waited at this instance until an engine had capacity or it left the
+// queue.
+func (m *Metrics) Queued(rank int, waited time.Duration) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf("vanillaward_gateway_queue_seconds{rank=\"%d\"}", rank)).Update(waited.Seconds())
+}
+
+// QueueRefusal counts a generation that was refused because it could not begin in time, by reason.
+func (m *Metrics) QueueRefusal(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_gateway_queue_refusals_total{reason=%q}", reason)).Inc()
+}
+
 // Survival counts a target that was looked at after an answer that ended with its connection.
 func (m *Metrics) Survival(survived bool) {
 	result := "gone"
