--- a/internal/balance/capacity.go
+++ b/internal/balance/capacity.go
@@ -168,7 +168,8 @@
 	if !heard {
 		news, draws = t.load.at, max(1, window.Seconds()/reportInterval.Seconds())
 	}
-	unseen := draws*came.waiting + came.perSecond*window.Seconds()
+	// The first of those that wait here draws for all of them.
+	unseen := (draws*came.waiting + came.perSecond*window.Seconds()) / float64(max(1, d.Blocked))
 	return d.draw(t, news)*unseen <= drawnPart*free/need
 }
 
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -17,6 +17,9 @@
 	// overdueDivisor divides a request's time limit; one that has waited for the quotient no longer goes after
 	// those that can still meet their objective.
 	overdueDivisor = 2
+	// promptTime is the time that an engine with other requests takes for a token of a prompt. An engine of a demanding
+	// load processes 14 in a millisecond, a slow one 10, and what is before it delays it.
+	promptTime = time.Millisecond / 8
 	// overtakeTime is how long smaller requests of the same rank may go before one for which there was no
 	// capacity. After that they wait too, so that capacity for the larger one can become free.
 	overtakeTime = 300 * time.Millisecond
@@ -37,7 +40,7 @@
 	Avoid []string
 	// Again is true for a request that has been sent to a target before; it goes before new ones.
 	Again bool
-	// Arrived is when the caller's request arrived, Objective by when it should begin, and Deadline by when it
+	// Arrived is when the caller's request arrived, Objective by when its first event is due, and Deadline by when it
 	// must begin.
 	Arrived, Objective, Deadline time.Duration
 }
@@ -162,7 +165,7 @@
 	}
 	return cmp.Or(
 		cmp.Compare(a.RankAt(now), b.RankAt(now)),
-		compareBool(a.missed(now), b.missed(now)),
+		compareBool(a.yields(now), b.yields(now)),
 		cmp.Compare(q.shares.tags[a.Organisation], q.shares.tags[b.Organisation]),
 		cmp.Compare(a.Arrived, b.Arrived),
 		cmp.Compare(a.number, b.number),
@@ -178,9 +181,14 @@
 	return max(min(e.Rank, 0), e.Rank-int(agingSteps*(now-e.Arrived)/limit))
 }
 
-// missed reports whether the request can no longer meet its objective, and goes after those that can.
-func (e *Entry) missed(now time.Duration) bool {
-	return now > e.Objective && !e.overdue(now)
+// yields reports whether the request goes after those that can meet their objective.
+func (e *Entry) yields(now time.Duration) bool {
+	return e.Missed(now) && !e.overdue(now)
+}
+
+// Missed reports whether the request can no longer meet its objective, since its prompt has to be processed first.
+func (e *Entry) Missed(now time.Duration) bool {
+	return now+time.Duration(e.Prompt)*promptTime > e.Objective
 }
 
 // overdue reports whether the request has waited for half of its time limit.
