Dispatch: what can meet its objective goes first across instances too

Cause: a queue orders only its own few requests, so requests that had missed their objective at one instance took the capacity for which others could still be in time elsewhere. Change: the rank in the messages to the leader and in the forecast is twice the request's rank, and 1 more for one that goes after those that can meet their objective.

--- a/internal/balance/capacity.go
+++ b/internal/balance/capacity.go
@@ -39,7 +39,7 @@
 
 // Demand is what a generation that waits needs from an engine.
 type Demand struct {
-	// Rank is the rank of the request; lower ranks go first.
+	// Rank orders the request among those that wait at all instances; lower ranks go first.
 	Rank int
 	// Tokens is the memory, and Prompt the part of it that is processed before the first event.
 	Tokens, Prompt int
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -13,7 +13,7 @@
 func (q *Queue) Send(b *balance.Balancer, service string, now time.Duration, sent func(*Entry, *balance.Target)) {
 	q.Dispatch(now, func(e *Entry) bool {
 		t, wait := b.ChooseWithRoom(service, balance.Demand{
-			Rank: e.RankAt(now), Tokens: e.Tokens, Prompt: e.Prompt, Urgent: e.Urgent || e.overdue(now), Missed: e.Missed(now), Overdue: e.overdue(now), Key: e.Key, Blocked: q.Blocked(),
+			Rank: e.class(now), Tokens: e.Tokens, Prompt: e.Prompt, Urgent: e.Urgent || e.overdue(now), Missed: e.Missed(now), Overdue: e.overdue(now), Key: e.Key, Blocked: q.Blocked(),
 		}, e.Avoid, now)
 		if wait {
 			return false
@@ -34,7 +34,7 @@
 		if e.blocked == 0 {
 			continue
 		}
-		rank := uint32(max(0, e.RankAt(now)))
+		rank := uint32(max(0, e.class(now)))
 		i := slices.IndexFunc(out, func(w *wire.Queued) bool { return w.GetRank() == rank })
 		if i < 0 {
 			i, out = len(out), append(out, &wire.Queued{Service: service, Rank: rank})
@@ -44,3 +44,12 @@
 	}
 	return out
 }
+
+// class orders requests of all instances: by rank, and by whether they go after those of the same rank that can meet
+// their objective.
+func (e *Entry) class(now time.Duration) int {
+	if e.yields(now) {
+		return 2*e.RankAt(now) + 1
+	}
+	return 2 * e.RankAt(now)
+}
