Dispatch: seeded schedules of fair shares, ranks and sizes

Guards against shares under 0.9 with requests of any size and a third of the capacity lost, against requests that never begin and against requests that go before more urgent ones which fit.

--- a/internal/dispatch/queue_test.go
+++ b/internal/dispatch/queue_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -51,25 +52,77 @@
 	}
 }
 
-// TestFairShares guards against an organisation that fills the queue and leaves others with less than 0.9 of their share.
+// TestFairShares guards against an organisation that fills the queue and leaves others with less than 0.9 of their share,
+// with requests of any size, also while a third of the capacity is lost.
 func TestFairShares(t *testing.T) {
-	q := dispatch.New()
-	counts := map[string]int{}
-	for i := range 300 {
-		now := time.Duration(i) * 10 * time.Millisecond
-		for range 10 {
-			q.Add(request("large", 0, now))
-		}
-		if i%3 == 0 { // a third of the capacity each
-			q.Add(request("small", 0, now))
-			q.Add(request("other", 0, now))
+	for seed := range uint64(10) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		q, given, waiting := dispatch.New(), map[string]int{}, map[string]int{}
+		free, total := 0, 0
+		for now := time.Duration(0); now < time.Minute; now += 20 * time.Millisecond {
+			for _, organisation := range []string{"small", "other", "large", "large", "large", "large"} {
+				if most := map[string]int{"large": 40, "small": 2, "other": 2}[organisation]; waiting[organisation] > most {
+					continue // each always has something waiting
+				}
+				r := request(organisation, 0, now)
+				r.Tokens = 500 + random.IntN(4000)
+				r.Objective, r.Deadline = now+time.Hour, now+time.Hour
+				waiting[organisation]++
+				q.Add(r)
+			}
+			free += 300
+			if now > 20*time.Second && now < 40*time.Second {
+				free -= 100
+			}
+			q.Dispatch(now, func(e *dispatch.Entry) bool {
+				if e.Tokens > free {
+					return false
+				}
+				free -= e.Tokens
+				total += e.Tokens
+				given[e.Organisation] += e.Tokens
+				waiting[e.Organisation]--
+				return true
+			})
 		}
-		for _, r := range sent(q, now, 1) {
-			counts[r.Organisation]++
+		require.GreaterOrEqual(t, given["small"], total*9/30, "seed %d: %v of %d", seed, given, total)
+		require.GreaterOrEqual(t, given["other"], total*9/30, "seed %d: %v of %d", seed, given, total)
+	}
+}
+
+// TestAllBegin guards against ranks and sizes that never begin while there is capacity for all in the long run, and against
+// requests that go before more urgent ones which fit.
+func TestAllBegin(t *testing.T) {
+	for seed := range uint64(10) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		q, free := dispatch.New(), 0
+		waiting := map[*dispatch.Entry]bool{}
+		for now := time.Duration(0); now < time.Minute; now += 20 * time.Millisecond {
+			if random.Float64() < 0.2 || now > 20*time.Second && now < 25*time.Second {
+				r := request(string(rune('a'+random.IntN(5))), random.IntN(3), now)
+				r.Tokens = 500 + random.IntN(500)
+				if random.IntN(50) == 0 {
+					r.Tokens = 8000
+				}
+				waiting[q.Add(r)] = true
+			}
+			free = min(10000, free+300)
+			q.Dispatch(now, func(e *dispatch.Entry) bool {
+				for o := range waiting {
+					require.False(t, o.RankAt(now) < e.RankAt(now) && o.Tokens <= free, "seed %d at %v: %+v before %+v", seed, now, e.Request, o.Request)
+				}
+				if e.Tokens > free {
+					return false
+				}
+				free -= e.Tokens
+				delete(waiting, e)
+				return true
+			})
+			for e := range waiting {
+				require.Greater(t, e.Deadline, now, "seed %d: %+v did not begin", seed, e.Request)
+			}
 		}
 	}
-	require.GreaterOrEqual(t, counts["small"], 90, "%v", counts)
-	require.GreaterOrEqual(t, counts["other"], 90, "%v", counts)
 }
 
 // TestLargeRequestStarts guards against smaller requests of the same rank that take all capacity before a larger one.
