Fairshare: one count of what organisations have been given

Cause: the queue of admission and that of dispatch each had start-time fair queueing of their own. Change: a package without clocks holds it for both; the behaviour of both is the same.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -3,23 +3,24 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/vanillaward/vanillaward/internal/fairshare"
 )
 
 // fairQueue orders waiting requests: higher urgency first, then organisations by
 // the service they received relative to their weight, then by arrival. Service is
-// counted in expected tokens, by start-time fair queueing (Goyal et al., 1996).
+// counted in expected tokens.
 type fairQueue struct {
-	orgs        []*orgQueue
-	byName      map[string]*orgQueue
-	virtualTime float64
-	length      int
+	orgs   []*orgQueue
+	byName map[string]*orgQueue
+	shares fairshare.Shares
+	length int
 }
 
 // orgQueue holds an organisation's waiting requests.
 type orgQueue struct {
 	name    string
 	weight  float64
-	tag     float64 // virtual time up to which the organisation has received service
 	waiting []*request
 	tokens  float64 // expected tokens of the waiting requests
 }
@@ -41,7 +42,7 @@
 func (q *fairQueue) push(r *request) {
 	o := q.org(r.Organisation, r.Weight)
 	if len(o.waiting) == 0 {
-		o.tag = max(o.tag, q.virtualTime)
+		q.shares.Join(o.name)
 	}
 	at := len(o.waiting)
 	for at > 0 && o.waiting[at-1].urgency < r.urgency {
@@ -59,7 +60,7 @@
 		if len(o.waiting) == 0 {
 			continue
 		}
-		if best == nil || o.before(best) {
+		if best == nil || q.before(o, best) {
 			best = o
 		}
 	}
@@ -69,12 +70,12 @@
 	return best.waiting[0]
 }
 
-func (o *orgQueue) before(other *orgQueue) bool {
+func (q *fairQueue) before(o, other *orgQueue) bool {
 	a, b := o.waiting[0], other.waiting[0]
 	if a.urgency != b.urgency {
 		return a.urgency > b.urgency
 	}
-	return o.tag < other.tag
+	return q.shares.Tag(o.name) < q.shares.Tag(other.name)
 }
 
 // remove removes a request from the queue, if it is queued.
@@ -95,8 +96,7 @@
 // charge adds tokens to the service that the request's organisation has received.
 func (q *fairQueue) charge(r *request, tokens float64) {
 	o := q.org(r.Organisation, r.Weight)
-	q.virtualTime = max(q.virtualTime, o.tag)
-	o.tag += tokens / o.weight
+	q.shares.Charge(o.name, tokens/o.weight)
 }
 
 // mostOverShare returns the organisation whose waiting requests exceed its share most.
--- a/internal/balance/capacity_test.go
+++ b/internal/balance/capacity_test.go
@@ -58,7 +58,7 @@
 		}
 		b := newEngines(uint64(i), used...)
 		b.UpdatePeerUses(nil, instances, 5*time.Second) // before the reports, and nothing since
-		for n := range 5 { // the next one is offered capacity after the one before it was sent, as by a queue
+		for n := range 5 {                              // the next one is offered capacity after the one before it was sent, as by a queue
 			b.CountArrival("s", 10*time.Second)
 			d := long
 			d.Blocked, d.Key = 5-n, uint64(i*10+n)
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -8,6 +8,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/vanillaward/vanillaward/internal/fairshare"
 )
 
 const (
@@ -70,12 +72,12 @@
 type Queue struct {
 	entries []*Entry
 	added   uint64
-	shares  shares
+	shares  fairshare.Shares
 	rate    rate
 }
 
 // New returns an empty queue.
-func New() *Queue { return &Queue{shares: shares{tags: map[string]float64{}}} }
+func New() *Queue { return &Queue{} }
 
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return len(q.entries) }
@@ -95,7 +97,9 @@
 func (q *Queue) Add(r Request) *Entry {
 	q.added++
 	e := &Entry{Request: r, number: q.added, queued: true}
-	q.shares.join(r.Organisation, slices.ContainsFunc(q.entries, func(o *Entry) bool { return o.Organisation == r.Organisation }))
+	if !slices.ContainsFunc(q.entries, func(o *Entry) bool { return o.Organisation == r.Organisation }) {
+		q.shares.Join(r.Organisation)
+	}
 	q.entries = append(q.entries, e)
 	return e
 }
@@ -107,7 +111,9 @@
 	}
 	e.queued = false
 	q.entries = slices.DeleteFunc(q.entries, func(o *Entry) bool { return o == e })
-	q.shares.forgetIdle(q.entries)
+	if len(q.entries) == 0 {
+		q.shares.ForgetIdle()
+	}
 }
 
 // Dispatch offers capacity to the requests in their order. Place reports whether a request was sent; it is then
@@ -129,7 +135,7 @@
 		tried[e] = true
 		if place(e) {
 			q.rate.add(e.Tokens)
-			q.shares.charge(e.Organisation, float64(e.Tokens))
+			q.shares.Charge(e.Organisation, float64(e.Tokens))
 			q.Remove(e)
 			continue
 		}
@@ -166,7 +172,7 @@
 	return cmp.Or(
 		cmp.Compare(a.RankAt(now), b.RankAt(now)),
 		compareBool(a.yields(now), b.yields(now)),
-		cmp.Compare(q.shares.tags[a.Organisation], q.shares.tags[b.Organisation]),
+		cmp.Compare(q.shares.Tag(a.Organisation), q.shares.Tag(b.Organisation)),
 		cmp.Compare(a.Arrived, b.Arrived),
 		cmp.Compare(a.number, b.number),
 	) < 0
