Gateway: the cost of a long queue does not grow with its square

Cause: each waiting request had all waiting ones offered capacity every 50 ms and was compared with all of them. Change: the queue of a service is looked at once an interval, and a request is compared with the others every 0.5 s. Measured: unit tests only.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -13,6 +13,9 @@
 	// queueCheckInterval is the interval at which a waiting request is offered capacity without news, since what is
 	// known becomes older, and at which it is refused if it cannot begin in time.
 	queueCheckInterval = 50 * time.Millisecond
+	// forecastInterval is the interval at which a waiting request is refused because of the forecast; it compares the
+	// request with all others.
+	forecastInterval = 500 * time.Millisecond
 	// startMargin is how long before its deadline a request is refused that still waits: the refusal has to reach
 	// the caller, and an engine could not answer any more.
 	startMargin = 100 * time.Millisecond
@@ -23,6 +26,8 @@
 	entry  *dispatch.Entry
 	why    string         // why it has waited; set before placed holds an engine or the request is dequeued
 	placed chan placement // holds the engine once it is chosen
+	// forecast is when the request is compared with the forecast again.
+	forecast time.Duration
 }
 
 // placement is the engine that was chosen for a request, nil if there is none to wait for.
@@ -35,6 +40,8 @@
 type serviceQueue struct {
 	queue   *dispatch.Queue
 	waiters map[*dispatch.Entry]*waiter
+	// dispatchedAt is when the requests were offered capacity last.
+	dispatchedAt time.Duration
 }
 
 // choose chooses the target of the request and counts the request there. Generations of a service whose
@@ -122,9 +129,17 @@
 	if why, wait := req.heldBack(); wait > 0 {
 		return why, wait
 	}
+	now := g.base.Timers.Now()
+	if now >= w.entry.Deadline {
+		return reasonQueueTimeout, 0
+	}
+	if now < w.forecast {
+		return "", 0
+	}
+	w.forecast = now + forecastInterval
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if inTime, wait := g.queues[req.service].queue.InTime(w.entry, g.base.Timers.Now()); !inTime {
+	if inTime, wait := g.queues[req.service].queue.InTime(w.entry, now); !inTime {
 		return reasonQueueTimeout, wait
 	}
 	return "", 0
@@ -167,10 +182,15 @@
 	return placement{}, false
 }
 
+// dispatchService sends the waiting requests of a service for which there is capacity, unless that was done
+// lately: each that waits calls it at an interval.
 func (g *Server) dispatchService(service string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.dispatch(service, g.queues[service], g.base.Timers.Now())
+	now := g.base.Timers.Now()
+	if q := g.queues[service]; now-q.dispatchedAt >= queueCheckInterval/2 {
+		g.dispatch(service, q, now)
+	}
 }
 
 // dispatchAll sends the waiting requests for which there is capacity. It is called with the lock held when
@@ -187,6 +207,7 @@
 	if q.queue.Len() == 0 {
 		return
 	}
+	q.dispatchedAt = now
 	q.queue.Send(g.balancer, service, now, func(e *dispatch.Entry, t *balance.Target) {
 		p := placement{target: t}
 		if t != nil {
