Gateway: the time in the queue does not count as time spent on connections

Cause: another engine is tried after a failed connection for 0.7 s from the request's arrival; one that had waited longer was refused at the first engine that could not be reached. Change: the time in the queue is not counted. Measured: TestQueueThenUnreachable fails without the change and passes with it.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -121,7 +121,8 @@
 
 const (
 	// maxDials bounds the targets that are tried for one request after failed connections,
-	// and dialWindow is the time from the request's arrival during which another one is tried.
+	// and dialWindow is the time from the request's arrival, without the time in the queue, during which another one
+	// is tried.
 	maxDials   = 12
 	dialWindow = 700 * time.Millisecond
 )
@@ -132,7 +133,7 @@
 	case ctx.Err() != nil || req.left() <= 0:
 		return false
 	case a.outcome == notSent:
-		return a.tried < maxDials && req.server.base.Timers.Now() < req.arrived+dialWindow
+		return a.tried < maxDials && req.server.base.Timers.Now() < req.arrived+req.queued+dialWindow
 	case req.sent >= req.route.Attempts():
 		return false
 	case a.outcome == notRun:
