Dispatch: only brief requests of the most urgent of several ranks take no part in the draw

Cause: where all routes have one rank and several organisations have keys, every request counted as urgent: none took part in the draw, and without a leader all instances would have sent to the same free memory. An engine whose number of slots is not listed was taken to be full with 4 requests. Change: a request is urgent only where ranks differ, and exempt from the draw only with an output of up to 64 tokens; the batch bounds only where the list states it.

--- a/internal/balance/capacity.go
+++ b/internal/balance/capacity.go
@@ -43,8 +43,10 @@
 	Rank int
 	// Tokens is the memory, and Prompt the part of it that is processed before the first event.
 	Tokens, Prompt int
-	// Urgent is true for requests of the most urgent rank.
+	// Urgent is true for requests of the most urgent of several ranks.
 	Urgent bool
+	// Brief is true for requests that end before other instances learn of them.
+	Brief bool
 	// Missed is true for requests that can no longer meet their objective.
 	Missed bool
 	// Overdue is true for requests that have waited for half of their time limit.
@@ -155,13 +157,13 @@
 		capacity, window = t.load.capacity, min(window, now-t.load.at)
 	}
 	need, free := float64(d.Tokens), ceiling*float64(capacity)-float64(used)-came.ahead
-	if batch >= t.likelySlots() || prefilling > prompts {
+	if t.slots > 0 && batch >= t.slots || prefilling > prompts {
 		return false
 	}
 	if free < need {
 		return used == 0 // no engine will ever have more room
 	}
-	if d.Urgent || b.instances == 1 {
+	if d.Urgent && d.Brief || b.instances == 1 {
 		return true
 	}
 	news, draws := b.peersAt, 1.0
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -308,7 +308,7 @@
 			r := &modelRequest{
 				route: route, instance: i, length: max(2, int(float64(route.output)*(0.6+0.8*m.callers.Float64()))),
 				request: dispatch.Request{
-					Rank: route.rank, Tokens: route.prompt + route.output/2, Prompt: route.prompt, Urgent: route.rank == 0, Key: m.callers.Uint64(),
+					Rank: route.rank, Tokens: route.prompt + route.output/2, Prompt: route.prompt, Urgent: route.rank == 0, Brief: route.rank == 0, Key: m.callers.Uint64(),
 					Arrived: m.now, Objective: m.now + route.objective, Deadline: m.now + route.timeout,
 				},
 			}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -34,8 +34,8 @@
 	Rank int
 	// Tokens is the memory that it needs, and Prompt the part that the engine processes before the first event.
 	Tokens, Prompt int
-	// Urgent is true for requests of the most urgent route of the service.
-	Urgent bool
+	// Urgent is true for requests of the most urgent of several ranks, and Brief for those with little output.
+	Urgent, Brief bool
 	// Key is a random number.
 	Key uint64
 	// Avoid holds the targets that it is not to be sent to.
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -13,7 +13,7 @@
 func (q *Queue) Send(b *balance.Balancer, service string, now time.Duration, sent func(*Entry, *balance.Target)) {
 	q.Dispatch(now, func(e *Entry) bool {
 		t, wait := b.ChooseWithRoom(service, balance.Demand{
-			Rank: e.class(now), Tokens: e.Tokens, Prompt: e.Prompt, Urgent: e.Urgent || e.overdue(now), Missed: e.Missed(now), Overdue: e.overdue(now), Key: e.Key, Blocked: q.Blocked(),
+			Rank: e.class(now), Tokens: e.Tokens, Prompt: e.Prompt, Urgent: e.Urgent || e.overdue(now), Brief: e.Brief, Missed: e.Missed(now), Overdue: e.overdue(now), Key: e.Key, Blocked: q.Blocked(),
 		}, e.Avoid, now)
 		if wait {
 			return false
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -16,6 +16,9 @@
 	// forecastInterval is the interval at which a waiting request is refused because of the forecast; it compares the
 	// request with all others.
 	forecastInterval = 500 * time.Millisecond
+	// briefOutput is the number of tokens up to which a generation ends before other instances learn of it: engines
+	// take about 0.5 s for it.
+	briefOutput = 64
 	// startMargin is how long before its deadline a request is refused that still waits: the refusal has to reach
 	// the caller, and an engine could not answer any more.
 	startMargin = 100 * time.Millisecond
@@ -157,7 +160,7 @@
 	now := g.base.Timers.Now()
 	w := &waiter{placed: make(chan placement, 1), entry: q.queue.Add(dispatch.Request{
 		Organisation: req.org, Rank: req.urgency() - urgencyBase, Tokens: req.tokens(), Prompt: req.promptTokens(),
-		Urgent: req.route.Rank() == req.table.FirstRank(req.service), Key: g.random.Uint64(), Avoid: avoid, Again: len(avoid) > 0,
+		Urgent: req.table.Urgent(req.service, req.route), Brief: req.likelyOutput() <= briefOutput, Key: g.random.Uint64(), Avoid: avoid, Again: len(avoid) > 0,
 		Arrived: req.arrived, Objective: req.arrived + req.route.Objective(), Deadline: req.deadline - startMargin,
 	})}
 	q.waiters[w.entry] = w
--- a/internal/route/queue.go
+++ b/internal/route/queue.go
@@ -32,8 +32,11 @@
 	return generations && (ranks.first != ranks.last || t.severalOrganisations())
 }
 
-// FirstRank returns the rank of the most urgent route that sends generations to a service.
-func (t *Table) FirstRank(service string) int { return t.ranks[service].first }
+// Urgent reports whether the generations of a route go before those of another route of a service.
+func (t *Table) Urgent(service string, r *Route) bool {
+	ranks := t.ranks[service]
+	return r.Rank() == ranks.first && ranks.first != ranks.last
+}
 
 func (t *Table) severalOrganisations() bool {
 	var first *Organisation
--- a/internal/route/queue_test.go
+++ b/internal/route/queue_test.go
@@ -23,9 +23,9 @@
 	for name, c := range map[string]struct {
 		routes        []route.Spec
 		organisations []route.OrganisationSpec
-		want          bool
+		want, urgent  bool
 	}{
-		"ranks differ":              {routes: []route.Spec{spec("a", 0, true), spec("b", 2, true)}, want: true},
+		"ranks differ":              {routes: []route.Spec{spec("a", 0, true), spec("b", 2, true)}, want: true, urgent: true},
 		"ranks are equal":           {routes: []route.Spec{spec("a", 1, true), spec("b", 1, true)}},
 		"the rank of no generation": {routes: []route.Spec{spec("a", 0, false), spec("b", 1, true)}},
 		"no generations":            {routes: []route.Spec{spec("a", 0, false)}, organisations: []route.OrganisationSpec{org("x", "1"), org("y", "2")}},
@@ -39,6 +39,9 @@
 			require.NoError(t, found.Err())
 			require.Equal(t, c.want, table.Queues("engines"))
 			require.False(t, table.Queues("unused"))
+			first, ok := table.Match("", "/a/")
+			require.True(t, ok)
+			require.Equal(t, c.urgent, table.Urgent("engines", first))
 		})
 	}
 }
