--- a/internal/balance/capacity.go
+++ b/internal/balance/capacity.go
@@ -129,50 +129,73 @@
 	return a
 }
 
-// fits reports whether an engine is forecast to have capacity for a generation. Where others may have taken so
-// much unseen that not all requests can be sent, each request is sent to the engines that it draws with each report,
-// so that all together take a part of the free memory.
-func (b *Balancer) fits(t *Target, d Demand, capacity int, came arrivals, now time.Duration) bool {
+// forecast is what is known of an engine's use at present.
+type forecast struct {
+	capacity, used, prefilling int // tokens
+	batch                      int
+	// heard is true while what was heard of others is newer than the report.
+	heard bool
+	// news is when the newest of both was heard, and window the time of which it does not tell.
+	news, window time.Duration
+}
+
+// forecastUse forecasts the use of an engine from its report and from what all instances have there. Capacity is its memory
+// without a valid report.
+func (b *Balancer) forecastUse(t *Target, d Demand, capacity int, now time.Duration) forecast {
 	valid := t.load.valid(now)
+	f := forecast{
+		capacity: capacity, used: t.tokens, prefilling: t.prefilling, batch: t.open, news: b.peersAt, window: now - b.peersAt + b.peersInterval,
+		heard: b.instances == 1 || b.peersAt > 0 && (!valid || b.peersAt >= t.load.at),
+	}
+	if f.heard {
+		f.used, f.prefilling, f.batch = f.used+t.peerUse.tokens, f.prefilling+t.peerUse.prefilling, f.batch+t.peerUse.requests
+	}
+	if !valid {
+		return f
+	}
+	requests, tokens := t.changeSinceReport(f.heard)
+	f.used = max(f.used, t.load.used+tokens+t.growth(now))
+	if !d.Urgent { // an urgent one is admitted before those that wait
+		f.used = max(f.used, t.load.used+tokens+t.load.waiting*d.Tokens)
+	}
+	f.capacity, f.batch, f.window = t.load.capacity, max(f.batch, t.load.running+requests), min(f.window, now-t.load.at)
+	if !f.heard {
+		f.news = t.load.at
+	}
+	return f
+}
+
+// fits reports whether an engine is forecast to have capacity for a generation.
+func (b *Balancer) fits(t *Target, d Demand, capacity int, came arrivals, now time.Duration) bool {
+	f := b.forecastUse(t, d, capacity, now)
 	ceiling, prompts := otherMemory, otherPrompts
 	if d.Urgent {
 		ceiling, prompts = urgentMemory, urgentPrompts
 	}
-	// What was heard of others before the time that the report describes is out of date.
-	heard := b.instances == 1 || b.peersAt > 0 && (!valid || b.peersAt >= t.load.at)
-	batch, used, prefilling := t.open, t.tokens, t.prefilling
-	if heard {
-		batch, used, prefilling = batch+t.peerUse.requests, used+t.peerUse.tokens, prefilling+t.peerUse.prefilling
-	} else {
+	if !f.heard {
 		ceiling -= unheardMemory
 	}
-	window := now - b.peersAt + b.peersInterval
-	if valid {
-		requests, tokens := t.changeSinceReport(heard)
-		used = max(used, t.load.used+tokens+t.growth(now))
-		if !d.Urgent { // an urgent one is admitted before those that wait
-			used = max(used, t.load.used+tokens+t.load.waiting*d.Tokens)
-		}
-		batch = max(batch, t.load.running+requests)
-		capacity, window = t.load.capacity, min(window, now-t.load.at)
-	}
-	need, free := float64(d.Tokens), ceiling*float64(capacity)-float64(used)-came.ahead
-	if t.slots > 0 && batch >= t.slots || prefilling > prompts {
+	if t.slots > 0 && f.batch >= t.slots || f.prefilling > prompts {
 		return false
 	}
-	if free < need {
-		return used == 0 // no engine will ever have more room
-	}
-	if d.Urgent && d.Brief || b.instances == 1 {
-		return true
+	free := ceiling*float64(f.capacity) - float64(f.used) - came.ahead
+	if free < float64(d.Tokens) {
+		return f.used == 0 // no engine will ever have more room
 	}
-	news, draws := b.peersAt, 1.0
-	if !heard {
-		news, draws = t.load.at, max(1, window.Seconds()/reportInterval.Seconds())
+	return d.Urgent && d.Brief || b.instances == 1 || d.drawn(t, f, came, free)
+}
+
+// drawn reports whether a generation is sent to an engine with so much free memory. Where others may have taken so much
+// unseen that not all requests can be sent, each is sent to the engines that it draws, so that all together take a part of
+// the free memory.
+func (d Demand) drawn(t *Target, f forecast, came arrivals, free float64) bool {
+	draws := 1.0
+	if !f.heard { // what waits draws again with each report of the window
+		draws = max(1, f.window.Seconds()/reportInterval.Seconds())
 	}
 	// The first of those that wait here draws for all of them.
-	unseen := (draws*came.waiting + came.perSecond*window.Seconds()) / float64(max(1, d.Blocked))
-	return d.draw(t, news)*unseen <= drawnPart*free/need
+	unseen := (draws*came.waiting + came.perSecond*f.window.Seconds()) / float64(max(1, d.Blocked))
+	return d.draw(t, f.news)*unseen <= drawnPart*free/float64(d.Tokens)
 }
 
 // draw returns a number, uniform in [0, 1), that decides whether a request is sent to an engine of which others may
