Balance: brief urgent requests are spread by the draw, and sent without one if need be

Change: they choose among the engines that they draw first, and among all with room if there is none.

--- a/internal/balance/capacity.go
+++ b/internal/balance/capacity.go
@@ -55,6 +55,8 @@
 	Key uint64
 	// Blocked is the number of this instance's requests for which there was no capacity before.
 	Blocked int
+
+	exempt bool // from the draw
 }
 
 // CountArrival counts a request of this instance that is to be sent to an engine of a service.
@@ -79,15 +81,23 @@
 		return t, t == nil && !d.Missed && b.EarliestReturn(service, now) > 0
 	}
 	came := b.unseenArrivals(service, d, now)
-	t = b.best(service, d.Tokens, avoid, now, func(t *Target, now time.Duration) bool {
-		return t.accepts(now) && now >= t.ejectedUntil && b.fits(t, d, capacity, came, now)
-	})
+	t = b.bestFitting(service, d, avoid, capacity, came, now)
+	if t == nil && d.Urgent && d.Brief {
+		d.exempt = true
+		t = b.bestFitting(service, d, avoid, capacity, came, now)
+	}
 	if t == nil && d.Missed && b.EarliestReturn(service, now) > 0 {
 		return nil, false
 	}
 	return t, t == nil
 }
 
+func (b *Balancer) bestFitting(service string, d Demand, avoid []string, capacity int, came arrivals, now time.Duration) *Target {
+	return b.best(service, d.Tokens, avoid, now, func(t *Target, now time.Duration) bool {
+		return t.accepts(now) && now >= t.ejectedUntil && b.fits(t, d, capacity, came, now)
+	})
+}
+
 // knownCapacity returns the smallest memory that an engine of a service which could be chosen reports, in
 // tokens, or 0 without a valid report of one.
 func (b *Balancer) knownCapacity(service string, avoid []string, now time.Duration) int {
@@ -182,7 +192,7 @@
 	if free < float64(d.Tokens) {
 		return f.used == 0 // no engine will ever have more room
 	}
-	return d.Urgent && d.Brief || b.instances == 1 || d.drawn(t, f, came, free)
+	return d.exempt || b.instances == 1 || d.drawn(t, f, came, free)
 }
 
 // drawn reports whether a generation is sent to an engine with so much free memory. Where others may have taken so much
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -31,6 +31,7 @@
 	inTime               int
 	first                []time.Duration // times to the first token
 	lost, refused        int
+	stuck                int // waited at an engine for longer than their objective
 	stalls               int // streams with a pause of more than 1 s
 }
 
@@ -40,6 +41,7 @@
 	request  dispatch.Request
 	target   *balance.Target
 	length   int
+	sentAt   time.Duration
 	prefills bool
 	last     time.Duration
 	inTime   bool // and without a pause until now
@@ -205,6 +207,9 @@
 			r.instance.balancer.AddPrefill(r.target, -r.request.Prompt)
 			r.prefills = false
 			r.route.first = append(r.route.first, m.now-r.request.Arrived)
+			if m.now-r.sentAt > r.route.objective {
+				r.route.stuck++
+			}
 			if r.inTime = m.now <= r.request.Objective; r.inTime {
 				r.route.inTime++
 			}
@@ -353,7 +358,7 @@
 }
 
 func (m *model) submit(r *modelRequest, t *balance.Target) {
-	r.target, r.prefills = t, true
+	r.target, r.prefills, r.sentAt = t, true, m.now
 	n := slices.IndexFunc(m.engines, func(e *modelEngine) bool { return e.id == t.ID() })
 	if n < 0 {
 		r.route.lost++
@@ -387,11 +392,12 @@
 				t.Logf("rank %d: %s; before: %s", r.rank, r, b)
 				require.GreaterOrEqual(t, r.inTime, b.inTime)
 				require.LessOrEqual(t, r.lost+r.refused, b.lost+b.refused)
+				require.Less(t, r.stuck, b.stuck)
 			}
 		})
 	}
 }
 
 func (r *modelRoute) String() string {
-	return fmt.Sprintf("%d begun, %d in time, %d lost, %d refused, %d paused", len(r.first), r.inTime, r.lost, r.refused, r.stalls)
+	return fmt.Sprintf("%d begun, %d in time, %d lost, %d refused, %d paused, %d stuck", len(r.first), r.inTime, r.lost, r.refused, r.stalls, r.stuck)
 }
