--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -133,10 +133,7 @@
 		return why, wait
 	}
 	now := g.base.Timers.Now()
-	if now >= w.entry.Deadline {
-		return reasonQueueTimeout, 0
-	}
-	if now < w.forecast {
+	if now < w.forecast && now < w.entry.Deadline {
 		return "", 0
 	}
 	w.forecast = now + forecastInterval
