Dispatch: the rank of the organisation goes before that of the route

Cause: the queue used the rank that engines get, where a step of the organisation's rank counts as much as two of the route's: a long request (rank 2) of the first organisation and a short one (rank 0) of the second were equal. Change: Table.QueueRank orders by organisation, then by route; a request of a high rank gains a quarter of it with each quarter of its time limit, so that it begins.

--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// agingSteps is the number of ranks that a request gains over its whole time limit, in equal steps, so that
-	// requests of a less urgent rank begin although more urgent ones keep arriving.
+	// agingSteps is the number of equal steps over its time limit in which a request gains a rank, or a part of its
+	// rank where that is more, so that requests of any rank begin although more urgent ones keep arriving.
 	agingSteps = 4
 	// overdueDivisor divides a request's time limit; one that has waited for the quotient no longer goes after
 	// those that can still meet their objective.
@@ -30,7 +30,7 @@
 // Request is a generation that is to be sent to an engine.
 type Request struct {
 	Organisation string
-	// Rank orders requests; lower ranks go first.
+	// Rank orders requests; lower ranks go first, 0 before all others.
 	Rank int
 	// Tokens is the memory that it needs, and Prompt the part that the engine processes before the first event.
 	Tokens, Prompt int
@@ -184,7 +184,8 @@
 	if limit <= 0 {
 		return e.Rank
 	}
-	return max(min(e.Rank, 0), e.Rank-int(agingSteps*(now-e.Arrived)/limit))
+	steps := min(agingSteps, int(agingSteps*(now-e.Arrived)/limit))
+	return max(0, min(e.Rank-steps, e.Rank*(agingSteps-steps)/agingSteps))
 }
 
 // yields reports whether the request goes after those that can meet their objective.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -156,7 +156,7 @@
 	}
 	now := g.base.Timers.Now()
 	w := &waiter{placed: make(chan placement, 1), entry: q.queue.Add(dispatch.Request{
-		Organisation: req.org, Rank: req.urgency() - urgencyBase, Tokens: req.tokens(), Prompt: req.promptTokens(),
+		Organisation: req.org, Rank: req.table.QueueRank(req.service, req.orgRank, req.route), Tokens: req.tokens(), Prompt: req.promptTokens(),
 		Urgent: req.table.Urgent(req.service, req.route), Brief: req.likelyOutput() <= briefOutput, Key: g.random.Uint64(), Avoid: avoid, Again: len(avoid) > 0,
 		Arrived: req.arrived, Objective: req.arrived + req.route.Objective(), Deadline: req.deadline - startMargin,
 	})}
--- a/internal/route/queue.go
+++ b/internal/route/queue.go
@@ -32,6 +32,13 @@
 	return generations && (ranks.first != ranks.last || t.severalOrganisations())
 }
 
+// QueueRank returns the position of a route's generations in the queue of a service: by the rank of their organisation,
+// then by that of the route. Lower ones go first.
+func (t *Table) QueueRank(service string, organisation int, r *Route) int {
+	ranks := t.ranks[service]
+	return organisation*(ranks.last-ranks.first+1) + r.Rank() - ranks.first
+}
+
 // Urgent reports whether the generations of a route go before those of another route of a service.
 func (t *Table) Urgent(service string, r *Route) bool {
 	ranks := t.ranks[service]
--- a/internal/route/queue_test.go
+++ b/internal/route/queue_test.go
@@ -41,6 +41,10 @@
 			require.False(t, table.Queues("unused"))
 			first, ok := table.Match("", "/a/")
 			require.True(t, ok)
+			last, _ := table.Match("", c.routes[len(c.routes)-1].Prefix)
+			if c.want {
+				require.Less(t, table.QueueRank("engines", 0, last), table.QueueRank("engines", 1, first), "any of a more urgent organisation goes first")
+			}
 			require.Equal(t, c.urgent, table.Urgent("engines", first))
 		})
 	}
