--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -93,6 +93,7 @@
 	load         load
 	speed        speed
 	peerUse      peerUse
+	peerHistory  []placement   // memory that other instances were heard to need; kept where requests wait
 	tokens       int           // memory that this instance's requests and copies will need
 	copyTokens   int           // the part of tokens that copies need
 	uncopied     int           // tokens of this instance's runs here that have no copy
@@ -132,6 +133,10 @@
 	// pick picks one of several engines; scored is reused by its calls.
 	pick   Picker
 	scored []Candidate
+	// queueArrivals is what this instance sends to each service whose requests wait for capacity.
+	queueArrivals map[string]*ratelimit.Demand
+	// queued is what waits at other instances.
+	queued peersQueued
 	// instances is the number of instances that share targets, 0 if unknown, and peersAt when
 	// their uses were last heard of.
 	instances int
@@ -161,7 +166,7 @@
 		domain: domain, random: random, targets: map[target.Key]*Target{}, byID: map[string][]*Target{}, byService: map[string][]*Target{},
 		pairs: map[pair]int{}, partitionedUntil: map[string]time.Duration{}, departed: map[target.Key]departedTarget{},
 		demand: map[string]*ratelimit.Demand{}, notices: map[string]float64{}, reach: map[string]*reach{}, brittle: map[string]*brittleness{},
-		arrivals: map[string]*arrivals{}, parts: map[string]float64{}, pick: PickByAge,
+		arrivals: map[string]*arrivals{}, parts: map[string]float64{}, pick: PickByAge, queueArrivals: map[string]*ratelimit.Demand{},
 	}
 	for _, option := range options {
 		option(b)
@@ -213,6 +218,7 @@
 	maps.DeleteFunc(b.parts, func(service string, _ float64) bool { return len(b.byService[service]) == 0 })
 	maps.DeleteFunc(b.arrivals, func(service string, _ *arrivals) bool { return len(b.byService[service]) == 0 })
 	maps.DeleteFunc(b.reach, func(service string, _ *reach) bool { return len(b.byService[service]) == 0 })
+	maps.DeleteFunc(b.queueArrivals, func(service string, _ *ratelimit.Demand) bool { return len(b.byService[service]) == 0 })
 	maps.DeleteFunc(b.demand, func(service string, _ *ratelimit.Demand) bool {
 		return b.brittle[service] == nil && b.cold[service].PerSecond == 0 && !slices.ContainsFunc(b.byService[service], func(t *Target) bool { return t.stated.share.Limited() })
 	})
@@ -231,6 +237,10 @@
 	if tokens > 0 {
 		defer b.noteArrival(service, now) // this one is not among those that others send
 	}
+	return b.choose(service, tokens, avoid, now)
+}
+
+func (b *Balancer) choose(service string, tokens int, avoid []string, now time.Duration) *Target {
 	if t := b.best(service, tokens, avoid, now, (*Target).accepts); t != nil {
 		return t
 	}
@@ -348,6 +358,9 @@
 	if result == Misdirected || result == Unreachable { // the target has not got it
 		t.cold.Return()
 	}
+	if b.queueArrivals[t.service] != nil && (result == Served || result == Full) {
+		t.load.ended = append(t.load.ended, placement{at: now, tokens: tokens, requests: 1})
+	}
 	switch result {
 	case Served:
 		t.failures, t.misdirected = 0, 0
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/vanillaward/vanillaward/internal/wire"
@@ -38,6 +39,7 @@
 	capacity int     // tokens
 	presence float64 // mean number of requests over presenceTime
 	recent   []placement
+	ended    []placement // requests of this instance that have ended
 }
 
 // placement is a request that this instance sent to an engine, or a copy of one of its runs
@@ -90,13 +92,8 @@
 
 // discardBefore discards the placements from before a time.
 func (l *load) discardBefore(before time.Duration) {
-	kept := l.recent[:0]
-	for _, p := range l.recent {
-		if p.at >= before {
-			kept = append(kept, p)
-		}
-	}
-	l.recent = kept
+	old := func(p placement) bool { return p.at < before }
+	l.recent, l.ended = slices.DeleteFunc(l.recent, old), slices.DeleteFunc(l.ended, old)
 }
 
 // memory returns the fraction of the engine's memory that would be used with further
@@ -203,6 +200,7 @@
 			}
 		}
 	}
+	b.recordPeerUses(now)
 }
 
 // LocalUses returns what this instance has in flight at targets.
--- a/internal/control/documents.go
+++ b/internal/control/documents.go
@@ -127,6 +127,7 @@
 func (s *Service) follow(request *wire.FollowRequest, answer *wire.FollowResponse) error {
 	s.recordFollower(request)
 	s.uses.update(request.GetInstance(), request.GetUses(), s.timers.Now())
+	s.queued.update(request.GetInstance(), request.GetQueued(), s.timers.Now())
 	s.evidence.merge(request.GetEvidence(), s.timers.Now())
 	wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, maxFollowWait)
 	got := s.publisher.Await(s.ctx, request, wait, s.timers.Now)
@@ -145,6 +146,7 @@
 	if request.GetReplicasHash() != hash {
 		answer.Replicas, answer.ReplicasHash = status.Addresses(), hash
 	}
+	answer.OthersQueued, answer.SumsQueued = s.queued.sumsExcluding(request.GetInstance(), s.timers.Now()), true
 	answer.Document, answer.Targets = got.GetDocument(), got.GetTargets()
 	answer.DocumentNumber = got.GetDocumentNumber()
 	answer.ListEpoch, answer.ListVersion = got.GetListEpoch(), got.GetListVersion()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -51,6 +51,9 @@
 	// comeBack is how long the caller of a refused request should wait, if that is known better
 	// than from the reason alone.
 	comeBack time.Duration
+	// queued is how long the request has waited at this gateway for an engine with capacity, and queuedWhy why.
+	queued    time.Duration
+	queuedWhy string
 }
 
 // serve handles a request of a caller.
@@ -97,6 +100,13 @@
 		case heldBack:
 			req.refuseHeldBack(a.reason, a.wait)
 			return
+		case notDispatched:
+			if a.reason == reasonCallerLeft {
+				req.reason = a.reason
+			} else {
+				req.refuseHeldBack(a.reason, a.wait)
+			}
+			return
 		}
 		avoid = append(avoid, a.target)
 		if req.target != a.target { // the run was resumed there
@@ -117,7 +127,7 @@
 
 const (
 	// maxDials bounds the targets that are tried for one request after failed connections,
-	// and dialWindow is the time from the request's arrival, or from when a stream that is continued has
+	// and dialWindow is the time from the request's arrival, without the time in the queue, or from when a stream that is continued has
 	// broken off, during which another one is tried.
 	maxDials   = 12
 	dialWindow = 700 * time.Millisecond
@@ -129,7 +139,7 @@
 	case ctx.Err() != nil || req.left() <= 0:
 		return false
 	case a.outcome == notSent:
-		return a.tried < maxDials && req.server.base.Timers.Now() < max(req.arrived, req.leftAt)+dialWindow
+		return a.tried < maxDials && req.server.base.Timers.Now() < max(req.arrived+req.queued, req.leftAt)+dialWindow
 	case req.sent >= req.route.Attempts():
 		return false
 	case a.outcome == notRun:
@@ -220,7 +230,7 @@
 		"framing", string(req.framing), "unfinished-bytes", req.stream.unfinished,
 		"first-ms", req.stream.timeToFirst.Milliseconds(), "longest-gap-ms", req.stream.longestGap.Milliseconds(),
 		"outcome", string(req.reason), "helper", req.helper, "taken-over", req.terms != nil,
-		"configuration", number, "budget-ms", req.caller.Budget.Milliseconds(),
+		"queued-ms", req.queued.Milliseconds(), "queued-why", req.queuedWhy, "configuration", number, "budget-ms", req.caller.Budget.Milliseconds(),
 		"took-ms", took.Milliseconds())
 	if req.aborted {
 		req.abortConn()
--- a/internal/instance/seeded.go
+++ b/internal/instance/seeded.go
@@ -225,6 +225,7 @@
 	g.UseExchange(follower)
 	follower.UseHelping(g)
 	follower.UseSubsets(g)
+	follower.UseQueueing(g)
 	var takeover net.Listener
 	if cfg.Listen.Handover.IsValid() {
 		if takeover, err = listen(cfg.Listen.Handover.String()); err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -109,6 +109,7 @@
 	CopyAfter      time.Duration `ini:"copy-after" default:"500ms" min:"0" doc:"How long after a run's first event the copy that is made while it goes on counts as there."`
 	StopDelay      time.Duration `ini:"stop-delay" default:"2500ms" doc:"How long a stopping instance still serves at least, so that the balancer sees that it is not ready."`
 	BufferMemory   inifile.Bytes `ini:"buffer-memory" default:"16MiB" min:"1" doc:"Memory for long answers of targets that are read whole, all together, and for long events of streams. Beyond it a long answer is passed on as it arrives, and a stream with a long event is cut."`
+	Queue          bool          `ini:"queue-generations" default:"false" doc:"Whether generations wait at the gateway until an engine is forecast to have capacity, in order of rank and in fair shares of organisations, where the ranks of the routes of a service differ or several organisations have keys. Otherwise they are sent at once and wait at engines. While demand exceeds the capacity for long, fewer are in time with it."`
 	MaxTargetWait  time.Duration `ini:"max-target-wait" default:"60s" min:"0" doc:"Longest time for which a target that refuses a request can ask to get none; a longer one counts as this."`
 	StopGrace      time.Duration `ini:"stop-grace" default:"8s" min:"1000000000" doc:"How long after SIGTERM the process is killed. A stopping instance serves until shortly before."`
 }
