--- a/internal/balance/assess.go
+++ b/internal/balance/assess.go
@@ -47,7 +47,7 @@
 
 // Assess returns the assessment of each target of a service for a request, in the order in which they would be
 // chosen, and what is known of the other instances. It changes nothing that a choice depends on.
-func (b *Balancer) Assess(service string, tokens int, now time.Duration) ([]Assessment, Crowd) {
+func (b *Balancer) Assess(service string, tokens int, now time.Duration) ([]Assessment, Others) {
 	listed := b.byService[service]
 	out := make([]Assessment, 0, len(listed))
 	ejected := 0
@@ -65,14 +65,14 @@
 	for usable < len(out) && out[usable].Excluded == "" {
 		usable++
 	}
-	crowd := b.crowd(service, now)
-	b.setProbabilities(out[:usable], tokens, crowd)
+	others := b.otherInstances(service, now)
+	b.setProbabilities(out[:usable], tokens, others)
 	if ejected < usable { // an ejected target is chosen only if all others are
 		for i := usable - ejected; i < usable; i++ {
 			out[i].Excluded = ExcludedEjected
 		}
 	}
-	return out, crowd
+	return out, others
 }
 
 func (b *Balancer) assess(t *Target, tokens int, now time.Duration) Assessment {
@@ -128,7 +128,7 @@
 }
 
 // setProbabilities sets the probabilities with which the targets are chosen, which are in the order of their scores.
-func (b *Balancer) setProbabilities(targets []Assessment, tokens int, crowd Crowd) {
+func (b *Balancer) setProbabilities(targets []Assessment, tokens int, others Others) {
 	if len(targets) == 0 {
 		return
 	}
@@ -151,7 +151,7 @@
 	}
 	random := rand.New(rand.NewPCG(1, 1)) // a random source of its own, so that the next choices stay the same
 	for range sampledChoices {
-		i := chosen[candidates[b.pick(candidates, crowd, random)].target]
+		i := chosen[candidates[b.pick(candidates, others, random)].target]
 		targets[i].Probability += 1.0 / sampledChoices
 	}
 }
--- a/internal/balance/assess_test.go
+++ b/internal/balance/assess_test.go
@@ -53,8 +53,8 @@
 func TestAssessmentIsWhatIsChosen(t *testing.T) {
 	const choices = 4000
 	now := time.Second + 20*time.Millisecond
-	assessed, crowd := newAssessed(1).Assess("s", 3000, now)
-	require.Equal(t, 40, crowd.Instances)
+	assessed, others := newAssessed(1).Assess("s", 3000, now)
+	require.Equal(t, 40, others.Instances)
 	want, excluded := map[string]float64{}, map[string]balance.Exclusion{}
 	for _, a := range assessed {
 		want[a.Target], excluded[a.Target] = a.Probability, a.Excluded
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -282,7 +282,7 @@
 	if len(b.scored) == 0 {
 		return best
 	}
-	return b.scored[b.pick(b.scored, b.crowd(service, now), b.random)].target
+	return b.scored[b.pick(b.scored, b.otherInstances(service, now), b.random)].target
 }
 
 // ByIdentity returns the listed target with an identity, or nil if there is none or more than one.
--- a/internal/balance/copies.go
+++ b/internal/balance/copies.go
@@ -69,7 +69,7 @@
 }
 
 // AddUncopied adds to the tokens of this instance's runs at an engine that have no copy, or subtracts
-// from them with a negative number.
+// from them with a negative number. Instances of earlier builds decide by the sums which runs need copies.
 func (b *Balancer) AddUncopied(t *Target, tokens int) { t.uncopied += tokens }
 
 // noteNotice records how long before its end an engine is known to be leaving.
--- a/internal/balance/crowd.go
+++ b/internal/balance/others.go
@@ -26,8 +26,8 @@
 	arrivalTime = 10 * time.Second
 )
 
-// crowd returns what is known of the other instances that send requests to the engines of a service.
-func (b *Balancer) crowd(service string, now time.Duration) Crowd {
+// otherInstances returns what is known of the other instances that send requests to the engines of a service.
+func (b *Balancer) otherInstances(service string, now time.Duration) Others {
 	others := float64(max(0, b.instances-1))
 	age := now - b.usesAt(service) + exchangeTime
 	rate := 0.0
@@ -39,7 +39,7 @@
 	if p, ok := b.parts[service]; ok {
 		part = p
 	}
-	return Crowd{Instances: b.instances, Age: age, Unseen: unseenSpread * part * others * max(rate*age.Seconds(), least)}
+	return Others{Instances: b.instances, Age: age, Unseen: unseenSpread * part * others * max(rate*age.Seconds(), least)}
 }
 
 // SetPart sets which part of a service's engines this instance chooses among, 1 for all. Where each instance has a subset,
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -20,8 +20,8 @@
 // ID returns the engine's identity.
 func (c Candidate) ID() string { return c.target.id }
 
-// Crowd is what is known of the instances that choose among the same engines.
-type Crowd struct {
+// Others is what is known of the instances that choose among the same engines.
+type Others struct {
 	// Instances is their number, 0 if unknown.
 	Instances int
 	// Age is that of what is known of what they have sent.
@@ -31,18 +31,18 @@
 }
 
 // Picker picks one of several candidates and returns its index. It may reorder them.
-type Picker func(candidates []Candidate, crowd Crowd, random *rand.Rand) int
+type Picker func(candidates []Candidate, others Others, random *rand.Rand) int
 
 // PickByRoom picks a candidate with a probability in proportion to its room, after the requests that others are
 // expected to have sent unseen have been distributed as evenly as the scores permit: filled up with these, the
 // candidates with room reach one level. With none expected it picks the best. If all instances choose alike, the
 // requests of a moment are expected to reach this level, however many they are.
-func PickByRoom(candidates []Candidate, crowd Crowd, random *rand.Rand) int {
+func PickByRoom(candidates []Candidate, others Others, random *rand.Rand) int {
 	if len(candidates) == 1 {
 		return 0
 	}
 	slices.SortFunc(candidates, func(a, b Candidate) int { return cmp.Compare(a.Score, b.Score) })
-	requests := max(crowd.Unseen, minUnseen)
+	requests := max(others.Unseen, minUnseen)
 	level := levelOf(candidates, requests)
 	at := random.Float64() * requests
 	for i, c := range candidates {
@@ -57,10 +57,10 @@
 	// freshAge is the age up to which the uses of other instances tell where requests go next: all of them have been told of
 	// a choice by then.
 	freshAge = 200 * time.Millisecond
-	// largeCrowd is the number of instances from which on a choice by old information is made by room. Fewer instances
+	// manyInstances is the number of instances from which on a choice by old information is made by room. Fewer instances
 	// overrun no engine between two reports, and to spread their requests over engines that are known to be fuller
 	// makes these preempt.
-	largeCrowd = 100
+	manyInstances = 100
 	// leastJitter is the width of the random part of a score while uses are known as of a moment ago: instances that
 	// choose within the time of an exchange would all take the same engine.
 	leastJitter = 0.03
@@ -68,12 +68,12 @@
 
 // PickByAge picks the lowest score with a random part, which is the wider the more instances choose and the older the
 // information is. Many instances with old information pick by room.
-func PickByAge(candidates []Candidate, crowd Crowd, random *rand.Rand) int {
-	stale := min(1, float64(crowd.Age)/float64(freshAge))
-	if crowd.Instances > largeCrowd && stale == 1 {
-		return PickByRoom(candidates, crowd, random)
+func PickByAge(candidates []Candidate, others Others, random *rand.Rand) int {
+	stale := min(1, float64(others.Age)/float64(freshAge))
+	if others.Instances > manyInstances && stale == 1 {
+		return PickByRoom(candidates, others, random)
 	}
-	width := min(maxJitter, jitterPerInstance*float64(crowd.Instances))
+	width := min(maxJitter, jitterPerInstance*float64(others.Instances))
 	width = min(width, max(leastJitter, width*stale))
 	best, lowest := 0, 0.0
 	for i, c := range candidates {
--- a/internal/experiment/stale.go
+++ b/internal/experiment/stale.go
@@ -113,18 +113,18 @@
 // byRoomOf picks by room with a multiple of the requests that are expected unseen.
 func byRoomOf(multiple float64) func(*StaleSetup) balance.Picker {
 	return func(*StaleSetup) balance.Picker {
-		return func(candidates []balance.Candidate, crowd balance.Crowd, random *rand.Rand) int {
-			crowd.Unseen *= multiple
-			return balance.PickByRoom(candidates, crowd, random)
+		return func(candidates []balance.Candidate, others balance.Others, random *rand.Rand) int {
+			others.Unseen *= multiple
+			return balance.PickByRoom(candidates, others, random)
 		}
 	}
 }
 
-func pickRandom(candidates []balance.Candidate, _ balance.Crowd, random *rand.Rand) int {
+func pickRandom(candidates []balance.Candidate, _ balance.Others, random *rand.Rand) int {
 	return random.IntN(len(candidates))
 }
 
-func pickOfTwo(candidates []balance.Candidate, _ balance.Crowd, random *rand.Rand) int {
+func pickOfTwo(candidates []balance.Candidate, _ balance.Others, random *rand.Rand) int {
 	a, b := random.IntN(len(candidates)), random.IntN(len(candidates))
 	if candidates[b].Score < candidates[a].Score {
 		return b
@@ -135,7 +135,7 @@
 // pickJittered picks the lowest score with a random part as wide as up to now.
 func pickJittered(s *StaleSetup) balance.Picker {
 	const perInstance, most, least, age = 0.004, 0.3, 0.03, 0.2
-	return func(candidates []balance.Candidate, _ balance.Crowd, random *rand.Rand) int {
+	return func(candidates []balance.Candidate, _ balance.Others, random *rand.Rand) int {
 		width := min(most, perInstance*float64(s.Instances))
 		width = min(width, max(least, width*min(1, s.Age.Seconds()/age)))
 		best, lowest := 0, 0.0
@@ -153,7 +153,7 @@
 
 func newShares() *shares { return &shares{credit: map[string]float64{}} }
 
-func (s *shares) pick(candidates []balance.Candidate, _ balance.Crowd, random *rand.Rand) int {
+func (s *shares) pick(candidates []balance.Candidate, _ balance.Others, random *rand.Rand) int {
 	worst := 0.0
 	for _, c := range candidates {
 		worst = max(worst, c.Score)
--- a/internal/gateway/where.go
+++ b/internal/gateway/where.go
@@ -142,9 +142,9 @@
 		out.Tokens = max(1, q.PromptTokens+q.OutputTokens/2)
 	}
 	g.mu.Lock()
-	targets, crowd := g.balancer.Assess(out.Service, out.Tokens, g.base.Timers.Now())
+	targets, others := g.balancer.Assess(out.Service, out.Tokens, g.base.Timers.Now())
 	g.mu.Unlock()
-	out.Instances, out.InformationAgeMs, out.Unseen = crowd.Instances, crowd.Age.Milliseconds(), crowd.Unseen
+	out.Instances, out.InformationAgeMs, out.Unseen = others.Instances, others.Age.Milliseconds(), others.Unseen
 	out.Omitted = max(0, len(targets)-maxWhereTargets)
 	for _, a := range targets[:len(targets)-out.Omitted] {
 		out.Targets = append(out.Targets, whereTarget(a))
