Follow: an instance starts with what two restarted replicas have on their disks

Cause: after all processes lost power, instances waited for a replica with a leader before they used a list of targets, so that no evacuation order was missed. Ruled out: lists of replicas without their disk (they have no configuration and still count for nothing). Two replicas that state a configuration are believed at once, one after 1 s; an order that they had not learned is learned from the leader.

--- a/internal/follow/evacuation.go
+++ b/internal/follow/evacuation.go
@@ -19,6 +19,10 @@
 	// knows is what the running instances that are cut off with it know. It also holds while all replicas that
 	// have responded are of a build that does not know such orders. Another replica may know more.
 	settleEarly = time.Second
+	// enoughStored is the number of replicas with a configuration on their disks that are believed while none has a
+	// leader, as after a restart of everything: waiting for the leader took all instances out of service for a second or
+	// more. An order that none of them has is learned from the leader.
+	enoughStored = 2
 )
 
 // evacuation is what an instance knows of the orders for failure domains.
@@ -30,7 +34,9 @@
 	heard   bool          // a replica has responded
 	firstAt time.Duration // when the first one did
 	known   bool          // a replica that knows such orders has responded
-	cutOff  bool          // one that was current a few seconds ago has
+	// stored holds the replicas without a leader that have responded with what they have on their disks.
+	stored map[string]bool
+	cutOff bool // one that was current a few seconds ago has
 }
 
 // updateEvacuation passes the orders of a response to the sink if they are newer than those held, of
@@ -41,7 +47,7 @@
 		e.index = resp.GetEvacuationIndex()
 		f.sink.UpdateEvacuation(e.index, domainOrders(resp.GetEvacuated()))
 	}
-	if e.settled || !e.settles(resp, f.timers.Now()) {
+	if e.settled || !e.settles(address, resp, f.timers.Now()) {
 		return
 	}
 	e.settled = true
@@ -53,14 +59,23 @@
 }
 
 // settles reports whether, with a response, the orders are known as well as they can be.
-func (e *evacuation) settles(resp *wire.FollowResponse, now time.Duration) bool {
+func (e *evacuation) settles(address string, resp *wire.FollowResponse, now time.Duration) bool {
 	if !e.heard {
 		e.heard, e.firstAt = true, now
 	}
 	view := resp.GetEvacuationView()
 	e.known = e.known || view != wire.EvacuationView_EVACUATION_VIEW_UNSPECIFIED
 	e.cutOff = e.cutOff || view == wire.EvacuationView_EVACUATION_VIEW_CUT_OFF
+	if resp.GetDocumentNumber() > 0 && view != wire.EvacuationView_EVACUATION_VIEW_UNSPECIFIED {
+		if e.stored == nil {
+			e.stored = map[string]bool{}
+		}
+		e.stored[address] = true
+	}
 	waited := now - e.firstAt
+	if len(e.stored) >= enoughStored || len(e.stored) > 0 && waited >= settleEarly {
+		return true
+	}
 	return view == wire.EvacuationView_EVACUATION_VIEW_CURRENT || waited >= settleTimeout || (e.cutOff || !e.known) && waited >= settleEarly
 }
 
--- a/internal/follow/evacuation_test.go
+++ b/internal/follow/evacuation_test.go
@@ -142,3 +142,28 @@
 		require.Equal(t, []string{"targets"}, sink.calls)
 	}
 }
+
+// TestStoredOrdersAreBelieved guards against instances that wait for a leader after a restart of everything, and against a
+// start on the word of replicas that have lost their disks.
+func TestStoredOrdersAreBelieved(t *testing.T) {
+	stored := func(index uint64) *wire.FollowResponse {
+		out := answer(behind, index)
+		out.DocumentNumber = 7
+		return out
+	}
+	f, clock, sink := newEvacuationFollower()
+	f.handleResponse("10.0.0.1:1", answer(behind, 0))
+	f.handleResponse("10.0.0.2:1", answer(behind, 0))
+	f.handleResponse("10.0.0.3:1", stored(4))
+	f.handleResponse("10.0.0.3:1", stored(4))
+	require.Equal(t, []string{"orders"}, sink.calls, "two have no configuration, and one is not enough")
+	f.handleResponse("10.0.0.4:1", stored(5))
+	require.Equal(t, []string{"orders", "orders", "targets"}, sink.calls)
+	require.Equal(t, []string{"zone-5"}, sink.domains)
+
+	f, clock, sink = newEvacuationFollower()
+	f.handleResponse("10.0.0.3:1", stored(4))
+	clock.now += settleEarly
+	f.handleResponse("10.0.0.3:1", stored(4))
+	require.Equal(t, []string{"orders", "targets"}, sink.calls, "one that is alone is believed after a while")
+}
