--- a/internal/balance/copies.go
+++ b/internal/balance/copies.go
@@ -30,6 +30,8 @@
 	migrationCopyLimit       = 0.97
 	// spareCopyLimit is the limit for a copy that is not needed if the run's engine gives notice.
 	spareCopyLimit = 0.2
+	// idleUtilisation is the fraction of all engines' memory that runs need up to which copies take no other run's room.
+	idleUtilisation = 0.4
 	// noticeUse is the fraction of the time of notice that copying may take: other engines that
 	// leave copy over the same links.
 	noticeUse = 0.5
@@ -48,11 +50,11 @@
 // ChooseCopyHolder returns the engine that should hold a continuously updated copy of a
 // run's KV cache, or nil when none has the capacity. Rate is how many tokens an engine copies in a
 // second, 0 if unknown. A run that can be copied once its engine gives notice gets such a copy only
-// at an engine that is nearly idle: elsewhere another run would start in the memory that the copy takes for
+// at an engine that is nearly idle, unless most memory of all is free: elsewhere another run would start in the memory that the copy takes for
 // the whole time of the run.
 func (b *Balancer) ChooseCopyHolder(source *Target, tokens int, rate float64, avoid []string, now time.Duration) *Target {
 	limit := b.copyLimit(source.service, now)
-	if b.movableInTime(source, tokens, rate) {
+	if b.movableInTime(source, tokens, rate) && b.utilisation(source.service, now) > idleUtilisation {
 		limit = min(limit, spareCopyLimit)
 	}
 	return b.chooseHolder(source, tokens, avoid, limit, crossDomainCopyCost, now)
