--- a/internal/follow/evacuation_test.go
+++ b/internal/follow/evacuation_test.go
@@ -151,7 +151,7 @@
 		out.DocumentNumber = 7
 		return out
 	}
-	f, clock, sink := newEvacuationFollower()
+	f, _, sink := newEvacuationFollower()
 	f.handleResponse("10.0.0.1:1", answer(behind, 0))
 	f.handleResponse("10.0.0.2:1", answer(behind, 0))
 	f.handleResponse("10.0.0.3:1", stored(4))
@@ -161,9 +161,9 @@
 	require.Equal(t, []string{"orders", "orders", "targets"}, sink.calls)
 	require.Equal(t, []string{"zone-5"}, sink.domains)
 
-	f, clock, sink = newEvacuationFollower()
-	f.handleResponse("10.0.0.3:1", stored(4))
+	alone, clock, sink := newEvacuationFollower()
+	alone.handleResponse("10.0.0.3:1", stored(4))
 	clock.now += settleEarly
-	f.handleResponse("10.0.0.3:1", stored(4))
+	alone.handleResponse("10.0.0.3:1", stored(4))
 	require.Equal(t, []string{"orders", "targets"}, sink.calls, "one that is alone is believed after a while")
 }
