--- a/internal/follow/evacuation_test.go
+++ b/internal/follow/evacuation_test.go
@@ -119,6 +119,7 @@
 	f.handleResponse("10.0.0.2:1", answer(behind, 5))
 	require.Equal(t, []string{"orders", "orders", "targets"}, sink.calls, "the same list is not passed on again")
 	changed := answer(behind, 5)
+	clock.now += time.Second // of two lists of the same age either may count as the newest
 	changed.ListVersion, changed.Targets = 2, append(changed.Targets, newTarget("u", wire.TargetState_TARGET_STATE_READY))
 	f.handleResponse("10.0.0.2:1", changed)
 	require.Equal(t, []string{"orders", "orders", "targets", "targets"}, sink.calls)
