where: the targets outside an instance's subset say so

An assessment took all targets of a large service for candidates, while requests go to the subset as long as one of it can take them: TestAssessmentOfSubset, 200 candidates for 64 that are chosen; the same 64 now. One check of a copied share serves both limits. No request is served otherwise.

--- a/internal/balance/assess.go
+++ b/internal/balance/assess.go
@@ -21,7 +21,8 @@
 	ExcludedLimit     Exclusion = "limit"
 	ExcludedCold      Exclusion = "cold"
 	ExcludedNoRoom    Exclusion = "no-room"
-	ExcludedEjected   Exclusion = "ejected" // while others are not
+	ExcludedSubset    Exclusion = "not-in-subset" // while a target in it can be chosen
+	ExcludedEjected   Exclusion = "ejected"       // while others are not
 )
 
 // Assessment is what is known of a target and what a choice would conclude for a request.
@@ -48,15 +49,12 @@
 // Assess returns the assessment of each target of a service for a request, in the order in which they would be
 // chosen, and what is known of the other instances. It changes nothing that a choice depends on.
 func (b *Balancer) Assess(service string, tokens int, now time.Duration) ([]Assessment, Others) {
-	listed := b.byService[service]
-	out := make([]Assessment, 0, len(listed))
+	out := b.assessAll(service, tokens, now)
 	ejected := 0
-	for _, t := range listed {
-		a := b.assess(t, tokens, now)
+	for _, a := range out {
 		if a.Excluded == "" && a.Parts.Ejected > 0 {
 			ejected++
 		}
-		out = append(out, a)
 	}
 	slices.SortStableFunc(out, func(x, y Assessment) int {
 		return cmp.Or(cmp.Compare(min(1, len(x.Excluded)), min(1, len(y.Excluded))), cmp.Compare(x.Parts.Total(), y.Parts.Total()))
@@ -75,6 +73,24 @@
 	return out, others
 }
 
+// assessAll returns the assessment of each target of a service. Those outside the subset are excluded while one in it is not.
+func (b *Balancer) assessAll(service string, tokens int, now time.Duration) []Assessment {
+	listed := b.byService[service]
+	out := make([]Assessment, 0, len(listed))
+	subsetUsable := false
+	for _, t := range listed {
+		a := b.assess(t, tokens, now)
+		subsetUsable = subsetUsable || !t.outside && a.Excluded == ""
+		out = append(out, a)
+	}
+	for i, t := range listed {
+		if subsetUsable && t.outside && out[i].Excluded == "" {
+			out[i].Excluded = ExcludedSubset
+		}
+	}
+	return out
+}
+
 func (b *Balancer) assess(t *Target, tokens int, now time.Duration) Assessment {
 	return Assessment{
 		Target: t.id, Domain: t.domain, Excluded: b.exclusion(t, tokens, now), Parts: b.score(t, tokens, now), State: b.LoadState(t, now),
@@ -106,25 +122,22 @@
 
 // limitPermits is withinLimit without any effect on the share of the limit.
 func (b *Balancer) limitPermits(t *Target, now time.Duration) bool {
-	demand := b.demand[t.service]
-	if demand == nil {
-		demand = &ratelimit.Demand{}
-	}
-	share := t.stated.share // a copy
-	return share.Ready(demand, b.peersOf(t, now), now)
+	return b.shareReady(t.stated.share, t, b.peersOf(t, now), now)
 }
 
 // coldLimitPermits is withinColdLimit without any effect on the share of the limit.
 func (b *Balancer) coldLimitPermits(t *Target, now time.Duration) bool {
-	if !b.isColdLimited(t, now) {
-		return true
-	}
+	return !b.isColdLimited(t, now) || b.shareReady(*t.cold, t, b.coldPeersOf(t, now), now)
+}
+
+// shareReady reports whether a copy of the share in a target's limit permits a request, so that the share itself does not
+// advance, and begins no count of demand.
+func (b *Balancer) shareReady(share ratelimit.Share, t *Target, peers ratelimit.Peers, now time.Duration) bool {
 	demand := b.demand[t.service]
 	if demand == nil {
 		demand = &ratelimit.Demand{}
 	}
-	share := *t.cold // a copy
-	return share.Ready(demand, b.coldPeersOf(t, now), now)
+	return share.Ready(demand, peers, now)
 }
 
 // setProbabilities sets the probabilities with which the targets are chosen, which are in the order of their scores.
--- a/internal/balance/assess_test.go
+++ b/internal/balance/assess_test.go
@@ -72,3 +72,36 @@
 		require.InDelta(t, p, got[id], 0.03, id)
 	}
 }
+
+// TestAssessmentOfSubset guards against an operator being told of targets that this instance does not send to: those of a
+// large service outside its subset, as long as the subset has one that can take the request.
+func TestAssessmentOfSubset(t *testing.T) {
+	const targets, choices = 200, 3000
+	newSubset := func(seed uint64) *balance.Balancer {
+		b := balance.New("home", rand.New(rand.NewPCG(seed, 48)))
+		var list []*wire.Target
+		for i := range targets {
+			list = append(list, &wire.Target{Id: fmt.Sprint("e", i), Service: "s", Address: "10.0.0.1:1", FailureDomain: "home", Slots: 24, State: wire.TargetState_TARGET_STATE_READY})
+		}
+		b.KeepSubsets("instance", 300)
+		b.Update(list, 0)
+		b.UpdatePeerUses(nil, 300, 0)
+		return b
+	}
+	assessed, _ := newSubset(1).Assess("s", 3000, time.Second)
+	require.Len(t, assessed, targets)
+	candidates := map[string]bool{}
+	for _, a := range assessed {
+		if a.Excluded == "" {
+			candidates[a.Target] = true
+		} else {
+			require.Equal(t, balance.ExcludedSubset, a.Excluded)
+			require.Zero(t, a.Probability)
+		}
+	}
+	chosen := map[string]bool{}
+	for seed := range uint64(choices) {
+		chosen[newSubset(seed).Choose("s", 3000, nil, time.Second).ID()] = true
+	}
+	require.Equal(t, candidates, chosen)
+}
