Balance: one choice by score, one record of how many instances there are; the part of a subset is derived

Found on reading the change again. The experiment held a copy of the choice by score; UpdatePeerUses and ChangePeerUses began with the same lines; the part of a service that a subset is was stored at each list, where a part that an experiment sets was lost at the next one. The age of information is looked for in the subset, not in all 3,000 targets at each choice.

--- a/internal/balance/copies.go
+++ b/internal/balance/copies.go
@@ -50,8 +50,8 @@
 // ChooseCopyHolder returns the engine that should hold a continuously updated copy of a
 // run's KV cache, or nil when none has the capacity. Rate is how many tokens an engine copies in a
 // second, 0 if unknown. A run that can be copied once its engine gives notice gets such a copy only
-// at an engine that is nearly idle, unless most memory of all is free: elsewhere another run would start in the memory that the copy takes for
-// the whole time of the run.
+// at an engine that is nearly idle, unless most memory of all is free: elsewhere another run would start in the
+// memory that the copy takes for the whole time of the run.
 func (b *Balancer) ChooseCopyHolder(source *Target, tokens int, rate float64, avoid []string, now time.Duration) *Target {
 	limit := b.copyLimit(source.service, now)
 	if b.movableInTime(source, tokens, rate) && b.utilisation(source.service, now) > idleUtilisation {
@@ -114,7 +114,7 @@
 		if b.isColdLimited(t, now) {
 			score += coldHolderCost
 		}
-		score += slowHolderCost*(1/t.speedAt(now)-1) + pairCost*float64(b.pairs[pair{source.id, t.id}]) + b.jitterWidth()*b.random.Float64()
+		score += slowHolderCost*(1/t.speedAt(now)-1) + pairCost*float64(b.pairs[pair{source.id, t.id}]) + jitterWidth(b.instances)*b.random.Float64()
 		if best == nil || score < bestScore {
 			best, bestScore = t, score
 		}
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -174,12 +174,19 @@
 	return max(n, t.open+t.peerUse.requests)
 }
 
-// UpdatePeerUses applies the sums of what other instances have in flight at targets, and
-// the number of instances.
-func (b *Balancer) UpdatePeerUses(uses []*wire.Use, instances int, now time.Duration) {
+// noteInstances records that the other instances' uses are heard of, and how many instances there are. It returns the
+// part that is left of what was known before and is forgotten over forgetTime.
+func (b *Balancer) noteInstances(instances int, now time.Duration) float64 {
 	left := math.Exp(-(now - b.peersAt).Seconds() / forgetTime.Seconds())
 	b.instances = max(instances, int(left*float64(b.instances)))
 	b.peersInterval, b.peersAt = now-b.peersAt, now
+	return left
+}
+
+// UpdatePeerUses applies the sums of what other instances have in flight at targets, and
+// the number of instances.
+func (b *Balancer) UpdatePeerUses(uses []*wire.Use, instances int, now time.Duration) {
+	left := b.noteInstances(instances, now)
 	for _, t := range b.targets {
 		t.peerUse = peerUse{at: now, demand: left * t.peerUse.demand}
 	}
--- a/internal/balance/others.go
+++ b/internal/balance/others.go
@@ -35,22 +35,26 @@
 		rate = a.rate(now)
 	}
 	least := unseenPerInstance * min(1, age.Seconds()/unseenAge.Seconds())
-	part := 1.0
+	return Others{Instances: b.instances, Age: age, Unseen: unseenSpread * b.part(service) * others * max(rate*age.Seconds(), least)}
+}
+
+// part returns which part of a service's engines this instance chooses among. Where each instance has a subset, only as
+// large a part of the others' requests comes to the engines of this one.
+func (b *Balancer) part(service string) float64 {
 	if p, ok := b.parts[service]; ok {
-		part = p
+		return p
 	}
-	return Others{Instances: b.instances, Age: age, Unseen: unseenSpread * part * others * max(rate*age.Seconds(), least)}
+	return float64(len(b.candidates(service))) / float64(max(1, len(b.byService[service])))
 }
 
-// SetPart sets which part of a service's engines this instance chooses among, 1 for all. Where each instance has a subset,
-// only as large a part of the others' requests comes to the engines of this one.
+// SetPart sets which part of a service's engines this instance chooses among, where it does not know the others.
 func (b *Balancer) SetPart(service string, part float64) { b.parts[service] = part }
 
 // usesAt returns as of when the other instances' requests to the engines of a service are known: from their uses, or
 // if these are older from the engines' reports.
 func (b *Balancer) usesAt(service string) time.Duration {
 	at := b.peersAt
-	for _, t := range b.byService[service] {
+	for _, t := range b.candidates(service) {
 		if t.load.known {
 			at = max(at, t.load.at)
 		}
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -66,14 +66,19 @@
 	leastJitter = 0.03
 )
 
-// PickByAge picks the lowest score with a random part, which is the wider the more instances choose and the older the
-// information is. Many instances with old information pick by room.
+// PickByAge picks by score, and by room where many instances have old information.
 func PickByAge(candidates []Candidate, others Others, random *rand.Rand) int {
-	stale := min(1, float64(others.Age)/float64(freshAge))
-	if others.Instances > manyInstances && stale == 1 {
+	if others.Instances > manyInstances && others.Age >= freshAge {
 		return PickByRoom(candidates, others, random)
 	}
-	width := min(maxJitter, jitterPerInstance*float64(others.Instances))
+	return PickByScore(candidates, others, random)
+}
+
+// PickByScore picks the lowest score with a random part, which is the wider the more instances choose and the older the
+// information is.
+func PickByScore(candidates []Candidate, others Others, random *rand.Rand) int {
+	stale := min(1, float64(others.Age)/float64(freshAge))
+	width := jitterWidth(others.Instances)
 	width = min(width, max(leastJitter, width*stale))
 	best, lowest := 0, 0.0
 	for i, c := range candidates {
--- a/internal/balance/score.go
+++ b/internal/balance/score.go
@@ -26,8 +26,8 @@
 	// partitionCost is added for the targets of another failure domain that is considered
 	// partitioned because one of its targets was unreachable.
 	partitionCost = 1.0
-	// jitterPerInstance is the width of the random part of the score of a copy's holder for
-	// each instance that chooses among the same engines, up to maxJitter.
+	// jitterPerInstance is the width of the random part of a score for each instance that chooses among the same
+	// engines, up to maxJitter.
 	jitterPerInstance = 0.004
 	maxJitter         = 0.3
 )
@@ -78,10 +78,10 @@
 	return p
 }
 
-// jitterWidth returns the width of the random part where other instances choose at the same moment: all
-// that have runs at an engine learn together that it is leaving.
-func (b *Balancer) jitterWidth() float64 {
-	return min(maxJitter, jitterPerInstance*float64(b.instances))
+// jitterWidth returns the width of the random part where a number of instances choose at the same moment, as all
+// that have runs at an engine do when they learn that it is leaving.
+func jitterWidth(instances int) float64 {
+	return min(maxJitter, jitterPerInstance*float64(instances))
 }
 
 // likelySlots returns the target's number of slots, or what is assumed if it does not report any.
--- a/internal/balance/subset.go
+++ b/internal/balance/subset.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math"
 	"time"
 
 	"github.com/vanillaward/vanillaward/internal/subset"
@@ -28,7 +27,6 @@
 func (b *Balancer) chooseSubsets() {
 	before := b.subsets.byService
 	b.subsets.byService = map[string][]*Target{}
-	clear(b.parts)
 	for _, t := range b.targets {
 		t.outside = false
 	}
@@ -51,7 +49,6 @@
 			chosen = append(chosen, listed[i])
 		}
 		b.subsets.byService[service] = chosen
-		b.SetPart(service, float64(size)/float64(len(listed)))
 	}
 	for service := range before {
 		for _, t := range b.byService[service] {
@@ -82,9 +79,7 @@
 // ChangePeerUses applies those sums of what other instances have in flight at targets that changed, and the
 // number of instances.
 func (b *Balancer) ChangePeerUses(changed []*wire.Use, instances int, now time.Duration) {
-	left := math.Exp(-(now - b.peersAt).Seconds() / forgetTime.Seconds())
-	b.instances = max(instances, int(left*float64(b.instances)))
-	b.peersInterval, b.peersAt = now-b.peersAt, now
+	left := b.noteInstances(instances, now)
 	for _, t := range b.targets {
 		t.peerUse.demand = max(t.peerUse.toldDemand, left*t.peerUse.demand)
 	}
--- a/internal/experiment/stale.go
+++ b/internal/experiment/stale.go
@@ -79,8 +79,8 @@
 	return []StaleWay{
 		{Name: "random", Picker: func(*StaleSetup) balance.Picker { return pickRandom }},
 		{Name: "two choices", Picker: func(*StaleSetup) balance.Picker { return pickOfTwo }},
-		{Name: "random part", Picker: pickJittered, Fresh: true},
-		{Name: "random part, aged", Picker: pickJittered},
+		{Name: "random part", Picker: pickByScore, Fresh: true},
+		{Name: "random part, aged", Picker: pickByScore},
 		{Name: "shares", Picker: func(*StaleSetup) balance.Picker { return newShares().pick }},
 		{Name: "by room, half", Picker: byRoomOf(0.5)},
 		{Name: "by room, double", Picker: byRoomOf(2)},
@@ -132,19 +132,10 @@
 	return a
 }
 
-// pickJittered picks the lowest score with a random part as wide as up to now.
-func pickJittered(s *StaleSetup) balance.Picker {
-	const perInstance, most, least, age = 0.004, 0.3, 0.03, 0.2
+// pickByScore picks by score, with the random part of the setup's age of information.
+func pickByScore(s *StaleSetup) balance.Picker {
 	return func(candidates []balance.Candidate, _ balance.Others, random *rand.Rand) int {
-		width := min(most, perInstance*float64(s.Instances))
-		width = min(width, max(least, width*min(1, s.Age.Seconds()/age)))
-		best, lowest := 0, 0.0
-		for i, c := range candidates {
-			if score := c.Score + width*random.Float64(); i == 0 || score < lowest {
-				best, lowest = i, score
-			}
-		}
-		return best
+		return balance.PickByScore(candidates, balance.Others{Instances: s.Instances, Age: s.Age}, random)
 	}
 }
 
--- a/internal/fleet/speed.go
+++ b/internal/fleet/speed.go
@@ -22,7 +22,7 @@
 	// little, since events are counted whole; a longer one than maxWindow may hide that runs stood still.
 	minWindow = 300 * time.Millisecond
 	maxWindow = 1500 * time.Millisecond
-	// windowsKept is the number of windows of an estimate, 4 s of readings, and windowsNeeded how many it
+	// windowsKept is the number of windows of an estimate, 8 s of readings, and windowsNeeded how many it
 	// takes at least.
 	windowsKept   = 16
 	windowsNeeded = 3
