Ends of targets say what they count for, and whole answers which crashes they refute

Change: both roles classify each end in one place, internal/quarantine/end.go, count it (vanillaward_target_ends_total) and log why it does not count; answers that refute crashes are logged. What counts is unchanged: the tests of gateway, entry and quarantine pass as before.

--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -54,14 +54,24 @@
 // noteCrash records the loss of a run whose engine had just begun to answer, or had not begun yet.
 func (g *generation) noteCrash(ctx context.Context, lostAfter time.Duration, err error) {
 	explained := ctx.Err() != nil || errors.Is(err, errCallerGone) || errors.Is(err, errDiverged) || errors.Is(err, errAnswerTooLong)
-	if explained || g.answerBegan != 0 && lostAfter > quarantine.JustBegun {
+	kind := quarantine.ClassifyEnd(explained, g.answerBegan != 0, lostAfter)
+	g.server.metrics.TargetEnd(kind.String())
+	if kind != quarantine.EndBegun && kind != quarantine.EndUnbegun {
+		g.logUncounted(lostAfter, kind)
 		return
 	}
 	g.noteRequestCrash(ctx, g.generationID(), err)
-	if g.answerBegan == 0 {
+	if kind == quarantine.EndUnbegun {
+		g.logUncounted(lostAfter, kind)
 		return
 	}
 	g.server.crashes.PartsCrashed(g.generationID(), g.target, g.parts, lostAfter)
 	g.server.log.Info("engine crashed when it began to answer", "request", g.id, "target", g.target,
 		"answering-ms", lostAfter.Milliseconds(), "parts", g.parts)
 }
+
+// logUncounted logs an end of an engine that does not speak against the parts of the prompt, and why.
+func (g *generation) logUncounted(lostAfter time.Duration, kind quarantine.EndKind) {
+	g.server.log.Info("end of an engine does not speak against the parts", "request", g.id, "target", g.target, "kind", kind.String(),
+		"answering-ms", lostAfter.Milliseconds(), "parts", g.parts)
+}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -35,8 +35,11 @@
 // engine had not begun to answer may have waited there, so that it speaks against the whole request only,
 // which counts if each of several targets crashed on it.
 func (req *request) noteCrash(ctx context.Context, t *balance.Target, err error) {
-	explained := ctx.Err() != nil || isCallerError(err) || errors.Is(err, errStalled) || errors.Is(err, errOrder)
-	if explained || req.answeringTime() > quarantine.JustBegun || req.server.isLeaving(t) {
+	explained := ctx.Err() != nil || isCallerError(err) || errors.Is(err, errStalled) || errors.Is(err, errOrder) || req.server.isLeaving(t)
+	kind := quarantine.ClassifyEnd(explained, req.answerBegan != 0, req.answeringTime())
+	req.server.base.Metrics.TargetEnd(kind.String())
+	if kind != quarantine.EndBegun && kind != quarantine.EndUnbegun {
+		req.logUncounted(t, kind)
 		return
 	}
 	if upstream.IsConnectionEnd(err) || errors.Is(err, errNoEvent) {
@@ -44,7 +47,11 @@
 		req.server.base.Log.Info("target crashed when it began to run the request", "request", req.caller.ID, "target", t.ID(),
 			"name", req.identity.Name(), "crashes", crashes)
 	}
-	if req.answerBegan == 0 || len(req.caller.SharedParts) == 0 {
+	if len(req.caller.SharedParts) == 0 {
+		return
+	}
+	if kind == quarantine.EndUnbegun {
+		req.logUncounted(t, kind)
 		return
 	}
 	held := req.server.crashes.PartsCrashed(req.caller.ID, t.ID(), req.caller.SharedParts, req.answeringTime())
@@ -52,6 +59,15 @@
 		"answering-ms", req.answeringTime().Milliseconds(), "parts", strings.Join(req.caller.SharedParts, ","), "held-back", held)
 }
 
+// logUncounted logs an end of a target that does not speak against the parts of the prompt, and why.
+func (req *request) logUncounted(t *balance.Target, kind quarantine.EndKind) {
+	if len(req.caller.SharedParts) == 0 {
+		return
+	}
+	req.server.base.Log.Info("end of an engine does not speak against the parts", "request", req.caller.ID, "target", t.ID(), "kind", kind.String(),
+		"answering-ms", req.answeringTime().Milliseconds(), "parts", strings.Join(req.caller.SharedParts, ","))
+}
+
 // noteAnswered records that the request was answered completely, so that its target did not crash on it, nor, if
 // the request succeeded, on a part of its prompt.
 func (req *request) noteAnswered(succeeded bool) {
@@ -63,6 +79,10 @@
 		req.awaitSurvival(parts)
 		return
 	}
+	if req.server.crashes.Suspects(req.identity, parts) {
+		req.server.base.Log.Info("answer refutes crashes", "request", req.caller.ID, "target", req.target, "framing", string(req.framing),
+			"answering-ms", req.answeringTime().Milliseconds(), "parts", strings.Join(parts, ","))
+	}
 	req.server.crashes.Answered(req.identity, req.target, parts, req.server.base.Timers.Now())
 }
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -151,6 +151,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_gateway_queue_refusals_total{reason=%q}", reason)).Inc()
 }
 
+// TargetEnd counts the end of a request's connection at a target, by what it says of the request's parts.
+func (m *Metrics) TargetEnd(kind string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("vanillaward_target_ends_total{kind=%q}", kind)).Inc()
+}
+
 // Survival counts a target that was looked at after an answer that ended with its connection.
 func (m *Metrics) Survival(survived bool) {
 	result := "gone"
