--- /dev/null
+++ b/internal/upstream/reset_test.go
@@ -0,0 +1,87 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// resetUploadBytes is more than the buffers of a connection hold.
+const resetUploadBytes = 64 << 20
+
+// lateReader is a connection whose owner reads what follows the part of an answer only once the upload has failed, as
+// happens by chance on a busy machine: the error of a reset goes to one call, reading or writing.
+type lateReader struct {
+	net.Conn
+	partRead bool
+	failed   chan struct{} // closed when the upload has failed
+}
+
+func (l *lateReader) Write(p []byte) (int, error) {
+	n, err := l.Conn.Write(p)
+	if err != nil {
+		close(l.failed)
+	}
+	return n, err
+}
+
+func (l *lateReader) Read(p []byte) (int, error) {
+	if l.partRead {
+		<-l.failed
+	}
+	n, err := l.Conn.Read(p)
+	l.partRead = l.partRead || bytes.HasSuffix(p[:n], []byte("part"))
+	return n, err
+}
+
+func dialLateReader(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &lateReader{Conn: conn, failed: make(chan struct{})}, nil
+}
+
+// startResetting starts a target that answers with a part of a body without a length, and then resets the connection, while the
+// request is still being written.
+func startResetting(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.ReadFull(conn, make([]byte, 1<<10))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+		time.Sleep(20 * time.Millisecond) // the part arrives before the reset
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}()
+	return listener.Addr().String()
+}
+
+// TestAnswerResetDuringUploadIsNotWhole guards against a part of an answer without a length that passes for all of it,
+// because the upload, which was still being written, got the error of the reset.
+func TestAnswerResetDuringUploadIsNotWhole(t *testing.T) {
+	pool := NewPool(10*time.Second, 1, WithDial(dialLateReader))
+	conn, err := pool.Get(context.Background(), "target", startResetting(t), "")
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, conn.Send(&Request{Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", resetUploadBytes)), HasBody: true}))
+	response, err := conn.ReadAnswer(http.MethodPost, func(*http.Response) Ownership { return Unnamed })
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	require.Equal(t, "part", string(body))
+	require.Error(t, err)
+}
