--- a/internal/entry/loads.go
+++ b/internal/entry/loads.go
@@ -41,7 +41,7 @@
 func newLoadReader(log logr.Logger, d *dispatcher, m *telemetry.Metrics, interval time.Duration, p settings.Platform) *loadReader {
 	return &loadReader{
 		log: log, dispatch: d, metrics: m, interval: interval, platform: p,
-		client:     &http.Client{Timeout: loadTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: upstream.MaxHeadBytes}},
+		client:     &http.Client{Timeout: loadTimeout, Transport: upstream.Strict(&http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: upstream.MaxHeadBytes})},
 		inProgress: map[string]bool{},
 	}
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -100,11 +100,11 @@
 		srv.bodies = bodyread.NewPool()
 	}
 	srv.events = membudget.New(eventMemory)
-	srv.pooled = &http.Client{Transport: &http.Transport{
+	srv.pooled = &http.Client{Transport: upstream.Strict(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: s.Entry.DialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleTargetConns, DisableCompression: true, MaxResponseHeaderBytes: upstream.MaxHeadBytes,
 		IdleConnTimeout: idleTimeout, ReadBufferSize: relayBufferBytes, WriteBufferSize: relayBufferBytes,
-	}}
+	})}
 	srv.unpooled = &http.Client{
 		Transport: upstream.NewUnpooledTransport(s.Entry.DialTimeout),
 		// A redirect would be a second request.
--- a/internal/gateway/odd_answer_test.go
+++ b/internal/gateway/odd_answer_test.go
@@ -14,10 +14,10 @@
 	"github.com/stretchr/testify/require"
 )
 
-// readOddAnswers reads testdata/odd-answers.txt.
+// readOddAnswers reads the answers that are none.
 func readOddAnswers(t *testing.T) map[string]string {
 	t.Helper()
-	file, err := os.Open(filepath.Join("testdata", "odd-answers.txt"))
+	file, err := os.Open(filepath.Join("..", "upstream", "testdata", "odd-answers.txt"))
 	require.NoError(t, err)
 	defer func() { _ = file.Close() }()
 	out := map[string]string{}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -35,7 +35,8 @@
 // deadline or a notice to leave explains is no crash. One that had just begun to answer most likely crashed on what it had begun;
 // else the request is one of those that may be the reason, if the target does not live on.
 func (req *request) noteCrash(ctx context.Context, t *balance.Target, err error) {
-	explained := ctx.Err() != nil || isCallerError(err) || errors.Is(err, errStalled) || errors.Is(err, errOrder) || req.server.isLeaving(t)
+	explained := ctx.Err() != nil || isCallerError(err) || errors.Is(err, errStalled) || errors.Is(err, errOrder) ||
+		errors.Is(err, upstream.ErrMalformedAnswer) || req.server.isLeaving(t)
 	kind := quarantine.ClassifyEnd(explained, req.answerBegan != 0, req.answeringTime())
 	req.server.base.Metrics.TargetEnd(kind.String())
 	ended := upstream.IsConnectionEnd(err) || errors.Is(err, errNoEvent)
--- a/internal/orders/issuer.go
+++ b/internal/orders/issuer.go
@@ -59,9 +59,9 @@
 func NewIssuer(log logr.Logger, node *control.Node, timers vanillaward.Timers, timing replog.Timing, name string) *Issuer {
 	return &Issuer{
 		log: log, node: node, timers: timers, timing: timing, name: name,
-		readClient: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: upstream.MaxHeadBytes}},
+		readClient: &http.Client{Transport: upstream.Strict(&http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: upstream.MaxHeadBytes})},
 		// Each order has its own connection, so that the transport does not retry it.
-		orderClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: upstream.MaxHeadBytes}},
+		orderClient: &http.Client{Transport: upstream.Strict(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: upstream.MaxHeadBytes})},
 	}
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -171,7 +171,7 @@
 
 // readHead reads the head of the next final response and skips informational
 // responses. It returns what inspect tells of the final one. The error matches ErrHeadTooLong if
-// these heads are too long.
+// these heads are too long, and ErrMalformedAnswer if one is malformed.
 func (c *Conn) readHead(method string, inspect func(*http.Response) Ownership) (*http.Response, Ownership, error) {
 	c.source.bound(MaxHeadBytes)
 	defer c.source.free()
@@ -180,6 +180,10 @@
 		if err != nil {
 			return nil, Foreign, err
 		}
+		if err := checkHead(response); err != nil {
+			return nil, Foreign, err
+		}
+		response.Body = &checkedBody{response.Body, response}
 		ownership := inspect(response)
 		if response.StatusCode >= http.StatusOK {
 			return response, ownership, nil
--- a/internal/upstream/unpooled.go
+++ b/internal/upstream/unpooled.go
@@ -9,15 +9,15 @@
 )
 
 // NewUnpooledTransport returns a transport that opens a new connection for each
-// request.
+// request, and is strict.
 //
 // http.Transport retries a request when a reused connection breaks before the
 // response and the request is idempotent by its method or carries an
 // Idempotency-Key header. It retries on reused connections only, and the returned
 // transport reuses none.
-func NewUnpooledTransport(dialTimeout time.Duration) *http.Transport {
+func NewUnpooledTransport(dialTimeout time.Duration) http.RoundTripper {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return Strict(&http.Transport{
 		DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: MaxHeadBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
@@ -29,7 +29,7 @@
 			}
 			return conn, nil
 		},
-	}
+	})
 }
 
 // sentKey is the context key of the counter of bytes sent for a request.
