Upstream: a reset that the upload is told of ends the answer with an error

Cause: the kernel tells one call of a reset; if the upload is told, reading ends as after an orderly end. Change: a connection remembers that, and its reader gets the error. An orderly end stays one: a write is told EPIPE then, and TestOrderlyEndDuringUploadIsWhole holds it.

--- a/internal/upstream/check.go
+++ b/internal/upstream/check.go
@@ -73,8 +73,9 @@
 type strictTransport struct{ base *http.Transport }
 
 // Strict returns a round tripper that sends requests by a transport, and returns an error that matches ErrMalformedAnswer
-// for an answer that is malformed.
+// for an answer that is malformed, and an error for a body whose connection was reset. The transport must not be in use.
 func Strict(base *http.Transport) http.RoundTripper {
+	base.DialContext = dialResetConn(base.DialContext)
 	return &strictTransport{base}
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -60,7 +60,8 @@
 
 // Conn is a connection to one target. It carries one request at a time.
 type Conn struct {
-	conn      net.Conn
+	conn      net.Conn     // as it was opened
+	resets    *resetConn   // what source and writer use
 	source    *boundedConn // what reader reads from
 	reader    *bufio.Reader
 	writer    *bufio.Writer
@@ -114,7 +115,7 @@
 	c.bodySent = false
 	c.bodyErr = make(chan error, 1)
 	go func() {
-		_, err := c.conn.Write(r.Body)
+		_, err := c.resets.Write(r.Body)
 		c.bodyErr <- err
 	}()
 	return nil
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -129,10 +129,11 @@
 		return nil, errors.Wrap(ErrUnreachable, err.Error())
 	}
 	setUserTimeout(conn, userTimeout)
-	source := &boundedConn{Conn: conn}
+	resets := &resetConn{Conn: conn}
+	source := &boundedConn{Conn: resets}
 	return &Conn{
-		conn: conn, source: source, key: key,
-		reader: bufio.NewReaderSize(source, readBufferBytes), writer: bufio.NewWriterSize(conn, writeBufferBytes),
+		conn: conn, resets: resets, source: source, key: key,
+		reader: bufio.NewReaderSize(source, readBufferBytes), writer: bufio.NewWriterSize(resets, writeBufferBytes),
 	}, nil
 }
 
--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -81,7 +81,54 @@
 	response, err := conn.ReadAnswer(http.MethodPost, func(*http.Response) Ownership { return Unnamed })
 	require.NoError(t, err)
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	require.Equal(t, "part", string(body))
+	requirePart(t, response.Body)
+}
+
+// requirePart requires a body of which a part can be read, and then an error.
+func requirePart(t *testing.T, body io.Reader) {
+	t.Helper()
+	part, err := io.ReadAll(body)
+	require.Equal(t, "part", string(part))
 	require.Error(t, err)
 }
+
+// TestStrictAnswerResetDuringUploadIsNotWhole guards against the same where net/http sends the request.
+func TestStrictAnswerResetDuringUploadIsNotWhole(t *testing.T) {
+	client := &http.Client{Transport: Strict(&http.Transport{DialContext: dialLateReader})}
+	response, err := client.Post("http://"+startResetting(t), "text/plain", strings.NewReader(strings.Repeat("x", resetUploadBytes)))
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	requirePart(t, response.Body)
+}
+
+// TestOrderlyEndDuringUploadIsWhole guards against an answer without a length that is lost because its target ends the
+// connection in an orderly way before it has read all of the request.
+func TestOrderlyEndDuringUploadIsWhole(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.ReadFull(conn, make([]byte, 1<<10))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
+		_ = conn.(*net.TCPConn).CloseWrite()
+		<-done
+		_ = conn.Close()
+	}()
+	pool := NewPool(10*time.Second, 1)
+	conn, err := pool.Get(context.Background(), "target", listener.Addr().String(), "")
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, conn.Send(&Request{Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", resetUploadBytes)), HasBody: true}))
+	response, err := conn.ReadAnswer(http.MethodPost, func(*http.Response) Ownership { return Unnamed })
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, "whole", string(body))
+}
