--- a/internal/soak/trouble_test.go
+++ b/internal/soak/trouble_test.go
@@ -49,7 +49,7 @@
 func (l *load) runTrouble(s step) {
 	switch s.fault {
 	case faultCrashPart:
-		l.cluster.fleet.CrashOn(s.subject)
+		l.cluster.fleet.CrashOnPart(s.subject, crashOf(s))
 		l.sendCrashing(s, func(id uint64) platformtest.Request {
 			return platformtest.Request{Path: platformtest.StreamPath + "x", Body: fmt.Sprint("body ", id), Parts: append(soundParts(id), s.subject)}
 		})
@@ -65,6 +65,12 @@
 	}
 }
 
+// crashOf returns how engines crash in a step: when they have begun to answer, before that, or late.
+func crashOf(s step) platformtest.Crash {
+	ways := []platformtest.Crash{{}, {BeforeHead: true, After: 60 * time.Millisecond}, {After: 900 * time.Millisecond}}
+	return ways[rand.New(rand.NewPCG(uint64(s.duration), 57)).IntN(len(ways))]
+}
+
 // repeatedBody returns the body of the request that comes again and again.
 func repeatedBody(s step) string { return "repeated " + s.subject }
 
