Quarantine: engines that fall silent, or are unlisted when they end, count too

An engine that crashed and closed nothing was excused, since a deadline, its caller or a stall had ended the answer; so was one that had left the list when its end was seen, as one does that comes back under another identity while a busy machine still has its last bytes. Change: what counts is when the target was last heard of, and that it says that it leaves.

Gateway tests pass.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -300,6 +300,9 @@
 	return t.isLeaving(now) || !b.isListed(t)
 }
 
+// SaysLeaving reports whether a target is known or suspected to be leaving, listed or not.
+func (b *Balancer) SaysLeaving(t *Target, now time.Duration) bool { return t.isLeaving(now) }
+
 // isLeaving reports whether a target is known or suspected to be leaving.
 func (t *Target) isLeaving(now time.Duration) bool {
 	return t.knownLeaving() || now < t.suspectedUntil || now < t.peerUse.suspectedUntil
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -162,6 +162,9 @@
 	}
 }
 
+// ReportedAt returns when the target made its last load report, 0 without one.
+func (t *Target) ReportedAt() time.Duration { return t.load.at }
+
 // batch returns an estimate of the number of requests at the engine.
 func (t *Target) batch() int {
 	n := t.load.running + t.load.waiting
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -32,41 +32,76 @@
 }
 
 // noteCrash records the end of a target that may have crashed on the request. An end of the answer that the caller, a
-// deadline or a notice to leave explains is no crash. One that had just begun to answer most likely crashed on what it had begun;
-// else the request is one of those that may be the reason, if the target does not live on.
+// deadline or a notice to leave explains is no crash, unless the target had fallen silent before. One that had just begun to
+// answer most likely crashed on what it had begun; else the request is one of those that may be the reason, if the target
+// does not live on.
 func (req *request) noteCrash(ctx context.Context, t *balance.Target, err error) {
-	explained := ctx.Err() != nil || isCallerError(err) || errors.Is(err, errStalled) || errors.Is(err, errOrder) ||
-		errors.Is(err, upstream.ErrMalformedAnswer) || req.server.isLeaving(t)
-	kind := quarantine.ClassifyEnd(explained, req.answerBegan != 0, req.answeringTime())
-	req.server.base.Metrics.TargetEnd(kind.String())
-	ended := upstream.IsConnectionEnd(err) || errors.Is(err, errNoEvent)
-	if ended && (kind == quarantine.EndBegun || kind == quarantine.EndUnbegun) {
+	end := targetEnd{at: req.server.base.Timers.Now(), lost: upstream.IsConnectionEnd(err) || errors.Is(err, errNoEvent)}
+	if since, silent := req.silentSince(ctx, t); silent {
+		end = targetEnd{at: since, silent: true}
+	}
+	explained := !end.silent && req.explainsEnd(ctx, t, err)
+	end.kind = quarantine.ClassifyEnd(explained, req.answerBegan != 0, end.at-req.answerBegan)
+	req.server.base.Metrics.TargetEnd(end.kind.String())
+	if end.lost && (end.kind == quarantine.EndBegun || end.kind == quarantine.EndUnbegun) {
 		crashes := req.server.crashes.RequestCrashed(req.identity, req.caller.ID, t.ID(), req.sentAt)
 		req.server.base.Log.Info("target crashed when it began to run the request", "request", req.caller.ID, "target", t.ID(),
 			"name", req.identity.Name(), "crashes", crashes)
 	}
-	if len(req.caller.SharedParts) == 0 {
-		return
+	if len(req.caller.SharedParts) > 0 {
+		req.noteEndOfParts(t, end)
 	}
+}
+
+// targetEnd is the end of an answer, or of the wait for it, before it was complete.
+type targetEnd struct {
+	kind   quarantine.EndKind
+	at     time.Duration // of a silent target, when it was last heard of
+	lost   bool          // the target ended the connection
+	silent bool          // it had sent nothing for stallTimeout or longer
+}
+
+// noteEndOfParts records what an end says of the parts of the prompt.
+func (req *request) noteEndOfParts(t *balance.Target, end targetEnd) {
+	parts, answering := req.caller.SharedParts, req.answeringTime()
+	mayCount := end.kind == quarantine.EndBegun || end.kind == quarantine.EndUnbegun || end.kind == quarantine.EndLate
 	switch {
-	case kind == quarantine.EndBegun:
-		held := req.server.crashes.PartsCrashed(req.caller.ID, t.ID(), req.caller.SharedParts, req.answeringTime())
+	case end.kind == quarantine.EndBegun && !end.silent:
+		held := req.server.crashes.PartsCrashed(req.caller.ID, t.ID(), parts, answering)
 		req.server.base.Log.Info("engine crashed when it began to answer", "request", req.caller.ID, "target", t.ID(),
-			"answering-ms", req.answeringTime().Milliseconds(), "parts", strings.Join(req.caller.SharedParts, ","), "held-back", held)
-	case ended && (kind == quarantine.EndUnbegun || kind == quarantine.EndLate):
-		req.awaitSurvival(t, req.caller.SharedParts, false)
+			"answering-ms", answering.Milliseconds(), "parts", strings.Join(parts, ","), "held-back", held)
+	case mayCount && (end.lost || end.silent):
+		req.awaitSurvival(t, survival.End{Parts: parts, At: end.at})
 	default:
-		req.server.base.Log.Info("end of an engine does not speak against the parts", "request", req.caller.ID, "target", t.ID(), "kind", kind.String(),
-			"answering-ms", req.answeringTime().Milliseconds(), "parts", strings.Join(req.caller.SharedParts, ","))
+		req.server.base.Log.Info("end of an engine does not speak against the parts", "request", req.caller.ID, "target", t.ID(), "kind", end.kind.String(),
+			"answering-ms", answering.Milliseconds(), "parts", strings.Join(parts, ","))
 	}
 }
 
-// awaitSurvival has a target looked at after it has ended the request's connection. Parts are as in survival.End.
-func (req *request) awaitSurvival(t *balance.Target, parts []string, whole bool) {
-	req.server.survival.Note(survival.End{
-		Attempt: req.caller.ID, Identity: req.identity, Parts: parts, Target: t.ID(), Address: t.Address(),
-		SentAt: req.sentAt, At: req.server.base.Timers.Now(), Whole: whole,
-	})
+// explainsEnd reports whether an answer has ended for another reason than a crash of its target.
+func (req *request) explainsEnd(ctx context.Context, t *balance.Target, err error) bool {
+	return ctx.Err() != nil || isCallerError(err) || errors.Is(err, errStalled) || errors.Is(err, errOrder) ||
+		errors.Is(err, upstream.ErrMalformedAnswer) || req.server.saysLeaving(t)
+}
+
+// silentSince reports whether an answer that had begun was ended because the target had sent nothing for long, and since
+// when: neither to the request nor, as far as is known, to those who ask for its load. When an engine falls silent, all that
+// it was answering stops at one moment; what waits there tells no such moment.
+func (req *request) silentSince(ctx context.Context, t *balance.Target) (time.Duration, bool) {
+	stalled := req.stream.accepted != nil && req.stream.halted == haltUnreachable
+	ended := ctx.Err() != nil || stalled
+	if req.answerBegan == 0 || !ended || req.server.stopping.Load() || req.server.saysLeaving(t) {
+		return 0, false
+	}
+	last := max(req.answerBegan, req.stream.lastPassedAt)
+	return last, req.server.base.Timers.Now()-last >= stallTimeout && req.server.reportedAt(t) <= last
+}
+
+// awaitSurvival has a target looked at after the end of the request's connection. It completes what is known of that end.
+func (req *request) awaitSurvival(t *balance.Target, end survival.End) {
+	end.Attempt, end.Identity, end.SentAt = req.caller.ID, req.identity, req.sentAt
+	end.Target, end.Address = t.ID(), t.Address()
+	req.server.survival.Note(end)
 }
 
 // noteOutlived records, once for each target, that it has been answering the request for so long that it does not crash on
@@ -89,7 +124,7 @@
 	refutes := req.server.crashes.Suspects(req.identity, parts)
 	if req.mayHaveCrashed() {
 		if t := req.server.targetByIdentity(req.target); t != nil && refutes {
-			req.awaitSurvival(t, parts, true)
+			req.awaitSurvival(t, survival.End{Parts: parts, At: req.server.base.Timers.Now(), Whole: true})
 		}
 		return
 	}
@@ -112,9 +147,17 @@
 // MergeEvidence implements follow.Sink.
 func (g *Server) MergeEvidence(e *wire.Evidence) { g.crashes.MergeEvidence(e) }
 
-// isLeaving reports whether a target is known to be leaving.
-func (g *Server) isLeaving(t *balance.Target) bool {
+// reportedAt returns when a target last reported its load, 0 if it has not.
+func (g *Server) reportedAt(t *balance.Target) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return t.ReportedAt()
+}
+
+// saysLeaving reports whether a target is known or suspected to be leaving. One that is only not listed any more may have
+// crashed.
+func (g *Server) saysLeaving(t *balance.Target) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.balancer.Leaving(t, g.base.Timers.Now())
+	return g.balancer.SaysLeaving(t, g.base.Timers.Now())
 }
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -10,6 +10,7 @@
 	"github.com/vanillaward/vanillaward"
 	"github.com/vanillaward/vanillaward/internal/balance"
 	"github.com/vanillaward/vanillaward/internal/route"
+	"github.com/vanillaward/vanillaward/internal/survival"
 	"github.com/vanillaward/vanillaward/internal/upstream"
 )
 
@@ -185,9 +186,9 @@
 	if err != nil {
 		conn.Close()
 		req.server.removeRun(resumed)
-		if upstream.IsConnectionEnd(err) && ctx.Err() == nil && !req.server.isLeaving(holder) {
+		if upstream.IsConnectionEnd(err) && ctx.Err() == nil && !req.server.saysLeaving(holder) {
 			req.server.crashes.RequestCrashed(req.identity, req.caller.ID, holder.ID(), req.sentAt)
-			req.awaitSurvival(holder, req.caller.SharedParts, false)
+			req.awaitSurvival(holder, survival.End{Parts: req.caller.SharedParts, At: req.server.base.Timers.Now()})
 		}
 		return nil, true, req.classifyFailure(ctx, "no answer from the holder of the copy", holder, err)
 	}
