Quarantine: uncertain crashes count by moments of 100 ms, and five of them

Cause: with three moments 250 ms apart, a burst of seven crashes within 0.76 s was two moments. A loss of many engines that instances see 300 ms apart stays under five moments.

--- a/internal/quarantine/uncertain.go
+++ b/internal/quarantine/uncertain.go
@@ -14,13 +14,13 @@
 	maxUncertain      = 128
 	uncertainLifetime = 5 * time.Minute
 	// momentTime is how soon after each other crashes of different targets are one moment. Targets that end together end
-	// for a reason that they share, such as a power loss.
-	momentTime = 250 * time.Millisecond
-	// minMoments is the number of moments at which the targets must have crashed, of which there are minCrashesUnclear, before
+	// for a reason that they share, such as a power loss; instances see that some tenths of a second apart.
+	momentTime = 100 * time.Millisecond
+	// minMoments is the number of moments at which targets must have crashed, of which there are minCrashesUnclear, before
 	// a part that was not answered whole since is held back. While nothing at all was answered whole meanwhile, it is
 	// minMomentsUnclear: targets may then be ending whatever they are sent.
-	minMoments        = 3
-	minMomentsUnclear = 5
+	minMoments        = 5
+	minMomentsUnclear = 8
 )
 
 // MayHaveCrashed records that a target crashed at a time while it had a request whose prompt has the given parts, and
