Quarantine: uncertain crashes that hold a part back outlive a restart of everything

Cause: an instance that starts with what replicas have saved refused uncertain crashes of more than five minutes, though they hold a part back for up to two hours. Now what is old is forgotten after the decision.

--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -120,8 +120,9 @@
 // decide finds the parts to hold back, group by group: each explains some of the crashes, and the
 // next one is sought among the others.
 func (l *Ledger) decide(now time.Duration) {
-	l.crashes = slices.DeleteFunc(l.crashes, func(c crash) bool { return !l.matters(c, now) })
-	l.dropUncertain(now)
+	pastMattering := func(c crash) bool { return !l.matters(c, now) }
+	l.crashes = slices.DeleteFunc(l.crashes, pastMattering)
+	l.uncertain = slices.DeleteFunc(l.uncertain, pastMattering)
 	unexplained := besideRequests(begunLast(l.crashes), l.heldCrashes())
 	l.held = nil
 	requests := l.requestNames()
@@ -136,6 +137,7 @@
 		unexplained = without(unexplained, g)
 	}
 	l.holdUncertain()
+	l.forgetUncertain(now)
 	maps.DeleteFunc(l.soundNews, func(part string, _ soundNews) bool {
 		sound, known := l.sound.get(part)
 		return !l.suspected(part) && (!known || now-sound > soundNewsTime)
--- a/internal/quarantine/uncertain.go
+++ b/internal/quarantine/uncertain.go
@@ -38,7 +38,7 @@
 // addUncertain adds an uncertain crash, and reports whether it is new and matters.
 func (l *Ledger) addUncertain(c crash, own bool, now time.Duration) bool {
 	known := l.anyCrash(func(other crash) bool { return other.id == c.id })
-	if known || len(c.parts) == 0 || now-c.at > uncertainLifetime && !l.explains(c) {
+	if known || len(c.parts) == 0 {
 		return false
 	}
 	l.tellSound(c)
@@ -69,11 +69,10 @@
 	}
 }
 
-// dropUncertain drops the uncertain crashes that matter no more.
-func (l *Ledger) dropUncertain(now time.Duration) {
-	l.uncertain = slices.DeleteFunc(l.uncertain, func(c crash) bool {
-		return !l.matters(c, now) || now-c.at > uncertainLifetime && !l.explains(c)
-	})
+// forgetUncertain forgets the uncertain crashes that are too old and do not explain why a part is held back. It comes after
+// the decision: what another ledger has kept for so long explains it there.
+func (l *Ledger) forgetUncertain(now time.Duration) {
+	l.uncertain = slices.DeleteFunc(l.uncertain, func(c crash) bool { return now-c.at > uncertainLifetime && !l.explains(c) })
 }
 
 // holdUncertain holds back the parts that explain crashes for which no part is held back yet, and lengthens the time of
--- a/internal/quarantine/uncertain_test.go
+++ b/internal/quarantine/uncertain_test.go
@@ -97,3 +97,18 @@
 	require.Len(t, evidence, 1)
 	require.Equal(t, []string{"before"}, evidence[0].GetParts())
 }
+
+// TestUncertainCrashesOutliveRestart guards against a part that is let go because the evidence of uncertain crashes is old
+// when instances start with what replicas have saved.
+func TestUncertainCrashesOutliveRestart(t *testing.T) {
+	const later = time.Hour
+	l := quarantine.New("i")
+	for n := range 8 {
+		at := time.Duration(1+n) * time.Second
+		l.MayHaveCrashed(fmt.Sprint(n), fmt.Sprint("engine-", n), []string{"bad"}, 0, at, at)
+	}
+	require.NotNil(t, l.Check([]string{"bad"}, 8*time.Second))
+	restarted := quarantine.New("j")
+	restarted.Merge(l.Evidence(later), later)
+	require.NotNil(t, restarted.Check([]string{"bad"}, later), "a trial is claimed first")
+}
