Quarantine: crashes that look like ends of answers, and late ones under repeated requests, count

A stream without a length that a crash ends after an event, later than 500 ms after its head, counted as a whole answer and refuted the crashes before it; earlier than that it was looked at only if a crash was known, so that none ever became known. One that ends inside an event was no lost connection. A request that comes again and again and crashes targets late was not counted at all. Crashes of one request at target after target are moments of their own, since each was sent after the one before had ended.

--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -69,7 +69,7 @@
 	case upstream.IsConnectionEnd(lostBy) && (kind == quarantine.EndUnbegun || kind == quarantine.EndLate):
 		g.server.survival.Note(survival.End{
 			Attempt: g.generationID(), Identity: g.identity, Parts: g.parts, Target: g.target, Address: g.address,
-			SentAt: g.sentAt, At: g.server.timers.Now(),
+			SentAt: g.sentAt, At: g.server.timers.Now(), Late: kind == quarantine.EndLate,
 		})
 	default:
 		g.server.log.Info("end of an engine does not speak against the parts", "request", g.id, "target", g.target, "kind", kind.String(),
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -9,6 +9,7 @@
 
 	"github.com/vanillaward/vanillaward/internal/balance"
 	"github.com/vanillaward/vanillaward/internal/quarantine"
+	"github.com/vanillaward/vanillaward/internal/sse"
 	"github.com/vanillaward/vanillaward/internal/survival"
 	"github.com/vanillaward/vanillaward/internal/upstream"
 	"github.com/vanillaward/vanillaward/internal/wire"
@@ -36,7 +37,7 @@
 // answer most likely crashed on what it had begun; else the request is one of those that may be the reason, if the target
 // does not live on.
 func (req *request) noteCrash(ctx context.Context, t *balance.Target, err error) {
-	end := targetEnd{at: req.server.base.Timers.Now(), lost: upstream.IsConnectionEnd(err) || errors.Is(err, errNoEvent)}
+	end := targetEnd{at: req.server.base.Timers.Now(), lost: req.lostConnection(err)}
 	if since, silent := req.silentSince(ctx, t); silent {
 		end = targetEnd{at: since, silent: true}
 	}
@@ -48,11 +49,22 @@
 		req.server.base.Log.Info("target crashed when it began to run the request", "request", req.caller.ID, "target", t.ID(),
 			"name", req.identity.Name(), "crashes", crashes)
 	}
+	late := end.kind == quarantine.EndLate && end.lost
+	if late || len(req.caller.SharedParts) > 0 && end.uncertain() {
+		req.awaitSurvival(t, survival.End{Parts: req.caller.SharedParts, At: end.at, Late: late})
+		return
+	}
 	if len(req.caller.SharedParts) > 0 {
-		req.noteEndOfParts(t, end)
+		req.noteEndOfParts(t, end.kind)
 	}
 }
 
+// lostConnection reports whether an answer ended with its connection before it was complete.
+func (req *request) lostConnection(err error) bool {
+	inside := errors.Is(err, sse.ErrUnfinished) && req.framing == upstream.FramedByClose
+	return upstream.IsConnectionEnd(err) || errors.Is(err, errNoEvent) || inside
+}
+
 // targetEnd is the end of an answer, or of the wait for it, before it was complete.
 type targetEnd struct {
 	kind   quarantine.EndKind
@@ -61,21 +73,29 @@
 	silent bool          // it had sent nothing for stallTimeout or longer
 }
 
-// noteEndOfParts records what an end says of the parts of the prompt.
-func (req *request) noteEndOfParts(t *balance.Target, end targetEnd) {
+// uncertain reports whether the target may have crashed on any request that it had.
+func (e targetEnd) uncertain() bool {
+	switch e.kind {
+	case quarantine.EndBegun:
+		return e.silent
+	case quarantine.EndUnbegun, quarantine.EndLate:
+		return e.lost || e.silent
+	case quarantine.EndExplained, quarantine.EndLong:
+	}
+	return false
+}
+
+// noteEndOfParts records what a certain crash, or an end that is none, says of the parts of the prompt.
+func (req *request) noteEndOfParts(t *balance.Target, kind quarantine.EndKind) {
 	parts, answering := req.caller.SharedParts, req.answeringTime()
-	mayCount := end.kind == quarantine.EndBegun || end.kind == quarantine.EndUnbegun || end.kind == quarantine.EndLate
-	switch {
-	case end.kind == quarantine.EndBegun && !end.silent:
-		held := req.server.crashes.PartsCrashed(req.caller.ID, t.ID(), parts, answering)
-		req.server.base.Log.Info("engine crashed when it began to answer", "request", req.caller.ID, "target", t.ID(),
-			"answering-ms", answering.Milliseconds(), "parts", strings.Join(parts, ","), "held-back", held)
-	case mayCount && (end.lost || end.silent):
-		req.awaitSurvival(t, survival.End{Parts: parts, At: end.at})
-	default:
-		req.server.base.Log.Info("end of an engine does not speak against the parts", "request", req.caller.ID, "target", t.ID(), "kind", end.kind.String(),
+	if kind != quarantine.EndBegun {
+		req.server.base.Log.Info("end of an engine does not speak against the parts", "request", req.caller.ID, "target", t.ID(), "kind", kind.String(),
 			"answering-ms", answering.Milliseconds(), "parts", strings.Join(parts, ","))
+		return
 	}
+	held := req.server.crashes.PartsCrashed(req.caller.ID, t.ID(), parts, answering)
+	req.server.base.Log.Info("engine crashed when it began to answer", "request", req.caller.ID, "target", t.ID(),
+		"answering-ms", answering.Milliseconds(), "parts", strings.Join(parts, ","), "held-back", held)
 }
 
 // explainsEnd reports whether an answer has ended for another reason than a crash of its target.
@@ -123,7 +143,7 @@
 	}
 	refutes := req.server.crashes.Suspects(req.identity, parts)
 	if req.mayHaveCrashed() {
-		if t := req.server.targetByIdentity(req.target); t != nil && refutes {
+		if t := req.server.targetByIdentity(req.target); t != nil && (refutes || len(parts) > 0) {
 			req.awaitSurvival(t, survival.End{Parts: parts, At: req.server.base.Timers.Now(), Whole: true})
 		}
 		return
@@ -136,9 +156,9 @@
 }
 
 // mayHaveCrashed reports whether a crash of the target can look like the answer that has just ended: one that
-// ends with its connection, so soon that the crash would speak against the request.
+// ends with its connection, so soon that the crash could speak against the request.
 func (req *request) mayHaveCrashed() bool {
-	return req.framing == upstream.FramedByClose && req.answeringTime() <= quarantine.JustBegun
+	return req.framing == upstream.FramedByClose && req.answeringTime() <= quarantine.LateBegun
 }
 
 // Evidence implements follow.Sink.
--- a/internal/gateway/repeat_test.go
+++ b/internal/gateway/repeat_test.go
@@ -88,6 +88,23 @@
 	}
 }
 
+// TestRequestThatCrashesTargetsLateIsHeldBack guards against the same where targets end later than 500 ms after they have
+// begun to answer.
+func TestRequestThatCrashesTargetsLateIsHeldBack(t *testing.T) {
+	const crashes = 3
+	r := newRepeatRig(t, route.Stream, 1, 10, "stream:late-crash")
+	r.updateTargets(r.targets[0]) // nobody holds a copy
+	for n := range crashes {
+		require.Error(t, r.repeat(t, "/r/bad", "body").err, "cut off")
+		r.updateTargets(r.targets[n+1])
+		r.awaitMetric(t, fmt.Sprintf("vanillaward_target_survival_total{result=\"gone\"} %d\n", n+1))
+	}
+	got := r.repeat(t, "/r/bad", "body")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Equal(t, "request-held-back", strings.TrimSpace(got.body))
+	require.Equal(t, crashes, sentTo(r.targets))
+}
+
 // TestRepeatedSoundRequestIsSentOn guards against holding back a request that is served now and then,
 // or that ran beside others when their targets ended.
 func TestRepeatedSoundRequestIsSentOn(t *testing.T) {
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -123,6 +123,16 @@
 	r.gateway.UpdateTargets(list)
 }
 
+// awaitMetric waits until the metrics contain a text.
+func (r *rig) awaitMetric(t *testing.T, text string) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		var metrics strings.Builder
+		r.metrics.Write(&metrics)
+		return strings.Contains(metrics.String(), text)
+	}, 20*time.Second, time.Millisecond, text)
+}
+
 // reply is the answer that the caller received.
 type reply struct {
 	status int
--- a/internal/gateway/standin_test.go
+++ b/internal/gateway/standin_test.go
@@ -383,6 +383,10 @@
 	if argument == "restart" { // runs the request again though it is asked to continue it
 		from = 0
 	}
+	if argument == "late-crash" {
+		s.streamUntilLateCrash(conn, request)
+		return false
+	}
 	if argument == "unframed" || argument == "unframed-crash" {
 		s.streamUnframed(conn, request, argument == "unframed-crash")
 		return false
@@ -421,6 +425,16 @@
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n%s", testID, request.Header.Get(testID), strings.Join(events, ""))
 }
 
+// lateCrash is how long a stream of streamUntilLateCrash lasts: longer than a run that has just begun.
+const lateCrash = 700 * time.Millisecond
+
+// streamUntilLateCrash sends an event, and crashes in the next one after a time.
+func (s *standin) streamUntilLateCrash(conn net.Conn, request *http.Request) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: event 1\n\nid: 2\n", testID, request.Header.Get(testID))
+	time.Sleep(lateCrash)
+	_ = s.listener.Close()
+}
+
 func (s *standin) runCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/survival_test.go
+++ b/internal/gateway/survival_test.go
@@ -3,9 +3,7 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -34,11 +32,7 @@
 			unframed := newStandin(t, "unframed", c.behaviour)
 			r.updateTargets(unframed)
 			r.send(t, http.MethodPost, "/r/x", "", map[string]string{testID: "unframed", testParts: "system"})
-			require.Eventually(t, func() bool {
-				var text strings.Builder
-				r.metrics.Write(&text)
-				return strings.Contains(text.String(), "vanillaward_target_survival_total")
-			}, 20*time.Second, time.Millisecond, "the target is looked at")
+			r.awaitMetric(t, "vanillaward_target_survival_total")
 			crash(crashesThatHold - 1)
 			sound := newStandin(t, "sound-again", "stream:")
 			r.updateTargets(sound)
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -324,7 +324,7 @@
 	var counter crashCounter
 	for _, c := range crashes {
 		if c.at > sound && slices.Contains(c.parts, part) {
-			counter.add(c.target, c.at)
+			counter.add(c.target, c.at, c.answering)
 		}
 	}
 	return counter
@@ -340,13 +340,15 @@
 	// suspectedAt is when the count reached minCrashes.
 	suspectedAt time.Duration
 	lastOf      map[string]time.Duration // by target
-	// moments is the number of crashes that came momentTime or more after the one before, the first included.
+	// moments is the number of crashes that came momentTime or more after the one before, or at a target that had begun to work
+	// on its request since then; the first included.
 	moments    int
 	lastMoment time.Duration
 	first      time.Duration
 }
 
-func (c *crashCounter) add(target string, at time.Duration) {
+// add counts a crash of a target that had been working on a request for a time.
+func (c *crashCounter) add(target string, at, working time.Duration) {
 	if c.lastOf == nil {
 		c.lastOf = map[string]time.Duration{}
 	}
@@ -355,7 +357,7 @@
 		if c.count == 1 {
 			c.first = at
 		}
-		if c.count == 1 || at-c.lastMoment >= momentTime {
+		if c.count == 1 || at-c.lastMoment >= momentTime || at-working > c.lastMoment {
 			c.moments, c.lastMoment = c.moments+1, at
 		}
 		if c.count == minCrashes {
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -68,11 +68,21 @@
 	target string
 	parts  []string // of the request's prompt, sorted
 	at     time.Duration
-	// answering is how long the engine had been answering the request.
+	// answering is how long the engine had been answering the request, or had had it if the crash is uncertain.
 	answering time.Duration
 	news      news
 }
 
+// encode returns the crash for another instance.
+func (c crash) encode(now time.Duration) *wire.EngineCrash {
+	return &wire.EngineCrash{Id: c.id, Target: c.target, Parts: c.parts, AgeMs: uint64((now - c.at).Milliseconds()), AnsweringMs: uint32(c.answering.Milliseconds())}
+}
+
+// decodeCrash returns the crash that another instance knows.
+func decodeCrash(c *wire.EngineCrash, now time.Duration) crash {
+	return crash{id: c.GetId(), target: c.GetTarget(), parts: names(c.GetParts()), at: now - age(c.GetAgeMs()), answering: time.Duration(c.GetAnsweringMs()) * time.Millisecond}
+}
+
 // New returns an empty ledger of an instance.
 func New(instance string) *Ledger {
 	return &Ledger{instance: instance, soundNews: map[string]soundNews{}, claims: map[string]claim{}, requests: map[string]*repeated{}, ended: map[string]time.Duration{}, latest: news{own: 1}}
@@ -240,12 +250,12 @@
 	l.addRequestEvidence(out, wanted, requestCrashes, now)
 	for _, c := range l.crashes {
 		if wanted(c.news) {
-			out.Crashes = append(out.Crashes, &wire.EngineCrash{Id: c.id, Target: c.target, Parts: c.parts, AgeMs: uint64((now - c.at).Milliseconds()), AnsweringMs: uint32(c.answering.Milliseconds())})
+			out.Crashes = append(out.Crashes, c.encode(now))
 		}
 	}
 	for _, c := range l.uncertain {
 		if wanted(c.news) {
-			out.UncertainCrashes = append(out.UncertainCrashes, &wire.EngineCrash{Id: c.id, Target: c.target, Parts: c.parts, AgeMs: uint64((now - c.at).Milliseconds())})
+			out.UncertainCrashes = append(out.UncertainCrashes, c.encode(now))
 		}
 	}
 	for part, told := range l.soundNews {
@@ -267,7 +277,7 @@
 		l.addSound(name(s.GetPart()), now-age(s.GetAgeMs()), false, now)
 	}
 	for _, c := range e.GetCrashes()[:min(maxCrashes, len(e.GetCrashes()))] {
-		l.add(crash{id: c.GetId(), target: c.GetTarget(), parts: names(c.GetParts()), at: now - age(c.GetAgeMs()), answering: time.Duration(c.GetAnsweringMs()) * time.Millisecond}, false, now)
+		l.add(decodeCrash(c, now), false, now)
 	}
 	l.mergeUncertain(e, now)
 	l.mergeRequests(e, now)
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -181,7 +181,7 @@
 	var counter crashCounter
 	for _, c := range r.crashes {
 		if !r.known || c.at > r.sound {
-			counter.add(c.target, c.at)
+			counter.add(c.target, c.at, 0)
 		}
 	}
 	return counter
--- a/internal/quarantine/uncertain.go
+++ b/internal/quarantine/uncertain.go
@@ -13,8 +13,9 @@
 	// explain why a part is held back.
 	maxUncertain      = 128
 	uncertainLifetime = 5 * time.Minute
-	// momentTime is how soon after each other crashes of different targets are one moment. Targets that end together end
-	// for a reason that they share, such as a power loss; instances see that some tenths of a second apart.
+	// momentTime is how soon after each other crashes of different targets are one moment, unless the later one had been sent
+	// its request since. Targets that end together end for a reason that they share, such as a power loss; instances see
+	// that some tenths of a second apart.
 	momentTime = 100 * time.Millisecond
 	// minMoments is the number of moments at which targets must have crashed, of which there are minCrashesUnclear, before
 	// a part that was not answered whole since is held back. While nothing at all was answered whole meanwhile, it is
@@ -30,7 +31,7 @@
 	if ended, seen := l.ended[target]; seen && sentAt >= ended && sentAt-ended <= restartTime {
 		return // the target was down
 	}
-	if l.addUncertain(crash{id: request + "@" + target, target: target, parts: names(parts), at: at}, true, now) {
+	if l.addUncertain(crash{id: request + "@" + target, target: target, parts: names(parts), at: at, answering: at - sentAt}, true, now) {
 		l.decide(now)
 	}
 }
@@ -61,7 +62,7 @@
 func (l *Ledger) mergeUncertain(e *wire.Evidence, now time.Duration) {
 	changed := false
 	for _, c := range e.GetUncertainCrashes()[:min(maxUncertain, len(e.GetUncertainCrashes()))] {
-		added := l.addUncertain(crash{id: c.GetId(), target: c.GetTarget(), parts: names(c.GetParts()), at: now - age(c.GetAgeMs())}, false, now)
+		added := l.addUncertain(decodeCrash(c, now), false, now)
 		changed = changed || added
 	}
 	if changed {
@@ -123,7 +124,7 @@
 	var counter crashCounter
 	for _, c := range all {
 		if c.at > sound && containsAll(c.parts, g.parts) {
-			counter.add(c.target, c.at)
+			counter.add(c.target, c.at, c.answering)
 		}
 	}
 	if counter.last > g.lastCrash {
--- a/internal/survival/survival.go
+++ b/internal/survival/survival.go
@@ -19,7 +19,7 @@
 	openTime = 200 * time.Millisecond
 	// queueLength bounds the ends whose targets are still to be looked at, and workers how many are at the same time.
 	queueLength = 64
-	workers     = 4
+	workers     = 16
 )
 
 // End is the end of a request's connection at a target. Times are those of the timers.
@@ -36,6 +36,9 @@
 	At      time.Duration
 	// Whole reports that the answer looked whole.
 	Whole bool
+	// Late reports that the answer had begun too long ago for a crash to be certain: it speaks against the whole request only if
+	// the target does not live on.
+	Late bool
 }
 
 // Watcher records ends as crashes, or as whole answers, by whether their targets live on. It is safe for concurrent use.
@@ -79,6 +82,9 @@
 	case !survived && len(e.Parts) > 0:
 		held = w.ledger.PartsMayHaveCrashed(e.Attempt, e.Target, e.Parts, e.SentAt, e.At)
 	}
+	if !survived && e.Late {
+		w.ledger.RequestCrashed(e.Identity, e.Attempt, e.Target, e.SentAt)
+	}
 	w.base.Log.Info("target looked at after its connection ended", "request", e.Attempt, "target", e.Target, "address", e.Address, "whole", e.Whole,
 		"age-ms", (w.base.Timers.Now() - e.At).Milliseconds(), "survived", survived, "parts", strings.Join(e.Parts, ","), "held-back", held)
 	w.base.Metrics.Survival(survived)
