--- a/internal/quarantine/uncertain.go
+++ b/internal/quarantine/uncertain.go
@@ -118,20 +118,6 @@
 	return out
 }
 
-// lengthen counts uncertain crashes too under requests with all parts of a group that is held back, since these were last
-// answered whole.
-func (g *group) lengthen(all []crash, sound time.Duration) {
-	var counter crashCounter
-	for _, c := range all {
-		if c.at > sound && containsAll(c.parts, g.parts) {
-			counter.add(c.target, c.at, c.answering)
-		}
-	}
-	if counter.last > g.lastCrash {
-		g.crashes, g.trials, g.lastCrash = max(g.crashes, counter.count), max(g.trials, counter.trials), counter.last
-	}
-}
-
 // uncertainSuspects returns the parts against which at least minCrashesUnclear of the given crashes speak, certain or not,
 // in the order of suspects.
 func (l *Ledger) uncertainSuspects(crashes []crash) []suspect {
--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -49,9 +49,9 @@
 	return &lateReader{Conn: conn, failed: make(chan struct{})}, nil
 }
 
-// startResetting starts a target that answers with a part of a body without a length, and then resets the connection, while the
-// request is still being written.
-func startResetting(t *testing.T) string {
+// startUnreading starts a target that reads only the beginning of a request, answers with a body without a length, and calls
+// end, while the request is still being written.
+func startUnreading(t *testing.T, body string, end func(*net.TCPConn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -62,24 +62,39 @@
 			return
 		}
 		_, _ = io.ReadFull(conn, make([]byte, 1<<10))
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
-		time.Sleep(20 * time.Millisecond) // the part arrives before the reset
-		_ = conn.(*net.TCPConn).SetLinger(0)
-		_ = conn.Close()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+body)
+		end(conn.(*net.TCPConn))
 	}()
 	return listener.Addr().String()
 }
 
-// TestAnswerResetDuringUploadIsNotWhole guards against a part of an answer without a length that passes for all of it,
-// because the upload, which was still being written, got the error of the reset.
-func TestAnswerResetDuringUploadIsNotWhole(t *testing.T) {
-	pool := NewPool(10*time.Second, 1, WithDial(dialLateReader))
-	conn, err := pool.Get(context.Background(), "target", startResetting(t), "")
+// startResetting starts a target that answers with a part of a body, and then resets the connection.
+func startResetting(t *testing.T) string {
+	t.Helper()
+	return startUnreading(t, "part", func(conn *net.TCPConn) {
+		time.Sleep(20 * time.Millisecond) // the part arrives before the reset
+		_ = conn.SetLinger(0)
+		_ = conn.Close()
+	})
+}
+
+// upload sends a long request by a connection of a pool, and returns the answer.
+func upload(t *testing.T, pool *Pool, address string) *http.Response {
+	t.Helper()
+	conn, err := pool.Get(context.Background(), "target", address, "")
 	require.NoError(t, err)
-	defer conn.Close()
-	require.NoError(t, conn.Send(&Request{Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", resetUploadBytes)), HasBody: true}))
+	t.Cleanup(conn.Close)
+	body := []byte(strings.Repeat("x", resetUploadBytes))
+	require.NoError(t, conn.Send(&Request{Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: body, HasBody: true}))
 	response, err := conn.ReadAnswer(http.MethodPost, func(*http.Response) Ownership { return Unnamed })
 	require.NoError(t, err)
+	return response
+}
+
+// TestAnswerResetDuringUploadIsNotWhole guards against a part of an answer without a length that passes for all of it,
+// because the upload, which was still being written, got the error of the reset.
+func TestAnswerResetDuringUploadIsNotWhole(t *testing.T) {
+	response := upload(t, NewPool(10*time.Second, 1, WithDial(dialLateReader)), startResetting(t))
 	defer func() { _ = response.Body.Close() }()
 	requirePart(t, response.Body)
 }
@@ -104,29 +119,8 @@
 // TestOrderlyEndDuringUploadIsWhole guards against an answer without a length that is lost because its target ends the
 // connection in an orderly way before it has read all of the request.
 func TestOrderlyEndDuringUploadIsWhole(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	done := make(chan struct{})
-	defer close(done)
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		_, _ = io.ReadFull(conn, make([]byte, 1<<10))
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
-		_ = conn.(*net.TCPConn).CloseWrite()
-		<-done
-		_ = conn.Close()
-	}()
-	pool := NewPool(10*time.Second, 1)
-	conn, err := pool.Get(context.Background(), "target", listener.Addr().String(), "")
-	require.NoError(t, err)
-	defer conn.Close()
-	require.NoError(t, conn.Send(&Request{Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", resetUploadBytes)), HasBody: true}))
-	response, err := conn.ReadAnswer(http.MethodPost, func(*http.Response) Ownership { return Unnamed })
-	require.NoError(t, err)
+	address := startUnreading(t, "whole", func(conn *net.TCPConn) { _ = conn.CloseWrite() })
+	response := upload(t, NewPool(10*time.Second, 1), address)
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	require.NoError(t, err)
