Quarantine: uncertain crashes are told only if another crash shares a part

Cause: each request that ends with an engine is one, and most have parts of their own. With an engine of 24 requests crashing each second, 8 instances and one replica: 1,879 bytes a second and instance; 682 is the part of the 2 KiB that a node may spend. Now parts that were answered whole in the second before are left out, and a replica passes a crash on once another one shares a part: 409 bytes, 246 with 1,100 instances (TestUncertainEvidenceTakesFewBytes, which fails without both).

--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -142,6 +142,7 @@
 	}
 	c.news = l.record(own)
 	l.crashes = append(l.crashes, c)
+	l.renewShared(c)
 	slices.SortStableFunc(l.crashes, func(a, b crash) int { return int(a.at - b.at) })
 	l.decide(now)
 	if len(l.crashes) > maxCrashes {
@@ -233,7 +234,7 @@
 }
 
 // News returns what has become known since the given Version, for an instance: of requests those on
-// which targets crashed more than once.
+// which targets crashed more than once, and of uncertain crashes those with a part of another crash.
 func (l *Ledger) News(version uint64, now time.Duration) *wire.Evidence {
 	return l.evidence(func(n news) bool { return n.version > version }, tellCrashes, now)
 }
@@ -244,17 +245,18 @@
 	return l.evidence(func(n news) bool { return own == 0 || n.own > own }, 1, now)
 }
 
-// evidence returns the records that are wanted, of requests those with at least requestCrashes.
-func (l *Ledger) evidence(wanted func(news) bool, requestCrashes int, now time.Duration) *wire.Evidence {
+// evidence returns the records that are wanted, of requests those with at least minCount crashes. If that is above 1, it leaves out
+// uncertain crashes that have no part in common with another crash.
+func (l *Ledger) evidence(wanted func(news) bool, minCount int, now time.Duration) *wire.Evidence {
 	out := &wire.Evidence{}
-	l.addRequestEvidence(out, wanted, requestCrashes, now)
+	l.addRequestEvidence(out, wanted, minCount, now)
 	for _, c := range l.crashes {
 		if wanted(c.news) {
 			out.Crashes = append(out.Crashes, c.encode(now))
 		}
 	}
 	for _, c := range l.uncertain {
-		if wanted(c.news) {
+		if wanted(c.news) && (minCount < tellCrashes || l.worthTelling(c)) {
 			out.UncertainCrashes = append(out.UncertainCrashes, c.encode(now))
 		}
 	}
--- a/internal/quarantine/uncertain.go
+++ b/internal/quarantine/uncertain.go
@@ -13,6 +13,9 @@
 	// explain why a part is held back.
 	maxUncertain      = 128
 	uncertainLifetime = 5 * time.Minute
+	// recentTime is how long before a crash a part may have been answered whole not to be among those that may be its reason:
+	// parts of most requests are, and others need not be told of them.
+	recentTime = time.Second
 	// momentTime is how soon after each other crashes of different targets are one moment, unless the later one had been sent
 	// its request since. Targets that end together end for a reason that they share, such as a power loss; instances see
 	// that some tenths of a second apart.
@@ -31,7 +34,11 @@
 	if ended, seen := l.ended[target]; seen && sentAt >= ended && sentAt-ended <= restartTime {
 		return // the target was down
 	}
-	if l.addUncertain(crash{id: request + "@" + target, target: target, parts: names(parts), at: at, answering: at - sentAt}, true, now) {
+	suspect := slices.DeleteFunc(names(parts), func(part string) bool {
+		sound, known := l.sound.get(part)
+		return known && at-sound <= recentTime
+	})
+	if l.addUncertain(crash{id: request + "@" + target, target: target, parts: suspect, at: at, answering: at - sentAt}, true, now) {
 		l.decide(now)
 	}
 }
@@ -49,6 +56,7 @@
 	c.news = l.record(own)
 	l.uncertain = append(l.uncertain, c)
 	slices.SortStableFunc(l.uncertain, byTime)
+	l.renewShared(c)
 	if len(l.uncertain) > maxUncertain {
 		oldest := slices.IndexFunc(l.uncertain, func(c crash) bool { return !l.explains(c) })
 		l.uncertain = slices.Delete(l.uncertain, max(0, oldest), max(0, oldest)+1)
@@ -56,6 +64,38 @@
 	return true
 }
 
+// renewShared makes uncertain crashes news for those who were not told of them, because a new crash is the second with one
+// of their parts.
+func (l *Ledger) renewShared(c crash) {
+	for _, part := range c.parts {
+		if l.crashesWith(part) != tellCrashes {
+			continue
+		}
+		for i := range l.uncertain {
+			if other := &l.uncertain[i]; slices.Contains(other.parts, part) {
+				other.news.version = l.record(false).version
+			}
+		}
+	}
+}
+
+// crashesWith counts the crashes under requests with a part, certain or not.
+func (l *Ledger) crashesWith(part string) int {
+	n := 0
+	l.anyCrash(func(c crash) bool {
+		if slices.Contains(c.parts, part) {
+			n++
+		}
+		return false
+	})
+	return n
+}
+
+// worthTelling reports whether another crash has a part of an uncertain one: most have no other.
+func (l *Ledger) worthTelling(c crash) bool {
+	return slices.ContainsFunc(c.parts, func(part string) bool { return l.crashesWith(part) >= tellCrashes })
+}
+
 func byTime(a, b crash) int { return cmp.Compare(a.at, b.at) }
 
 // mergeUncertain adds the uncertain crashes that other instances know.
--- a/internal/quarantine/uncertain_test.go
+++ b/internal/quarantine/uncertain_test.go
@@ -112,3 +112,35 @@
 	restarted.Merge(l.Evidence(later), later)
 	require.NotNil(t, restarted.Check([]string{"bad"}, later), "a trial is claimed first")
 }
+
+// TestUncertainEvidenceTakesFewBytes guards against evidence of what ended beside crashes that takes more than its part of what
+// an instance may spend on control, while engines crash and requests with parts of their own end with each.
+func TestUncertainEvidenceTakesFewBytes(t *testing.T) {
+	const (
+		maxBytes = 2 << 10 / 3 // a second and instance, for one of three replicas, of 2 KiB
+		seconds  = 20
+		beside   = 24 // requests that end with an engine
+		parts    = 3000
+	)
+	for _, count := range []int{8, 61, 240, 1100} {
+		d := newDeployment(1, count)
+		d.failing = 0
+		for step := range seconds * 10 {
+			d.tick(step)
+			for range count {
+				d.send(false)
+			}
+			if step%10 > 0 { // an engine crashes each second
+				continue
+			}
+			for n := range beside {
+				own := []string{"system", fmt.Sprint("topic-", d.random.IntN(4)), fmt.Sprint("rare-", d.random.IntN(parts))}
+				d.instances[d.random.IntN(count)].MayHaveCrashed(fmt.Sprint(step, "-", n), fmt.Sprint("engine-", step), own, d.now-time.Second, d.now, d.now)
+			}
+		}
+		rate := float64(d.bytes) / float64(count) / seconds
+		t.Logf("%d instances: %.0f bytes a second and instance", count, rate)
+		require.LessOrEqual(t, rate, float64(maxBytes))
+		require.Zero(t, d.refused)
+	}
+}
