Quarantine: what an engine had just begun is not blamed for what crashes it before it begins

'topic-0', then 'system', which all prompts share, were held back for 20 s, and sound requests refused for longer than 6 s after the fifth crash; and the part that crashed the engines was explained away. Cause: certain crashes were explained by themselves, before uncertain ones were looked at. Now a part is blamed for certain crashes only if none explains them better, by one choice for both (decide.go, uncertain.go). Without uncertain crashes nothing changes.

--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -97,20 +97,15 @@
 	pastMattering := func(c crash) bool { return !l.matters(c, now) }
 	l.crashes = slices.DeleteFunc(l.crashes, pastMattering)
 	l.uncertain = slices.DeleteFunc(l.uncertain, pastMattering)
-	unexplained := besideRequests(begunLast(l.crashes), l.heldCrashes())
+	held := l.heldCrashes()
+	certain, all := besideRequests(begunLast(l.crashes), held), besideRequests(l.allCrashes(), held)
 	l.held = nil
 	requests := l.requestNames()
-	for {
-		suspects := l.suspects(unexplained, requests)
-		worst := slices.IndexFunc(suspects, func(s suspect) bool { return s.enough })
-		if worst < 0 {
-			break
-		}
-		g := newGroup(suspects[worst], suspects, unexplained)
+	for g := l.nextGroup(certain, all, requests); g != nil; g = l.nextGroup(certain, all, requests) {
 		l.held = append(l.held, g)
-		unexplained = without(unexplained, g)
+		certain, all = without(certain, all, g), without(all, all, g)
 	}
-	l.holdUncertain()
+	l.lengthen()
 	l.forgetUncertain(now)
 	maps.DeleteFunc(l.soundNews, func(part string, _ soundNews) bool {
 		sound, known := l.sound.get(part)
@@ -119,6 +114,21 @@
 	l.dropClaims(now)
 }
 
+// nextGroup returns the parts that explain most of the crashes which no group that is held back explains, or nil if nothing
+// else is to be held back: certain ones, and all of them. A part is blamed for certain crashes only if no other part explains these
+// better: what an engine had just begun may end with what crashed it before it began.
+func (l *Ledger) nextGroup(certain, all []crash, requests map[string]string) *group {
+	suspects := l.suspects(certain, requests)
+	worst := slices.IndexFunc(suspects, func(s suspect) bool { return s.enough })
+	if worst < 0 {
+		return l.uncertainGroup(all, nil)
+	}
+	if g := l.uncertainGroup(all, &suspects[worst]); g != nil {
+		return g
+	}
+	return newGroup(suspects[worst], suspects, certain)
+}
+
 // begunLast returns the crashes without those of requests that ran beside another one which their
 // engine began to answer later, and ended with.
 func begunLast(crashes []crash) []crash {
@@ -132,11 +142,11 @@
 	return other.target == c.target && (other.at-c.at).Abs() <= restartTime
 }
 
-// without returns the crashes that a group does not explain. It explains those under requests with
+// without returns the crashes that a group does not explain. Of all crashes, it explains those under requests with
 // its parts, and with them whatever else ended in the same crash.
-func without(crashes []crash, g *group) []crash {
+func without(crashes, all []crash, g *group) []crash {
 	return slices.DeleteFunc(slices.Clone(crashes), func(c crash) bool {
-		return slices.ContainsFunc(crashes, func(other crash) bool {
+		return slices.ContainsFunc(all, func(other crash) bool {
 			return other.with(c) && containsAll(other.parts, g.parts)
 		})
 	})
--- a/internal/quarantine/uncertain.go
+++ b/internal/quarantine/uncertain.go
@@ -116,67 +116,84 @@
 	l.uncertain = slices.DeleteFunc(l.uncertain, func(c crash) bool { return now-c.at > uncertainLifetime && !l.explains(c) })
 }
 
-// holdUncertain holds back the parts that explain crashes for which no part is held back yet, and lengthens the time of
-// groups that crashed targets once more.
-func (l *Ledger) holdUncertain() {
+// allCrashes returns the crashes, certain or not, by time.
+func (l *Ledger) allCrashes() []crash {
+	all := append(slices.Clone(l.crashes), l.uncertain...)
+	slices.SortStableFunc(all, byTime)
+	return all
+}
+
+// uncertainGroup returns the parts that most likely explain crashes, certain or not, if these are enough to hold a part
+// back, or if certain ones blame a part, which may be nil. It returns nil if nothing is to be held back, or that part.
+func (l *Ledger) uncertainGroup(all []crash, blamed *suspect) *group {
+	if len(l.uncertain) == 0 {
+		return nil
+	}
+	minCount := minCrashesUnclear
+	if blamed != nil {
+		minCount = min(minCount, blamed.crashes)
+	}
+	suspects := l.uncertainSuspects(all, minCount)
+	isCause := func(s suspect) bool { return s.enough || blamed != nil && s.part == blamed.part }
+	cause := slices.IndexFunc(suspects, isCause)
+	if cause < 0 {
+		return nil
+	}
+	worst := likeliest(suspects, suspects[cause])
+	if blamed != nil && worst.part == blamed.part {
+		return nil
+	}
+	g := groupOf(worst, suspects, all, func(s suspect) bool { return nearlyDivisor*s.crashes >= nearlyFactor*worst.crashes })
+	g.known = g.trials >= minCrashesUnclear // else its time begins with minCrashes
+	return g
+}
+
+// lengthen counts uncertain crashes too for the time of the groups that are held back.
+func (l *Ledger) lengthen() {
 	if len(l.uncertain) == 0 {
 		return
 	}
-	all := append(slices.Clone(l.crashes), l.uncertain...)
-	slices.SortStableFunc(all, byTime)
-	unexplained := besideRequests(slices.Clone(all), l.heldCrashes())
+	all := l.allCrashes()
 	for _, g := range l.held {
 		g.lengthen(all, l.soundAt(g.parts[0]))
-		unexplained = without(unexplained, g)
-	}
-	for {
-		suspects := l.uncertainSuspects(unexplained)
-		if !slices.ContainsFunc(suspects, func(s suspect) bool { return s.enough }) {
-			return
-		}
-		worst := likeliest(suspects)
-		g := groupOf(worst, suspects, unexplained, func(s suspect) bool { return nearlyDivisor*s.crashes >= nearlyFactor*worst.crashes })
-		g.known = true // its time begins with minCrashesUnclear crashes
-		l.held = append(l.held, g)
-		unexplained = without(unexplained, g)
 	}
 }
 
-// likeliest returns the suspect that most likely explains the crashes for which one of the suspects is to be held back: of
-// those with the most crashes, or one fewer, which may not have been heard of yet, the one in the fewest requests for each
-// crash. A part of most requests is in all crashes, whatever causes them.
-func likeliest(suspects []suspect) suspect {
-	enough := suspects[slices.IndexFunc(suspects, func(s suspect) bool { return s.enough })]
-	out := enough
+// likeliest returns the suspect that most likely explains the crashes for which one of the suspects is to be held back, which are in
+// the order of likelier: of those with the most crashes, or one fewer, which may not have been heard of yet, the one in the
+// fewest requests for each crash. A part of most requests is in all crashes, whatever causes them.
+func likeliest(suspects []suspect, cause suspect) suspect {
+	out := cause
+	if first := suspects[0]; first.crashes >= min(minCrashesUnclear, cause.crashes) {
+		out = first
+	}
 	for _, s := range suspects {
-		asLikely := s.known == enough.known && s.crashes+1 >= enough.crashes || !s.known && enough.known
-		rarer := s.requests*out.crashes < out.requests*s.crashes
-		if asLikely && (rarer || !s.known && out.known) {
+		if s.known == out.known && s.crashes+1 >= out.crashes && s.requests*out.crashes < out.requests*s.crashes {
 			out = s
 		}
 	}
 	return out
 }
 
-// uncertainSuspects returns the parts against which at least minCrashesUnclear of the given crashes speak, certain or not,
-// in the order of suspects.
-func (l *Ledger) uncertainSuspects(crashes []crash) []suspect {
+// uncertainSuspects returns the parts against which at least minCount of the given crashes speak, certain or not, in the
+// order of likelier.
+func (l *Ledger) uncertainSuspects(crashes []crash, minCount int) []suspect {
 	var out []suspect
 	for part, n := range countParts(crashes) {
-		if n < minCrashesUnclear {
+		if n < minCount {
 			continue
 		}
 		s := suspect{part: part, sound: l.soundAt(part)}
 		_, s.known = l.sound.get(part)
 		counted := against(part, crashes, s.sound)
-		if counted.count < minCrashesUnclear {
+		if counted.count < minCount {
 			continue
 		}
 		needed := minMoments
 		if l.lastSound < counted.first {
 			needed = minMomentsUnclear
 		}
-		s.enough = counted.moments >= needed
+		s.enough = counted.count >= minCrashesUnclear && counted.moments >= needed
 		s.crashes, s.trials, s.last, s.suspectedAt = counted.count, counted.trials, counted.last, counted.suspectedAt
 		s.requests = requestsWith(part, crashes, s.sound, nil)
 		out = append(out, s)
