Review case 8: the control plane is lost for good after a replaced machine and one lost disk

Cause: a replaced machine that ends without a word stays a voter beside its successor for two seconds, so that three of four must agree. A disk that is lost meanwhile leaves two, and its machine cannot be admitted again.

--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -14,8 +14,9 @@
 type play func(d *deployment, trouble bool) (broken bool, err error)
 
 var plays = map[string]play{
-	"two-disks":  twoDisks,
-	"late-order": lateOrder,
+	"removed-machine": removedMachine,
+	"two-disks":       twoDisks,
+	"late-order":      lateOrder,
 }
 
 // The processes that a case starts end with the thread that started them, so the case stays on the first one.
