--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -16,6 +16,7 @@
 var plays = map[string]play{
 	"removed-machine": removedMachine,
 	"two-disks":       twoDisks,
+	"cut-stream":      cutStream,
 	"late-order":      lateOrder,
 }
 
