Review: case 10, a stream of a resumable route at two runners, from an entry

Cause: as in case 9; the stream is continued elsewhere at once, and the engine that it is taken from is stopped beside that. One that is silent just then works on.

--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -18,6 +18,7 @@
 	"two-disks":       twoDisks,
 	"cut-stream":      cutStream,
 	"late-order":      lateOrder,
+	"silent-runner":   silentRunner,
 }
 
 // The processes that a case starts end with the thread that started them, so the case stays on the first one.
