--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -198,9 +198,10 @@
 		if r := change.GetAdd(); r != nil {
 			next = replog.WithoutReplica(next, r.GetId())
 			next.Replicas = append(next.Replicas, &wire.Replica{
-				Id: r.GetId(), Name: r.GetName(), Address: r.GetAddress(), Learner: true,
+				Id: r.GetId(), Name: r.GetName(), Address: r.GetAddress(), FailureDomain: r.GetFailureDomain(), Learner: true,
 			})
 		}
+		replog.BoundTolerance(next)
 		return n.core.ProposeMembership(n.timers.Now(), next)
 	})
 	return err
@@ -320,6 +321,7 @@
 type LogStatus struct {
 	leaderReachable bool
 	member          bool
+	domain          string // failure domain of this replica as the membership states it
 	leader          string
 	addresses       []string
 	voters          int
@@ -361,6 +363,9 @@
 			if !r.GetLearner() {
 				out.voters++
 			}
+			if r.GetId() == n.core.ID() {
+				out.domain = r.GetFailureDomain()
+			}
 			if r.GetId() == n.core.LeaderID() {
 				out.leader = r.GetAddress()
 			}
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -62,19 +62,27 @@
 }
 
 // rejoin asks known replicas and seeds, one after another, to add this replica, unless
-// it is a member and its leader is reachable.
+// it is a member and its leader is reachable. A member whose failure domain the membership does not state has the
+// leader add that.
 func (s *Service) rejoin(ctx context.Context, seeds []string) {
 	ctx, cancel := context.WithTimeout(ctx, documentTimeout)
 	defer cancel()
 	status, err := s.node.LogStatus(ctx)
-	if err != nil || s.leaving.Load() || status.leaderReachable && status.member {
+	settled := status.leaderReachable && status.member
+	if err != nil || s.leaving.Load() || settled && status.domain == s.domain {
 		return
 	}
 	ownIdentity, err := s.node.Identity(ctx)
 	if err != nil {
 		return // the replica is stopping, or its disk failed, which was logged
 	}
-	request := &wire.JoinRequest{Replica: &wire.Replica{Id: ownIdentity.GetId(), Name: s.name, Address: s.self}}
+	request := &wire.JoinRequest{Replica: &wire.Replica{Id: ownIdentity.GetId(), Name: s.name, Address: s.self, FailureDomain: s.domain}}
+	if settled {
+		if err := s.join(ctx, request); err != nil {
+			s.log.V(1).Info("failure domain not stated yet", "reason", err.Error())
+		}
+		return
+	}
 	for _, address := range unique(append(status.Addresses(), seeds...), s.self) {
 		client, err := s.peers.Client(address)
 		if err != nil {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -429,7 +429,7 @@
 		n.log.Error(err, "cannot propose a membership change")
 		return nil
 	}
-	n.log.Info("membership change proposed", "replicas", describeReplicas(next), "term", n.core.Term())
+	n.log.Info("membership change proposed", "replicas", describeReplicas(next), "tolerated-losses", next.GetToleratedLosses(), "term", n.core.Term())
 	return actions
 }
 
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -75,13 +75,23 @@
 	lacksTargets bool
 }
 
+// ServiceOption configures a service.
+type ServiceOption func(*Service)
+
+// WithFailureDomain sets the failure domain of the replica, which it states when it joins the log.
+func WithFailureDomain(domain string) ServiceOption { return func(s *Service) { s.domain = domain } }
+
 // NewService returns the service for calls to the node. Self is the name and peer
 // address of the node's replica; store holds the versions that the node publishes.
-func NewService(ctx context.Context, node *Node, store *config.Store, timers vanillaward.Timers, peers *peer.Pool, self inifile.Peer) *Service {
-	return &Service{
+func NewService(ctx context.Context, node *Node, store *config.Store, timers vanillaward.Timers, peers *peer.Pool, self inifile.Peer, options ...ServiceOption) *Service {
+	s := &Service{
 		ctx: ctx, node: node, store: store, timers: timers, peers: peers, publisher: node.publisher, uses: newUses(), queued: newQueued(), subsets: newSubsets(), pace: newPace(), answering: make(chan struct{}, maxAnswers), evidence: newEvidence(node.publisher.epoch), log: node.log,
 		name: self.Name, self: self.Address.String(), watchers: map[string]watcher{},
 	}
+	for _, o := range options {
+		o(s)
+	}
+	return s
 }
 
 // Register registers the service's RPC methods with a server.
--- a/internal/instance/seeded.go
+++ b/internal/instance/seeded.go
@@ -133,7 +133,7 @@
 	if _, err := s.prepareNode(ctx, log, published, id, control.WithPublisher(publisher), control.WithInitialVoters(voters), control.WithRejoining()); err != nil {
 		return err
 	}
-	service := control.NewService(ctx, s.node, published, s.base.Timers, s.peers, s.self())
+	service := control.NewService(ctx, s.node, published, s.base.Timers, s.peers, s.self(), control.WithFailureDomain(cfg.Instance.FailureDomain))
 	service.Register(s.server)
 	s.control = service
 	s.registerGauges(ctx)
--- a/internal/replog/losses_test.go
+++ b/internal/replog/losses_test.go
@@ -62,6 +62,7 @@
 			for seed := range uint64(lossSeeds) {
 				run := &lossRun{t: t, names: map[string]*member{}}
 				run.play(script, seed)
+				require.NoError(t, run.c.linearizable(), "seed %d", seed)
 			}
 		})
 	}
@@ -106,6 +107,13 @@
 		r.c.runFor(r.t, d)
 	case "name": // name NAME REPLICA
 		r.names[arguments[0]] = r.replica(arguments[1])
+	case "add": // add NAME REPLICA|FAILURE-DOMAIN
+		domain := arguments[1]
+		if of, ok := r.names[domain]; ok {
+			domain = of.domain
+		}
+		r.names[arguments[0]] = r.c.addMember()
+		r.names[arguments[0]].domain = domain
 	case "split":
 		r.split(arguments)
 	case "heal":
@@ -192,7 +200,6 @@
 	r.c.runFor(r.t, repairTime)
 	require.NotNil(r.t, r.c.currentLeader(), "%s, seed %d: no leader any more:\n%s", name, seed, r.c.describe())
 	r.propose()
-	require.NoError(r.t, r.c.linearizable(), "%s, seed %d", name, seed)
 }
 
 // describeMembers states the failure domains of the replicas in the first membership.
--- a/internal/replog/membership.go
+++ b/internal/replog/membership.go
@@ -43,29 +43,41 @@
 	return &wire.Membership{ToleratedLosses: uint32(toleratedLosses(m))}
 }
 
+// BoundTolerance lowers how many lost voters a membership is to bear to what its voters do. It is for the membership that an
+// operator orders, who may want fewer voters.
+func BoundTolerance(m *wire.Membership) {
+	m.ToleratedLosses = uint32(min(toleratedLosses(m), lossesBorne(len(voterIDs(m)))))
+}
+
 // withTolerance returns a copy of a membership that is to bear as many lost voters as its voters do.
 func withTolerance(m *wire.Membership) *wire.Membership {
 	return &wire.Membership{Replicas: m.GetReplicas(), ToleratedLosses: uint32(lossesBorne(len(voterIDs(m))))}
 }
 
-// WithLearner returns the membership with a replica added as a learner, or nil if the
-// replica is a member at that address already.
+// WithLearner returns the membership with a replica added as a learner. Of a replica that is a member already it changes
+// address and failure domain, and not whether it votes. It returns nil if nothing changes.
 func WithLearner(m *wire.Membership, r *wire.Replica) *wire.Membership {
+	added := &wire.Replica{
+		Id: r.GetId(), Name: r.GetName(), Address: r.GetAddress(), FailureDomain: r.GetFailureDomain(), Learner: true,
+	}
 	next := withoutReplicas(m)
-	learner := true
 	for _, old := range m.GetReplicas() {
-		if old.GetId() != r.GetId() {
+		switch {
+		case old.GetId() != r.GetId():
 			next.Replicas = append(next.Replicas, old)
-			continue
-		}
-		if old.GetAddress() == r.GetAddress() {
+		case old.GetAddress() != r.GetAddress():
+			added.Learner = old.GetLearner() // it comes last, as the newest replica at its address
+		case r.GetFailureDomain() == "" || old.GetFailureDomain() == r.GetFailureDomain():
 			return nil
+		default:
+			added.Learner = old.GetLearner()
+			next.Replicas = append(next.Replicas, added)
+			added = nil
 		}
-		learner = old.GetLearner() // a voter with a new address stays a voter
 	}
-	next.Replicas = append(next.Replicas, &wire.Replica{
-		Id: r.GetId(), Name: r.GetName(), Address: r.GetAddress(), Learner: learner,
-	})
+	if added != nil {
+		next.Replicas = append(next.Replicas, added)
+	}
 	return next
 }
 
@@ -80,11 +92,19 @@
 	return next
 }
 
-func withVoter(m *wire.Membership, id string) *wire.Membership {
+// withVoter returns a copy of a membership in which a learner votes.
+func withVoter(m *wire.Membership, id string) *wire.Membership { return withVote(m, id, true) }
+
+// withoutVote returns a copy of a membership in which a voter is a learner.
+func withoutVote(m *wire.Membership, id string) *wire.Membership { return withVote(m, id, false) }
+
+func withVote(m *wire.Membership, id string, votes bool) *wire.Membership {
 	next := withoutReplicas(m)
 	for _, r := range m.GetReplicas() {
 		if r.GetId() == id {
-			r = &wire.Replica{Id: r.GetId(), Name: r.GetName(), Address: r.GetAddress(), FailureDomain: r.GetFailureDomain()}
+			r = &wire.Replica{
+				Id: r.GetId(), Name: r.GetName(), Address: r.GetAddress(), FailureDomain: r.GetFailureDomain(), Learner: !votes,
+			}
 		}
 		next.Replicas = append(next.Replicas, r)
 	}
--- a/internal/replog/reconcile.go
+++ b/internal/replog/reconcile.go
@@ -40,6 +40,8 @@
 //     the number even.
 //   - Without failed voters, learners that have caught up are promoted. Nobody is while a voter may have failed:
 //     whether it has is known soon, and a larger number of voters would keep one that is gone.
+//   - Of an even number of voters, one that a newer voter in its failure domain seems to replace becomes a learner. It may
+//     then end at any time, and at the moment of a loss nothing is to be decided.
 //   - Once a larger number of voters has been whole for some time, the losses that it bears are tolerated ever after.
 //
 // A voter has failed if it has not replied for some time. An older replica at the address of
@@ -55,18 +57,32 @@
 	}
 	survey := c.surveyVoters(now, latest)
 	c.whole.update(now, latestIndex, survey)
-	learner := c.readyLearner(now, latest)
-	switch {
-	case len(survey.failed) > 0 && survey.voters > minVoters && lossesBorne(survey.voters-1) >= toleratedLosses(latest):
-		return WithoutReplica(latest, survey.failed[0])
-	case learner != "" && (len(survey.failed) > 0 || !survey.silent):
-		return withVoter(latest, learner)
-	case lossesBorne(survey.voters) > toleratedLosses(latest) && c.whole.lasted(now, wholeTime):
+	if len(survey.failed) > 0 {
+		return c.replaceFailed(now, latest, survey)
+	}
+	if survey.silent {
+		return nil
+	}
+	if next := c.placeVoters(now, latest); next != nil {
+		return next
+	}
+	if lossesBorne(survey.voters) > toleratedLosses(latest) && c.whole.lasted(now, wholeTime) {
 		return withTolerance(latest)
 	}
 	return nil
 }
 
+// replaceFailed returns the next step where voters have failed, or nil while nothing can be done.
+func (c *Core) replaceFailed(now time.Duration, m *wire.Membership, survey voterSurvey) *wire.Membership {
+	if survey.voters > minVoters && lossesBorne(survey.voters-1) >= toleratedLosses(m) {
+		return WithoutReplica(m, survey.failed[0])
+	}
+	if ready := c.readyLearners(now, m); len(ready) > 0 {
+		return withVoter(m, c.placementOf(m, ready).best(ready))
+	}
+	return nil
+}
+
 // wholeVoters records since when all voters of a membership have answered.
 type wholeVoters struct {
 	whole bool
@@ -181,13 +197,15 @@
 	return ""
 }
 
-func (c *Core) readyLearner(now time.Duration, m *wire.Membership) string {
+// readyLearners returns the IDs of the learners that could vote.
+func (c *Core) readyLearners(now time.Duration, m *wire.Membership) []string {
+	var out []string
 	for _, r := range m.GetReplicas() {
 		if r.GetLearner() && c.isReady(now, r.GetId()) {
-			return r.GetId()
+			out = append(out, r.GetId())
 		}
 	}
-	return ""
+	return out
 }
 
 // isReady reports whether a learner has caught up with the log and answers.
--- a/internal/replog/replication.go
+++ b/internal/replog/replication.go
@@ -1,6 +1,9 @@
 package replog
 
 import (
+	"slices"
+	"time"
+
 	"github.com/vanillaward/vanillaward/internal/wire"
 )
 
@@ -167,6 +170,7 @@
 	c.commitTo(min(m.GetCommit(), matched))
 	reply.Index = matched
 	c.send(reply)
+	c.noteLeaderWithoutVote(m.GetCommit())
 }
 
 // appendMissing appends the records that this log lacks and truncates a conflicting
@@ -240,12 +244,26 @@
 	}
 	c.commitTo(index)
 	if !c.isVoter() {
+		c.broadcast() // so that the others elect at once, see noteLeaderWithoutVote
 		c.become(Follower, c.term)
 		c.leader = ""
 		c.resetElectionTimer()
 	}
 }
 
+// noteLeaderWithoutVote begins an election soon if the leader has no vote any more. A leader steps down when the
+// membership without its vote is committed, and with its last message says so. It has then no lease, so that votes may be granted
+// at once. Only a record of the leader's own term shows that the membership is not an older one, of before it voted.
+func (c *Core) noteLeaderWithoutVote(leaderCommit uint64) {
+	latest, index := c.log.latestMembership()
+	if c.commit != leaderCommit || index > c.commit || !c.committedInTerm() || slices.Contains(voterIDs(latest), c.leader) {
+		return
+	}
+	c.leader = ""
+	c.leaderContact = c.now - c.timing.Election
+	c.electionDeadline = c.now + time.Duration(c.random.Int64N(int64(c.timing.Heartbeat)))
+}
+
 func (c *Core) onSnapshot(m *wire.Message) {
 	c.acceptLeader(m.GetFrom())
 	c.leaderCommit = max(c.leaderCommit, m.GetCommit())
