--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -240,6 +240,11 @@
 	return b.choose(service, tokens, avoid, now)
 }
 
+// CouldTake reports whether Choose would find a target now. It counts no request.
+func (b *Balancer) CouldTake(service string, tokens int, avoid []string, now time.Duration) bool {
+	return b.choose(service, tokens, avoid, now) != nil
+}
+
 func (b *Balancer) choose(service string, tokens int, avoid []string, now time.Duration) *Target {
 	if t := b.best(service, tokens, avoid, now, (*Target).accepts); t != nil {
 		return t
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -122,6 +122,7 @@
 
 // writeLong gives the caller an answer of which the first part was read, as it arrives.
 func (req *request) writeLong(response *http.Response, first []byte) error {
+	req.stream.limit.lift()
 	req.copyHeader(response.Header)
 	if response.ContentLength >= 0 {
 		req.w.Header().Set("Content-Length", response.Header.Get("Content-Length"))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -96,11 +97,10 @@
 	}
 	req.sent++
 	req.sentAt = req.server.base.Timers.Now()
-	attemptCtx, cancel := req.boundAttempt(ctx)
-	defer cancel()
+	attemptCtx, limit := req.boundAttempt(ctx, append(slices.Clone(avoid), t.ID()))
+	defer limit.end()
 	defer conn.CloseOnDone(attemptCtx)()
-	req.stream.beginAttempt()
-	req.startRun(ctx, t)
+	req.stream.streamAttempt = streamAttempt{limit: limit, run: req.newRun(ctx, t)}
 	defer req.endRun()
 	targetResult := req.exchange(attemptCtx, t, conn, &result)
 	req.server.end(t, req.tokens(), targetResult)
@@ -131,22 +131,15 @@
 	req.logFailure("target not reached", t, err)
 }
 
-// boundAttempt limits the time of an attempt of a repeatable request if another attempt
-// may follow, so that time is left for it. In a stream, each event restarts the limit.
-func (req *request) boundAttempt(ctx context.Context) (context.Context, context.CancelFunc) {
-	switch {
-	case !req.route.Repeatable() || req.sent >= req.route.Attempts():
-		return context.WithCancel(ctx)
-	case !req.route.Resumable():
-		return context.WithTimeout(ctx, req.attemptTime())
-	}
+// boundAttempt limits the time of an attempt of a repeatable request if another attempt may follow, so that time is
+// left for it. Tried are the IDs of the targets that the request was sent to. The limit has to be ended, which ends the
+// context as well.
+func (req *request) boundAttempt(ctx context.Context, tried []string) (context.Context, *attemptLimit) {
 	ctx, cancel := context.WithCancel(ctx)
-	limit := req.limitAttempt(cancel)
-	req.stream.limit = limit
-	return ctx, func() {
-		limit.end()
-		cancel()
+	if !req.route.Repeatable() || req.sent >= req.route.Attempts() {
+		return ctx, &attemptLimit{cancel: cancel}
 	}
+	return ctx, req.limitAttempt(cancel, tried...)
 }
 
 // attemptTime returns the time limit of an attempt, or of a pause in a stream, that may be followed by another
--- a/internal/gateway/continuation.go
+++ b/internal/gateway/continuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -100,24 +101,24 @@
 }
 
 // leaveTarget is called before the request goes to another target after an attempt. An engine that may not have
-// noticed the end of its connection is made to end the run.
-func (req *request) leaveTarget(a attemptResult) {
+// noticed the end of its connection is made to end the run, before another one begins it.
+func (req *request) leaveTarget(ctx context.Context, a attemptResult) {
 	if a.outcome != failed || !req.route.Resumable() {
 		return
 	}
+	if r := req.stream.run; r != nil && a.failureAnswer == nil { // otherwise the engine has ended the run itself
+		if out := req.awaitStop(ctx, r); out != haltStopped {
+			req.followRun(r.engine, r.engine, out != haltGone)
+		}
+	}
 	req.leftAt = req.server.base.Timers.Now()
 	req.noteContinued(req.target, "")
-	if req.stream.run != nil && a.failureAnswer == nil { // otherwise the engine has ended the run itself
-		engine := req.stream.run.engine
-		req.followRun(engine, engine, true)
-	}
 }
 
 // leaveHelper is called before the request goes elsewhere after its stream has broken off at another instance.
 func (req *request) leaveHelper(helper string) {
 	req.helper, req.leftAt = helper, req.server.base.Timers.Now()
 	req.noteContinued(req.target, helper)
-	req.stream.beginAttempt()
 }
 
 // noteContinued records that another target is asked for the rest of a stream.
@@ -129,8 +130,3 @@
 	req.server.base.Log.Info("stream is continued at another target", "request", req.caller.ID, "from", from, "helper", helper, "after", req.stream.lastEvent,
 		"events", req.stream.passed, "took-ms", (req.server.base.Timers.Now() - req.arrived).Milliseconds())
 }
-
-// beginAttempt forgets what concerns the engine of the last attempt.
-func (s *stream) beginAttempt() {
-	s.broken, s.run, s.halted, s.accepted, s.unfinished, s.limit = false, nil, haltRefused, nil, 0, nil
-}
--- a/internal/gateway/halt.go
+++ b/internal/gateway/halt.go
@@ -24,6 +24,9 @@
 	// haltTimeout bounds how long a run that has lost its connection waits for its engine's word. Then the
 	// caller learns that the answer is incomplete.
 	haltTimeout = 6 * time.Second
+	// stopTimeout bounds how long a request waits until the engine that it leaves has stopped its run. A sound engine may be
+	// silent for about a second.
+	stopTimeout = 2 * time.Second
 	// reportLag bounds how much older than its arrival an engine's report can be.
 	reportLag = time.Second
 )
@@ -158,6 +161,56 @@
 		"silent-ms", (g.base.Timers.Now() - p.lastEvent).Milliseconds())
 }
 
+// awaitStop has the engine of a run that another engine is to begin anew stop it. It returns once the engine has stopped the
+// run, or has said that it does not run it at present, or cannot be reached. One that says nothing is asked for stopTimeout:
+// it may be silent for a moment, and work on. Unless it returns haltStopped, the engine has to be followed.
+func (req *request) awaitStop(ctx context.Context, r *run) halt {
+	g := req.server
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	move := vanillaward.Move{Source: r.engine.Address(), Destination: g.otherEngine(r, r.engine).Address(), Request: r.request, Last: true}
+	for {
+		moved, err := g.engines.Move(ctx, move)
+		out := g.classifyStop(ctx, move, err)
+		g.logHalt(parting{run: r, cause: errLeft.Error(), lastEvent: req.stream.lastPassedAt}, out, reasonOf(err))
+		if out == haltStopped {
+			g.free(unusedCopy{request: r.request, address: move.Source, handle: moved.Handle})
+		}
+		if out.mayGoOn() {
+			return out
+		}
+		if timer.Sleep(ctx, haltRetry); ctx.Err() != nil {
+			return out
+		}
+	}
+}
+
+// errLeft is the cause logged for a run that another engine begins anew.
+var errLeft = errors.New("the stream goes on at another engine")
+
+// classifyStop returns what the answer to a last move means for its run.
+func (g *Server) classifyStop(ctx context.Context, m vanillaward.Move, err error) halt {
+	switch {
+	case err == nil, errors.Is(err, vanillaward.ErrNotCopied):
+		return haltStopped
+	case errors.Is(err, vanillaward.ErrNotRunning):
+		return haltGone
+	case errors.Is(err, vanillaward.ErrMoveRefused):
+		return haltRefused
+	}
+	if _, err := g.engines.Runs(ctx, m.Source); errors.Is(err, vanillaward.ErrUnreachable) {
+		return haltUnreachable
+	}
+	return haltUncertain
+}
+
+func reasonOf(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 // errMoving is the reason why a run is not stopped while it is copied, or has no copy to go on from.
 var errMoving = errors.New("the run is being copied, or has no copy")
 
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -20,11 +20,11 @@
 	}
 	var tried []string
 	for len(tried) < handover.MaxTries && ctx.Err() == nil && req.left() > 0 {
-		req.stream.beginAttempt()
 		helper, ok := req.server.beginHandover(tried)
 		if !ok {
 			return false
 		}
+		req.stream.streamAttempt = streamAttempt{}
 		tried = append(tried, helper)
 		begun := req.server.base.Timers.Now()
 		end, why := req.handOverTo(ctx, helper)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -122,7 +122,7 @@
 			}
 			return
 		}
-		req.leaveTarget(a)
+		req.leaveTarget(ctx, a)
 	}
 }
 
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -17,19 +17,20 @@
 // maxResumes bounds how often one run is resumed from a copy.
 const maxResumes = 8
 
-// startRun registers a generation. Long generations get a copy of their KV cache at another
-// engine; a short one ends before a copy would help.
-func (req *request) startRun(ctx context.Context, engine *balance.Target) {
+// newRun registers and returns the run of a generation, or nil for other requests. Long generations get a copy of their
+// KV cache at another engine; a short one ends before a copy would help.
+func (req *request) newRun(ctx context.Context, engine *balance.Target) *run {
 	service := req.table.Service(req.service)
 	if req.route.Kind() != route.Stream || !req.route.Generation() || service == nil {
-		return
+		return nil
 	}
-	req.stream.run = &run{
+	r := &run{
 		ctx: ctx, request: req.caller.ID, tokens: req.tokens(), engine: engine,
 		continuousCopy: service.ContinuousCopies() && req.caller.LongestTokens >= req.server.settings.CopyFromTokens,
 		movable:        service.Moves(), copyLifetime: service.CopyLifetime(), copyRate: service.CopyTokensPerSecond(),
 	}
-	req.server.addRun(req.stream.run)
+	req.server.addRun(r)
+	return r
 }
 
 func (req *request) endRun() {
@@ -233,6 +234,7 @@
 		req.follow(former.engine, r.holder)
 	}
 	req.stream.run = r.run
+	req.stream.limit.movedTo(r.holder.ID())
 	req.stream.resumed++
 	req.stream.halted = haltRefused
 	req.target, req.answerBegan = r.holder.ID(), r.began
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,24 +28,31 @@
 	errNoEvent = errors.New("connection ended before the first event")
 )
 
-// stream is the state of a request's stream and of its run at an engine.
+// stream is the state of a request's stream over all its attempts, and of the last one.
 type stream struct {
+	streamAttempt
+
 	passed       int           // events that were passed on to the caller
 	lastEvent    uint64        // number of the last event passed on; before, that of the last one that the caller stated to have
 	unnumbered   bool          // events were passed on whose numbers do not tell where the stream can be continued
-	broken       bool          // the last engine's stream has broken off, and another one may continue it
 	continued    int           // how often another engine was asked to continue the stream without a copy of its run
-	limit        *attemptLimit // ends an attempt that another one may follow; nil for others
-	unfinished   int           // bytes of an unfinished event at the end of the last answer
 	headSent     bool          // the head of the answer was sent to the caller
 	resumed      int           // how often the run was resumed from a copy
 	overBudget   bool          // the retry budget did not allow the last resumption
 	timeToFirst  time.Duration // from the request's arrival to the first event
 	lastPassedAt time.Duration // when the last event was passed on
 	longestGap   time.Duration // longest time between two consecutive events
-	run          *run          // nil for requests that no engine runs
-	halted       halt          // what the engine last answered after a stall
-	accepted     *resumption   // accepted by the holder of the copy after a stall; nil if there is none
+}
+
+// streamAttempt is what concerns one attempt alone: the one that was last sent to a target or to another instance. Each
+// attempt makes its own value as a whole, so that nothing is left of the one before, and nothing of its own is lost.
+type streamAttempt struct {
+	limit      *attemptLimit // ends the attempt; nil at another instance, which has its own
+	run        *run          // nil for requests that no engine runs
+	broken     bool          // the stream has broken off, and another attempt may continue it
+	unfinished int           // bytes of an unfinished event at the end of the last answer
+	halted     halt          // what the engine last answered after a stall
+	accepted   *resumption   // accepted by the holder of the copy after a stall; nil if there is none
 }
 
 // relay passes on a stream, event by event. If the stream ends early, the run is resumed
@@ -177,6 +184,9 @@
 	} else if !isFiller(event) {
 		req.stream.unnumbered = true
 	}
+	if req.stream.unnumbered {
+		req.stream.limit.lift()
+	}
 	if err := control.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil {
 		return callerError{err}
 	}
