--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -163,6 +164,10 @@
 func (n *Node) Bootstrap(ctx context.Context, m *wire.Membership) error {
 	var refused error
 	err := n.do(ctx, func() {
+		if !slices.Contains(replicaIDs(m), n.core.ID()) {
+			refused = errors.New("this replica is not in the membership: it has lost its disk since its ID was asked")
+			return
+		}
 		if n.core.LastIndex() > 0 {
 			if !proto.Equal(n.core.Membership(), m) {
 				refused = errors.New("this replica belongs to a log already")
@@ -272,6 +277,9 @@
 		if n.core.Role() != replog.Leader {
 			return 0, nil, replog.ErrNotLeader
 		}
+		if n.core.AnswersAt(n.timers.Now(), r.GetAddress(), r.GetId()) {
+			return 0, nil, errAddressTaken
+		}
 		next := replog.WithLearner(n.core.Membership(), r)
 		if next == nil {
 			return 0, nil, errAlreadyMember
@@ -313,6 +321,10 @@
 // errNothingToLeave ends the steps of a replica that leaves.
 var errNothingToLeave = errors.New("the replica has no vote, or keeps it until it returns")
 
+// errAddressTaken is returned for a replica whose address another one answers from: its request to join was held up, and it
+// does not run any more.
+var errAddressTaken = errors.New("another replica answers from the address of this one")
+
 // errAlreadyMember ends a proposal for a replica that is already a member.
 var errAlreadyMember = errors.New("the replica is a member already")
 
--- a/internal/control/evacuation.go
+++ b/internal/control/evacuation.go
@@ -193,12 +193,11 @@
 // checkDomainOrder returns an error unless an order is to be proposed now. It is called in the goroutine
 // that owns the replica.
 func (n *Node) checkDomainOrder(step *wire.OrderStep) error {
+	if err := n.checkLeads(); err != nil {
+		return err
+	}
 	evacuation := n.state.Evacuation()
 	switch {
-	case n.core.Role() != replog.Leader:
-		return replog.ErrNotLeader
-	case !n.core.LeaseValid(n.timers.Now()):
-		return ErrNotCurrent
 	case n.applied < n.core.LastIndex():
 		return errRecordsPending
 	case Evacuates(step) == evacuation.evacuates(DomainOf(step)):
@@ -251,8 +250,8 @@
 }
 
 // OrderDomain commits an order for a failure domain at this replica if it leads, or forwards it to the
-// leader. It returns ErrDomainName for a name that no failure domain may have, and an error if the order
-// is not known to be committed. A leader of a build that does not know such orders refuses them: it has no
+// leader, unless its caller gives up before. It returns ErrDomainName for a name that no failure domain may have, and an
+// error if the order is not known to be committed. A leader of a build that does not know such orders refuses them: it has no
 // method that would commit one for another replica.
 func (s *Service) OrderDomain(ctx context.Context, step *wire.OrderStep) (*wire.DomainOrderResult, error) {
 	if err := checkOrder(step); err != nil {
@@ -260,12 +259,21 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, documentTimeout)
 	defer cancel()
+	if err := s.node.awaitSteady(ctx); err != nil {
+		return nil, errors.Wrap(errCallerGone, err.Error())
+	}
 	result, err := s.node.OrderDomain(ctx, step)
 	if !errors.Is(err, replog.ErrNotLeader) {
 		return result, err
 	}
-	result = &wire.DomainOrderResult{}
-	return result, s.callLeader(ctx, methodOrderDomain, step, result)
+	legacy := &wire.DomainOrderResult{}
+	forwarded, err := s.forward(ctx, &wire.ForwardedCommand{DomainOrder: step}, func() error {
+		return s.callLeader(ctx, methodOrderDomain, step, legacy)
+	})
+	if got := forwarded.GetDomainOrder(); got != nil {
+		return got, err
+	}
+	return legacy, err
 }
 
 // checkOrder returns an error for an order that is not one for a failure domain.
@@ -295,7 +303,7 @@
 		if err := checkOrder(step); err != nil {
 			return err
 		}
-		order = c.service.node.OrderDomain // it was forwarded once
+		order = c.service.node.OrderDomain // it was forwarded once, by a build that knows no permits
 	}
 	ctx, cancel := context.WithTimeout(c.service.ctx, documentTimeout)
 	defer cancel()
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -44,7 +44,10 @@
 	if request.GetForwarded() {
 		return errors.Wrap(err, forwardedReason)
 	}
-	return s.callLeader(ctx, methodJoin, &wire.JoinRequest{Replica: request.GetReplica(), Forwarded: true}, &wire.JoinResponse{})
+	_, err = s.forward(ctx, &wire.ForwardedCommand{Join: request.GetReplica()}, func() error {
+		return s.callLeader(ctx, methodJoin, &wire.JoinRequest{Replica: request.GetReplica(), Forwarded: true}, &wire.JoinResponse{})
+	})
+	return err
 }
 
 // MaintainMembership asks other replicas to add this one whenever it has no leader or is
--- a/internal/control/leave.go
+++ b/internal/control/leave.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/rpc"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -51,7 +52,7 @@
 	if !errors.As(err, &answered) {
 		return !errors.Is(err, ErrStopped)
 	}
-	return string(answered) == replog.ErrMembershipPending.Error() || string(answered) == replog.ErrNotLeader.Error()
+	return slices.Contains([]string{replog.ErrMembershipPending.Error(), replog.ErrNotLeader.Error(), ErrNotCurrent.Error()}, string(answered))
 }
 
 func (s *Service) leave(ctx context.Context, id string) error {
@@ -66,7 +67,10 @@
 	if !status.member {
 		return nil // this replica has led until it was removed, or never joined
 	}
-	return s.callLeader(ctx, methodLeave, &wire.ReplicaChange{Remove: id}, &wire.Empty{})
+	_, err = s.forward(ctx, &wire.ForwardedCommand{Leave: id}, func() error {
+		return s.callLeader(ctx, methodLeave, &wire.ReplicaChange{Remove: id}, &wire.Empty{})
+	})
+	return err
 }
 
 // Leave handles the announcement of a replica that it is about to stop.
--- a/internal/peer/peertest/network.go
+++ b/internal/peer/peertest/network.go
@@ -24,11 +24,36 @@
 	mu        sync.Mutex // guards the fields below
 	listeners map[string]*listener
 	links     map[string]*link // incoming, by host
+	pipes     []*pipe
+	separated map[[2]string]bool // pairs of hosts between which nothing passes
 }
 
 // New returns a network without hosts.
 func New() *Network {
-	return &Network{listeners: map[string]*listener{}, links: map[string]*link{}}
+	return &Network{listeners: map[string]*listener{}, links: map[string]*link{}, separated: map[[2]string]bool{}}
+}
+
+// Separate partitions two hosts without narrow links. Until Heal, what they send each other is held up and connections
+// between them cannot be opened.
+func (n *Network) Separate(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.separated[[2]string{a, b}], n.separated[[2]string{b, a}] = true, true
+	for _, p := range n.pipes {
+		if n.separated[p.hosts] {
+			p.hold()
+		}
+	}
+}
+
+// Heal ends all partitions. What was held up arrives.
+func (n *Network) Heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.separated = map[[2]string]bool{}
+	for _, p := range n.pipes {
+		p.release()
+	}
 }
 
 // Narrow limits what a host receives to a number of bytes a second, from all its connections
@@ -62,14 +87,23 @@
 
 // DialFrom returns a function that connects a host to addresses.
 func (n *Network) DialFrom(host string) func(ctx context.Context, network, address string) (net.Conn, error) {
-	return func(_ context.Context, _, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		other := netip.MustParseAddrPort(address).Addr().String()
+		n.mu.Lock()
+		separated := n.separated[[2]string{host, other}]
+		n.mu.Unlock()
+		if separated {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		l := n.listeners[address]
 		if l == nil {
 			return nil, errRefused
 		}
-		to, from := newPipe(n.links[host]), newPipe(n.links[netip.MustParseAddrPort(address).Addr().String()])
+		to, from := newPipe(n.links[host], other, host), newPipe(n.links[other], host, other)
+		n.pipes = append(n.pipes, to, from)
 		client := &conn{in: to, out: from, local: host + ":1", remote: address}
 		server := &conn{in: from, out: to, local: address, remote: host + ":1"}
 		select {
@@ -161,7 +195,8 @@
 
 // pipe is one direction of a connection.
 type pipe struct {
-	link *link // nil carries at once
+	link  *link     // nil carries at once
+	hosts [2]string // from and to
 
 	mu      sync.Mutex // guards the fields below
 	changed *sync.Cond
@@ -170,10 +205,11 @@
 	onLink  bool // bytes are unsent or under way
 	closed  bool // by the writer; what is unsent still arrives
 	broken  bool // by the reader; what is unsent is dropped
+	held    bool // by a partition
 }
 
-func newPipe(l *link) *pipe {
-	p := &pipe{link: l}
+func newPipe(l *link, from, to string) *pipe {
+	p := &pipe{link: l, hosts: [2]string{from, to}}
 	p.changed = sync.NewCond(&p.mu)
 	return p
 }
@@ -184,6 +220,10 @@
 	if p.closed || p.broken {
 		return 0, io.ErrClosedPipe
 	}
+	if p.held {
+		p.unsent = append(p.unsent, data...)
+		return len(data), nil
+	}
 	if p.link == nil {
 		p.arrived = append(p.arrived, data...)
 		p.changed.Broadcast()
@@ -197,6 +237,25 @@
 	return len(data), nil
 }
 
+// hold holds up what is written from now on, and the end of the connection.
+func (p *pipe) hold() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held, p.onLink = true, true
+}
+
+// release lets arrive what was held up.
+func (p *pipe) release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.held {
+		return
+	}
+	p.arrived = append(p.arrived, p.unsent...)
+	p.held, p.onLink, p.unsent = false, false, nil
+	p.changed.Broadcast()
+}
+
 // take removes the next segment that the link carries.
 func (p *pipe) take() []byte {
 	p.mu.Lock()
--- a/internal/replog/core.go
+++ b/internal/replog/core.go
@@ -190,6 +190,14 @@
 	c.lastTick = c.now
 }
 
+// SteadyFor returns for how long this replica has run without a stall.
+func (c *Core) SteadyFor(now time.Duration) time.Duration {
+	if now-c.lastTick > c.timing.Heartbeat {
+		return 0
+	}
+	return now - c.steadySince
+}
+
 // Propose appends a record with the data to the log and returns its index. It returns
 // ErrNotLeader on a replica that does not lead.
 func (c *Core) Propose(now time.Duration, data []byte) (uint64, []Action, error) {
--- a/internal/replog/membership.go
+++ b/internal/replog/membership.go
@@ -111,6 +111,15 @@
 	return next
 }
 
+// AnswersAt reports whether another replica than the one with an ID has lately answered this leader from an address. One
+// that lost its disk does not: then a new replica runs at its address.
+func (c *Core) AnswersAt(now time.Duration, address, id string) bool {
+	return slices.ContainsFunc(c.Membership().GetReplicas(), func(r *wire.Replica) bool {
+		other := r.GetId()
+		return r.GetAddress() == address && other != id && (other == c.id || !c.isSilent(now, other))
+	})
+}
+
 // HasLeader reports whether this replica leads with a valid lease or has received a
 // message from a leader within the given time.
 func (c *Core) HasLeader(now, within time.Duration) bool {
