--- a/internal/replog/losses_random_test.go
+++ b/internal/replog/losses_random_test.go
@@ -93,10 +93,7 @@
 func (s *lossSchedule) loseSome() {
 	var lost []*member
 	for _, m := range s.some(s.fleet.tolerated) {
-		m.endForGood()
-		fresh := s.c.addMember()
-		fresh.address, fresh.domain, fresh.side, fresh.up = m.address, m.domain, m.side, false
-		lost = append(lost, fresh)
+		lost = append(lost, s.c.emptyDisk(m))
 		s.pause(time.Second)
 	}
 	s.pause(3 * time.Second)
--- a/internal/replog/losses_test.go
+++ b/internal/replog/losses_test.go
@@ -174,13 +174,15 @@
 	}
 }
 
-// loseDisk makes a replica that is down or ends now lose its disk. "start" starts it empty.
-func (r *lossRun) loseDisk(name string) {
-	m := r.replica(name)
+// loseDisk makes a replica lose its disk. "start" starts it empty.
+func (r *lossRun) loseDisk(name string) { r.names[name] = r.c.emptyDisk(r.replica(name)) }
+
+// emptyDisk ends a replica, which loses its disk, and returns the replica that is to start at its address.
+func (c *cluster) emptyDisk(m *member) *member {
 	m.endForGood()
-	fresh := r.c.addMember()
+	fresh := c.addMember()
 	fresh.address, fresh.domain, fresh.side, fresh.up = m.address, m.domain, m.side, false
-	r.names[name] = fresh
+	return fresh
 }
 
 // propose proposes changes until one is committed.
--- a/internal/replog/membership_test.go
+++ b/internal/replog/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -65,7 +66,7 @@
 	active := c.activeMembers()
 	m := active[c.draw(len(active))]
 	m.up, m.retired = false, true
-	fresh := &member{id: "r" + strconv.Itoa(c.nextID), address: m.address, clockRate: m.clockRate, disk: disk{hardState: &wire.HardState{}}}
+	fresh := &member{id: "r" + strconv.Itoa(c.nextID), address: m.address, domain: m.domain, clockRate: m.clockRate, disk: disk{hardState: &wire.HardState{}}}
 	if c.draw(3) == 0 {
 		fresh.address = "a" + strconv.Itoa(c.nextID)
 	}
@@ -80,7 +81,7 @@
 	case c.draw(2) == 0:
 		c.loseDisk()
 	case active < maxActiveMembers && c.draw(2) == 0:
-		c.addMember()
+		c.addMember().domain = c.members[c.draw(len(c.members))].domain
 	case active > minActiveMembers:
 		return c.leaveForGood(c.activeMembers()[c.draw(active)])
 	}
@@ -88,6 +89,7 @@
 }
 
 const (
+	failureDomains   = 3
 	minActiveMembers = 3
 	maxActiveMembers = 6
 )
@@ -145,26 +147,41 @@
 // many further losses are tolerated as with the even number without it.
 func (c *cluster) fullyReplicated() bool {
 	for _, leader := range c.members {
-		if !leader.up || leader.core.Role() != replog.Leader || !leader.core.LeaseValid(c.clock(leader)) {
-			continue
-		}
-		voters, retired := 0, 0
-		for _, r := range leader.core.Membership().GetReplicas() {
-			m := c.member(r.GetId())
-			switch {
-			case m.retired:
-				retired++
-			case r.GetLearner() || leader.core.MatchIndex(m.id) < leader.core.LastIndex():
-				return false
-			}
-			voters++
+		if leader.up && leader.core.Role() == replog.Leader && leader.core.LeaseValid(c.clock(leader)) {
+			return c.fullyReplicatedBy(leader)
 		}
-		if retired > 1 || retired == 1 && voters%2 == 0 {
+	}
+	return false
+}
+
+func (c *cluster) fullyReplicatedBy(leader *member) bool {
+	voters, retired, standby := 0, 0, 0
+	for _, r := range leader.core.Membership().GetReplicas() {
+		m := c.member(r.GetId())
+		switch {
+		case m.retired:
+			retired++
+		case r.GetLearner() && standby == 0 && standsBy(leader, r):
+			standby++
+			continue
+		case r.GetLearner() || leader.core.MatchIndex(m.id) < leader.core.LastIndex():
 			return false
 		}
-		return voters-retired == len(c.activeMembers()) && leader.core.Commit() == leader.core.LastIndex()
+		voters++
 	}
-	return false
+	if retired > 1 || retired == 1 && voters%2 == 0 {
+		return false
+	}
+	return voters-retired+standby == len(c.activeMembers()) && leader.core.Commit() == leader.core.LastIndex()
+}
+
+// standsBy reports whether a learner has a newer voter in its failure domain.
+func standsBy(leader *member, learner *wire.Replica) bool {
+	replicas := leader.core.Membership().GetReplicas()
+	i := slices.Index(replicas, learner)
+	return learner.GetFailureDomain() != "" && slices.ContainsFunc(replicas[i+1:], func(r *wire.Replica) bool {
+		return !r.GetLearner() && r.GetFailureDomain() == learner.GetFailureDomain()
+	})
 }
 
 // convergeMembership ends all faults and runs until the log is fully replicated. It
@@ -212,6 +229,12 @@
 		voters := rapid.SampledFrom([]int{3, 4, 5, 6}).Draw(t, "voters")
 		steps := rapid.IntRange(100, 800).Draw(t, "steps")
 		c := newCluster(voters, random.IntN, noDefect)
+		if rapid.Bool().Draw(t, "failure domains") {
+			for i, m := range c.members {
+				m.domain = "z" + strconv.Itoa(i%failureDomains)
+			}
+			c.describeMembers()
+		}
 		c.reconcileAutomatically()
 		for range steps {
 			if err := c.advance(); err != nil {
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -379,6 +379,17 @@
 	if !c.hasAllVoters() {
 		return
 	}
+	c.loseDisk(p, downtime)
+	for range 100 { // the next loss waits until the log has recovered from this one, or is skipped
+		if c.hasAllVoters() {
+			return
+		}
+		time.Sleep(downtime / 10)
+	}
+}
+
+// loseDisk ends a replica without a word and starts it with an empty disk after a time.
+func (c *cluster) loseDisk(p *process, downtime time.Duration) {
 	p.kill()
 	if err := os.RemoveAll(p.dataFolder); err != nil {
 		c.addFinding("cannot remove the disk of %s: %v", p.name, err)
@@ -387,12 +398,6 @@
 	if err := c.start(p, false); err != nil {
 		c.addFinding("cannot start %s: %v", p.name, err)
 	}
-	for range 100 { // the next loss waits until the log has recovered from this one, or is skipped
-		if c.hasAllVoters() {
-			return
-		}
-		time.Sleep(downtime / 10)
-	}
 }
 
 // tear appends the beginning of a record to the log of a replica, as an interrupted write
--- a/internal/soak/replica_test.go
+++ b/internal/soak/replica_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -65,7 +64,7 @@
 	}
 	if c.replace(slot) {
 		time.Sleep(s.duration)
-		c.loseDisk(other)
+		c.loseDisk(other, downTime)
 	}
 }
 
@@ -87,7 +86,7 @@
 	}
 	block(1)
 	time.Sleep(d / 2)
-	c.loseDisk(lost)
+	c.loseDisk(lost, downTime)
 	time.Sleep(d / 2)
 	block(-1)
 }
@@ -122,18 +121,6 @@
 	return nil
 }
 
-// loseDisk ends a replica without a word and starts it with an empty disk.
-func (c *cluster) loseDisk(p *process) {
-	p.kill()
-	if err := os.RemoveAll(p.dataFolder); err != nil {
-		c.addFinding("cannot remove the disk of %s: %v", p.name, err)
-	}
-	time.Sleep(downTime)
-	if err := c.start(p, false); err != nil {
-		c.addFinding("cannot start %s: %v", p.name, err)
-	}
-}
-
 // TestSoakReplicas guards against a log that has no leader any more after losses of replicas that are tolerated, and against
 // orders for failure domains that are held up by a cut between replicas and carried out later.
 func TestSoakReplicas(t *testing.T) {
