--- a/internal/replog/reconcile.go
+++ b/internal/replog/reconcile.go
@@ -21,8 +21,8 @@
 	// minVoters is the number of voters below which none is removed without a replacement: what is
 	// committed is then on two disks at least.
 	minVoters = 3
-	// wholeTime is how long all voters must answer before the losses that they bear are tolerated ever after. A
-	// replica that is being replaced runs beside its successor for less.
+	// wholeTime is how long all voters must answer before the losses that they bear are tolerated ever after: replicas
+	// that are being replaced answer beside their successors for a while.
 	wholeTime = 5 * time.Second
 	// silentHeartbeats is how many heartbeats without a reply make a voter one that may have failed.
 	silentHeartbeats = 2
